--- /dev/null
+++ b/crates/deckproxy-adapter/src/settings.rs
@@ -0,0 +1,134 @@
+//! The settings text (`path=value` lines) to the module's settings. Unknown keys are ignored.
+//!
+//! Where the wire lets a key be absent, a neutral value stands in; a value that does not parse is an error.
+
+use deckproxy_control::interface::{Class, ColdRule, Effect, Group, Settings, Siblings};
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+/// What one instance's settings give: the module's part, and the names of the load report's values.
+#[derive(Debug)]
+pub struct Conf {
+    /// For the module.
+    pub settings: Settings,
+    /// Names of the values of a load report, in order.
+    pub report: Vec<String>,
+}
+
+struct Text<'a>(BTreeMap<&'a str, &'a str>);
+
+impl<'a> Text<'a> {
+    fn get(&self, key: &str) -> Option<&'a str> {
+        self.0.get(key).copied().filter(|v| !v.is_empty())
+    }
+    fn parse<T: FromStr>(&self, key: &str) -> Result<Option<T>, String> {
+        self.get(key).map(|v| v.parse().map_err(|_| format!("setting {key}: cannot read {v:?}"))).transpose()
+    }
+    fn number(&self, key: &str, neutral: f64) -> Result<f64, String> {
+        match self.parse::<f64>(key)? {
+            Some(x) if x.is_finite() => Ok(x),
+            Some(_) => Err(format!("setting {key}: not a finite number")),
+            None => Ok(neutral),
+        }
+    }
+    fn flag(&self, key: &str) -> Result<bool, String> {
+        Ok(self.parse::<bool>(key)?.unwrap_or(false))
+    }
+    fn list<T: FromStr>(&self, key: &str) -> Result<Vec<T>, String> {
+        let Some(text) = self.get(key) else { return Ok(Vec::new()) };
+        text.split(',')
+            .map(|v| v.parse().map_err(|_| format!("setting {key}: cannot read {v:?} in {text:?}")))
+            .collect()
+    }
+    /// A position in a list of names; absent or negative: none.
+    fn position(&self, key: &str) -> Result<Option<u32>, String> {
+        Ok(self.parse::<i64>(key)?.and_then(|n| u32::try_from(n).ok()))
+    }
+}
+
+/// Reads the settings of one instance.
+pub fn read(conf: &str) -> Result<Conf, String> {
+    let text = Text(conf.lines().filter_map(|line| line.trim_end_matches('\r').split_once('=')).collect());
+    let count: usize = text.parse("services.count")?.unwrap_or(0);
+    if count > 256 {
+        return Err(format!("setting services.count: {count} classes are more than a request can name"));
+    }
+    let fresh: Vec<f64> = text.list("familyInfo.maxAgeMs")?;
+    let grace: Vec<f64> = text.list("familyInfo.usableAfterMs")?;
+    let stale: Vec<f64> = text.list("familyInfo.agedWorth")?;
+    let write: Vec<bool> = text.list("familyInfo.goesThrough")?;
+    let mut classes = Vec::new();
+    for i in 0..count {
+        let key = |name: &str| format!("services.{i}.{name}");
+        let aim = text.number(&key("aimMs"), 0.0)?;
+        classes.push(Class {
+            aim,
+            aim_stretch: text.number(&key("aimStretch"), 0.0)?,
+            deadline: text.number(&key("deadlineMs"), aim)?,
+            worth: text.number(&key("importance"), 1.0)?,
+            late_share: text.number(&key("lateShare"), 0.0)?,
+            effect: match text.get(&key("effect")) {
+                Some("retryable") => Effect::Safe,
+                Some("dedup") => Effect::Keyed,
+                // The careful reading where nothing is told.
+                Some("fragile") | None => Effect::Unsafe,
+                Some(other) => return Err(format!("setting {}: unknown effect {other:?}", key("effect"))),
+            },
+            group: match text.get(&key("group")) {
+                Some("all") | None => Group::All,
+                Some("zone") => Group::Zone,
+                Some("cell") => Group::Cell,
+                Some(other) => return Err(format!("setting {}: unknown group {other:?}", key("group"))),
+            },
+            dedup_window: text.number(&key("dedupWindowMs"), 0.0)?,
+            fresh: fresh.get(i).copied().unwrap_or(0.0),
+            grace: grace.get(i).copied().unwrap_or(0.0),
+            stale_worth: stale.get(i).copied().unwrap_or(0.0),
+            write: write.get(i).copied().unwrap_or(false),
+            stream: text.flag(&key("stream"))?,
+        });
+    }
+    let rule = |from: &str, ramp: &str, multiple: &str| -> Result<ColdRule, String> {
+        let cache = ColdRule {
+            from: text.number("rules.coldFrom", 0.0)?,
+            ramp: text.number("rules.rampTimeMs", 0.0)?,
+            multiple: text.number("rules.fallMultiple", 1.0)?,
+            window: text.number("rules.fallMs", 1000.0)?,
+        };
+        Ok(ColdRule {
+            from: text.number(from, cache.from)?,
+            ramp: text.number(ramp, cache.ramp)?,
+            multiple: text.number(multiple, cache.multiple)?,
+            ..cache
+        })
+    };
+    let settings = Settings {
+        classes,
+        zone: text.position("locality")?.unwrap_or(0),
+        zone_routers: text.list("familyInfo.zoneBalancers")?,
+        zone_link: text.list("familyInfo.inletKbPerS")?,
+        routers: text.parse("groupSize")?.unwrap_or(1),
+        parent_kind: text.position("familyInfo.shieldKind")?,
+        origin_kind: text.position("familyInfo.sourceKind")?,
+        direct: text.flag("familyInfo.bypassAllowed")?,
+        joins: text.flag("familyInfo.canJoin")?,
+        siblings: match text.get("familyInfo.sideways") {
+            None | Some("none") => Siblings::None,
+            Some("location") => Siblings::Location,
+            Some("any") => Siblings::Any,
+            Some(other) => return Err(format!("setting familyInfo.sideways: unknown value {other:?}")),
+        },
+        flow: text.number("familyInfo.flowKbPerS", 0.0)?,
+        cold_cache: rule("rules.coldFrom", "rules.rampTimeMs", "rules.fallMultiple")?,
+        cold_parent: rule("familyInfo.upperColdFrom", "familyInfo.upperColdMs", "familyInfo.parentFallMultiple")?,
+        purge_grace: text.number("familyInfo.obeyAfterMs", 0.0)?,
+        purge_done: text.number("familyInfo.clearedWithinMs", 0.0)?,
+        list_on_request: text.get("discovery") == Some("on_request"),
+        max_attempts: text.parse("limits.sendCap")?.unwrap_or(1),
+        second_copies: text.flag("limits.secondCopies")?,
+        cancel: text.flag("limits.cancel")?,
+        retry_after: text.flag("limits.retryAfter")?,
+        max_retry_after: text.number("limits.maxRetryAfterMs", 0.0)?,
+    };
+    Ok(Conf { settings, report: text.list("report.fields")? })
+}
--- /dev/null
+++ b/crates/deckproxy-control/src/lib.rs
@@ -0,0 +1,10 @@
+//! The decision module of deckproxy, a request router for caches that fill from parents and an origin.
+//!
+//! [`interface`] holds the types, events and actions; [`control`] holds every decision. The module does
+//! no I/O: a host hands it events with the time and carries out the actions it answers with.
+#![forbid(unsafe_code)]
+
+pub mod control;
+pub mod interface;
+
+pub use control::Control;
