--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -11,6 +11,8 @@
 
 /// ms between sweeps over waiters and silent members: fine enough for aims of some hundred ms.
 const SWEEP: Millis = 20.0;
+/// ms until a broken subscription to the list is asked for again.
+const REWATCH: Millis = 500.0;
 /// ms: the design's lock time-out; nobody waits longer for a leader.
 const WAIT: Millis = 3000.0;
 /// ms of own sending time from which waiting for the leader costs more than joining its fill at once.
@@ -19,24 +21,21 @@
 const RANK: u8 = 2;
 /// ms: allowance for ways and queues that adds to every sending time.
 const WAY: Millis = 60.0;
-/// Times a member's usual spread that an attempt may take before it is given up.
-const SPREAD: f64 = 4.0;
-/// ms: no attempt is given up sooner while it has time.
-const LEAST_LIMIT: Millis = 350.0;
-/// Outstanding answers over a member's link (all routers' guessed) from which its objects may spill.
-const SPILL_AT: f64 = 1.0;
+/// Answers out over a member's link from which its objects may spill; and from which a parent is passed.
+const SPILL_AT: f64 = 1.5;
+const PASS_AT: f64 = 3.0;
 /// Times the mean load of its pool that a member may hold (bounded loads).
 const BOUND: f64 = 1.3;
 /// Share of the cold rule that all routers together use; the rest covers misjudged sending times.
 const COLD_SHARE: f64 = 0.7;
-/// Weight of one outcome in a member's error share.
-const ERR_STEP: f64 = 0.15;
-/// Error share over that of its peers from which a member is left out.
-const ERR_LIMIT: f64 = 0.45;
-/// Times its peers' pace from which a member counts as slow.
-const SLOW_LIMIT: f64 = 2.5;
+/// Weight of one outcome in a member's error share, and the share over its peers' that leaves it out.
+const ERR_STEP: f64 = 0.12;
+const ERR_LIMIT: f64 = 0.35;
+/// Weight of one answer in a member's pace, and times its peers' pace that count as slow.
+const PACE_STEP: f64 = 0.08;
+const SLOW_FROM: f64 = 1.6;
 /// Sends without any answer, and ms since the first of them, that make a member silent.
-const SILENT_SENDS: u32 = 3;
+const SILENT_SENDS: u32 = 4;
 const SILENT_FOR: Millis = 900.0;
 /// ms that a member is left out at first and at most; doubled from one to the next.
 const OUT_FIRST: Millis = 1000.0;
@@ -44,10 +43,19 @@
 /// Good answers in a row that end a member's trial.
 const TRIAL_GOOD: u32 = 3;
 /// Further attempts after failures: earned by each request, and saved up at most.
-const RETRY_EARN: f64 = 0.3;
-const RETRY_MOST: f64 = 40.0;
+const RETRY_EARN: f64 = 0.1;
+const RETRY_MOST: f64 = 20.0;
+/// Times the aim that an answer may be expected to take before the request is shed.
+const SHED_AT: f64 = 1.5;
+/// ms over which an object's share of the work is counted, the share of one cache's part from which its
+/// parts are spread, and the objects counted at most.
+const HOT_SPAN: Millis = 3000.0;
+const HOT_SHARE: f64 = 0.2;
+const HOT_MOST: usize = 4096;
 /// Requests that wait for one fill, at most; later ones go alone.
 const WAITERS_MOST: usize = 512;
+/// ms named to refused clients as the time to come back, within what they follow.
+const COME_BACK: Millis = 400.0;
 /// Log lines of one router, at most.
 const LOGS: u32 = 60;
 
@@ -58,20 +66,24 @@
     /// Cold budget in ms of sending, and when it was last filled up.
     tokens: f64,
     filled_at: Millis,
-    /// Our attempts out, and fills out that name it as the source, in ms of sending.
+    /// Our attempts out, and fills out that name it as the source.
     out: f64,
     fills: f64,
-    /// Share of errors lately; pace as a multiple of what is expected.
+    /// Share of errors lately; pace as a multiple of what is expected, from so many answers.
     err: f64,
-    pace: Option<f64>,
-    /// Sends since its last sign of life, and when the first of them went.
+    pace: f64,
+    answers: u32,
+    /// Sends since its last sign of life, when the first of them went, and that sign's time.
     unanswered: u32,
     unanswered_since: Millis,
-    /// Left out until then; 0: in use. Afterwards on trial until enough good answers.
+    alive: Millis,
+    /// Left out until then, and for how long; afterwards on trial until enough good answers.
     out_until: Millis,
     out_span: Millis,
     trial: Option<u32>,
     trial_out: bool,
+    /// Last report of its location's link (a cache).
+    link: Option<f64>,
 }
 
 impl Peer {
@@ -83,58 +95,37 @@
             out: 0.0,
             fills: 0.0,
             err: 0.0,
-            pace: None,
+            pace: 1.0,
+            answers: 0,
             unanswered: 0,
             unanswered_since: now,
-            out_until: 0.0,
+            alive: now,
+            out_until: f64::MIN,
             out_span: 0.0,
             trial: None,
             trial_out: false,
+            link: None,
         }
     }
 
     fn usable(&self, now: Millis) -> bool {
-        self.m.lifecycle == Lifecycle::Ready
-            && now >= self.out_until
-            && (self.trial.is_none() || !self.trial_out)
+        self.m.lifecycle == Lifecycle::Ready && now >= self.out_until && !(self.trial.is_some() && self.trial_out)
     }
 
-    /// Whether the member may be cold, its present share of capacity at least, and its age.
-    fn cold(&self, rule: &ColdRule, now: Millis) -> Option<f64> {
-        let age = (now - self.m.started?).max(0.0);
-        (age < rule.ramp).then(|| rule.from + (1.0 - rule.from) * age / rule.ramp)
-    }
-
-    /// Fills the cold budget up and tells whether it has `cost`, in ms of sending.
-    /// A window of the rule's length can then hold at most burst + rate x window, which is COLD_SHARE of
-    /// what the rule allows at the present capacity, split evenly among the routers that may send.
+    /// Fills the cold budget up and tells whether it has `cost`, in ms of sending. Any window of the rule's
+    /// length then holds at most burst + rate x window: COLD_SHARE of what the rule allows at the present
+    /// capacity on the slowest ramp, split evenly among the routers that may send.
     fn cold_room(&mut self, rule: &ColdRule, routers: f64, cost: f64, now: Millis) -> bool {
-        let Some(share) = self.cold(rule, now) else { return true };
-        let capacity = share * self.m.weight / routers;
+        let Some(age) = self.m.started.map(|s| (now - s).max(0.0)).filter(|a| *a < rule.ramp) else {
+            return true;
+        };
+        let capacity = (rule.from + (1.0 - rule.from) * age / rule.ramp) * self.m.weight / routers;
         let rate = (COLD_SHARE * rule.multiple * 0.5).min(1.0);
         let burst = (COLD_SHARE * rule.multiple - rate) * capacity * rule.window;
         self.tokens = (self.tokens + rate * capacity * (now - self.filled_at)).min(burst);
         self.filled_at = now;
         self.tokens >= cost
     }
-
-    fn spend(&mut self, cost: f64) {
-        self.tokens -= cost;
-    }
-
-    fn answered(&mut self) {
-        self.unanswered = 0;
-    }
-}
-
-/// What a class's answers are like.
-#[derive(Clone)]
-struct ClassState {
-    /// Mean sending time, ms, and how many answers it comes from.
-    mean: f64,
-    count: f64,
-    /// Pace of look-ups and of fills: multiple of the expected time, and its spread.
-    pace: [(f64, f64); 2],
 }
 
 /// A 64-bit mix (splitmix's finisher): the shared hash, the same at every router.
@@ -151,7 +142,7 @@
     -m.weight.max(1e-6) / unit.ln()
 }
 
-// ---- Requests, attempts, the collapse table and purges ----------------------------------------------------
+// ---- Requests, attempts, the collapse table and purges ---------------------------------------------------
 
 #[derive(Clone, Copy, PartialEq, Debug)]
 enum Kind {
@@ -166,17 +157,18 @@
     member: MemberId,
     source: Option<MemberId>,
     kind: Kind,
-    /// Expected sending time, ms: what it holds of the member's link.
-    work: f64,
     sent: Millis,
+    /// What the answer was expected to take.
+    expected: Millis,
     trial: bool,
 }
 
 struct Open {
     r: Request,
     arrived: Millis,
-    /// Nothing is owed any more; kept while it leads a fill whose outcome is still to come.
+    /// Nothing is owed any more; kept while an outcome is still to come.
     ended: bool,
+    streaming: bool,
     sends: u32,
     out: Vec<Attempt>,
     /// First attempt that may have run: when it was sent, and where.
@@ -184,61 +176,60 @@
     /// Members that failed this request.
     bad: Vec<MemberId>,
     waiting: Option<Millis>,
-    leading: bool,
-    streaming: bool,
 }
 
 type Key = (u64, u32);
 
-#[derive(Default)]
 struct Collapse {
-    leader: Option<RequestId>,
+    leader: RequestId,
     cache: MemberId,
     waiters: VecDeque<RequestId>,
 }
 
-struct Purge {
-    /// Clock time of the purge, and when we were told.
-    at: Millis,
-    until: Millis,
+#[derive(Clone, Copy)]
+struct Ended {
+    member: MemberId,
+    ending: Ending,
+    elapsed: Millis,
+    note: Note,
+    load: Option<Load>,
 }
 
 /// One router.
 pub struct Control {
     s: Settings,
     peers: BTreeMap<MemberId, Peer>,
-    classes: Vec<ClassState>,
+    /// By class: mean sending time in ms, the answers it comes from, and the pace of fills.
+    means: Vec<(f64, f64, f64)>,
     open: BTreeMap<RequestId, Open>,
     table: BTreeMap<Key, Collapse>,
-    purged_objects: BTreeMap<u64, Purge>,
-    purged_groups: BTreeMap<u32, Purge>,
+    /// Instant of the last purge, by object and by group.
+    purged_objects: BTreeMap<u64, Millis>,
+    purged_groups: BTreeMap<u32, Millis>,
+    /// Work asked for lately: in all, and by object (with the time it was last brought up to date).
+    work_all: (f64, Millis),
+    work_of: BTreeMap<u64, (f64, Millis)>,
     retries: f64,
-    rng: u64,
     sweeping: bool,
-    rewatch: Millis,
     logs: u32,
 }
 
 impl Control {
-    /// A router that has just started and knows nothing but its settings.
-    pub fn new(settings: Settings, seed: u64) -> Self {
-        let classes = settings.classes.iter().map(|c| ClassState {
-            mean: c.deadline / 10.0,
-            count: 0.0,
-            pace: [(1.5, 0.7), (2.0, 1.0)],
-        });
+    /// A router that has just started and knows nothing but its settings. The seed is for decisions by
+    /// chance; there are none so far.
+    pub fn new(settings: Settings, _seed: u64) -> Self {
         Control {
-            classes: classes.collect(),
+            means: settings.classes.iter().map(|c| (c.deadline / 10.0, 0.0, 2.0)).collect(),
             s: settings,
             peers: BTreeMap::new(),
             open: BTreeMap::new(),
             table: BTreeMap::new(),
             purged_objects: BTreeMap::new(),
             purged_groups: BTreeMap::new(),
+            work_all: (0.0, 0.0),
+            work_of: BTreeMap::new(),
             retries: RETRY_MOST,
-            rng: mix(seed),
             sweeping: false,
-            rewatch: 500.0,
             logs: 0,
         }
     }
@@ -246,28 +237,41 @@
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Millis, event: Event, acts: &mut Vec<Action>) {
         match event {
-            Event::Started => {
-                if self.s.list_on_request {
-                    acts.push(Action::Watch(true));
-                }
+            Event::Started if self.s.list_on_request => acts.push(Action::Watch(true)),
+            Event::Timer(1) => acts.push(Action::Watch(true)),
+            Event::Members(ListKind::Failed, _) => {
+                acts.push(Action::Timer { token: 1, at: now + REWATCH });
             }
-            Event::Members(kind, list) => self.members(now, kind, list, acts),
+            Event::Members(kind, list) => self.members(now, kind, list),
             Event::Request(r) => self.request(now, r, acts),
             Event::First { request, attempt } => {
                 if let Some(o) = self.open.get_mut(&request) {
                     o.streaming |= o.out.iter().any(|a| a.no == attempt);
                 }
             }
-            Event::Outcome { request, attempt, member, ending, elapsed, finished, note, .. } => {
-                self.outcome(now, request, attempt, member, ending, elapsed, finished, note, acts)
+            Event::Outcome { request, attempt, member, ending, elapsed, finished, note, load } => {
+                let end = Ended { member, ending, elapsed, note, load };
+                self.outcome(now, request, attempt, end, finished, acts);
+            }
+            Event::Gone(id) => {
+                if let Some(o) = self.open.get_mut(&id) {
+                    o.ended = true;
+                    self.close(now, id, None, acts);
+                }
             }
-            Event::Gone(id) => self.gone(now, id, acts),
             Event::Timer(_) => {
                 self.sweeping = false;
                 self.sweep(now, acts);
             }
-            Event::Purged { object, group, age } => self.purge(now, object, group, age),
-            Event::Probed { .. } | Event::Peer(..) => {}
+            Event::Purged { object, group, age } => {
+                let at = now - age.max(0.0);
+                let last = match object {
+                    Some(o) => self.purged_objects.entry(o).or_insert(at),
+                    None => self.purged_groups.entry(group).or_insert(at),
+                };
+                *last = last.max(at);
+            }
+            Event::Probed { .. } | Event::Peer(..) | Event::Started => {}
         }
         if !self.sweeping && !self.open.is_empty() {
             self.sweeping = true;
@@ -275,206 +279,172 @@
         }
     }
 
-    fn members(&mut self, now: Millis, kind: ListKind, list: Vec<Member>, acts: &mut Vec<Action>) {
-        if kind == ListKind::Failed {
-            acts.push(Action::Watch(true));
-            return;
-        }
+    fn members(&mut self, now: Millis, kind: ListKind, list: Vec<Member>) {
         if kind != ListKind::Delta {
-            let named: Vec<MemberId> = list.iter().map(|m| m.id).collect();
-            self.peers.retain(|id, _| named.contains(id));
+            self.peers.retain(|id, _| list.iter().any(|m| m.id == *id));
         }
         for m in list {
-            if m.lifecycle == Lifecycle::Gone {
-                self.peers.remove(&m.id);
-                continue;
-            }
             match self.peers.get_mut(&m.id) {
-                // A new process knows nothing of the old one's troubles, but its budget starts anew.
-                Some(p) if p.m.started != m.started => *p = Peer::new(m, now),
-                Some(p) => p.m = m,
-                None => {
+                _ if m.lifecycle == Lifecycle::Gone => {
+                    self.peers.remove(&m.id);
+                }
+                Some(p) if p.m.started == m.started => p.m = m,
+                // Also a new process: it knows nothing of the old one's troubles, its budget starts anew.
+                _ => {
                     self.peers.insert(m.id, Peer::new(m, now));
                 }
             }
         }
     }
 
-    fn is_kind(m: &Member, kind: Option<u32>) -> bool {
-        kind == Some(m.kind)
+    fn is_parent(&self, m: &Member) -> bool {
+        self.s.parent_kind == Some(m.kind)
+    }
+
+    fn is_origin(&self, m: &Member) -> bool {
+        self.s.origin_kind == Some(m.kind)
     }
 
     fn is_cache(&self, m: &Member) -> bool {
-        !Self::is_kind(m, self.s.parent_kind) && !Self::is_kind(m, self.s.origin_kind)
+        !self.is_parent(m) && !self.is_origin(m)
     }
 
-    fn log(&mut self, text: String, acts: &mut Vec<Action>) {
-        if self.logs < LOGS {
-            self.logs += 1;
-            acts.push(Action::Log(text));
-        }
+    /// The others that stand in for a member.
+    fn pool(&self, m: &Member) -> impl Iterator<Item = &Peer> {
+        let cache = self.is_cache(m);
+        let (id, kind, zone) = (m.id, m.kind, m.zone);
+        self.peers.values().filter(move |p| {
+            p.m.id != id && if cache { self.is_cache(&p.m) && p.m.zone == zone } else { p.m.kind == kind }
+        })
     }
 
     /// Leaves a member out for a while, unless too much of its pool is out already.
     fn leave_out(&mut self, now: Millis, id: MemberId, why: &str, acts: &mut Vec<Action>) {
         let Some(m) = self.peers.get(&id).map(|p| p.m) else { return };
-        let pool = self.pool(&m);
-        let out = pool.iter().filter(|p| **p != id && now < self.peers[*p].out_until).count();
-        if Self::is_kind(&m, self.s.origin_kind) || (out + 1) * 2 > pool.len().max(1) {
-            return;
-        }
+        let others = self.pool(&m).count();
+        let out = self.pool(&m).filter(|p| now < p.out_until).count();
         let Some(p) = self.peers.get_mut(&id) else { return };
-        if now < p.out_until {
+        if (out + 1) * 2 > others + 1 || now < p.out_until {
             return;
         }
-        p.out_span = if p.out_span == 0.0 { OUT_FIRST } else { (p.out_span * 2.0).min(OUT_MOST) };
+        p.out_span = (p.out_span * 2.0).clamp(OUT_FIRST, OUT_MOST);
         p.out_until = now + p.out_span;
-        p.trial = Some(0);
-        p.trial_out = false;
-        p.err = 0.0;
-        p.pace = None;
-        let span = p.out_span;
-        self.log(format!("member {id} left out for {span:.0} ms: {why}"), acts);
-    }
-
-    /// The members that stand in for this one.
-    fn pool(&self, m: &Member) -> Vec<MemberId> {
-        let like = |p: &&Peer| {
-            if self.is_cache(m) { self.is_cache(&p.m) && p.m.zone == m.zone } else { p.m.kind == m.kind }
-        };
-        self.peers.values().filter(like).map(|p| p.m.id).collect()
+        (p.trial, p.trial_out, p.err, p.unanswered) = (Some(0), false, 0.0, 0);
+        if self.logs < LOGS {
+            self.logs += 1;
+            acts.push(Action::Log(format!("member {id} left out for {:.0} ms: {why}", p.out_span)));
+        }
     }
 
-    /// Books a sign of trouble or health that the member itself caused.
-    fn judge(&mut self, now: Millis, id: MemberId, good: bool, pace: Option<f64>, acts: &mut Vec<Action>) {
+    /// Books a sign of health or trouble that the member itself caused.
+    fn judge(&mut self, now: Millis, id: MemberId, good: bool, acts: &mut Vec<Action>) {
         let Some(m) = self.peers.get(&id).map(|p| p.m) else { return };
-        let peers: Vec<MemberId> = self.pool(&m).into_iter().filter(|p| *p != id).collect();
-        let err_of_peers = peers.iter().map(|p| self.peers[p].err).fold(f64::MAX, f64::min);
-        let mut paces: Vec<f64> = peers.iter().filter_map(|p| self.peers[p].pace).collect();
-        paces.sort_by(f64::total_cmp);
-        let usual = paces.get(paces.len() / 2).copied();
+        let least = self.pool(&m).map(|p| p.err).fold(f64::MAX, f64::min);
         let Some(p) = self.peers.get_mut(&id) else { return };
         p.err += ERR_STEP * (if good { 0.0 } else { 1.0 } - p.err);
-        if let Some(x) = pace {
-            p.pace = Some(p.pace.map_or(x, |old| old + 0.1 * (x - old)));
-        }
         match p.trial {
-            Some(_) if now < p.out_until => {}
-            Some(_) if !good => {
-                p.out_until = 0.0;
-                self.leave_out(now, id, "failed its trial", acts);
-                return;
-            }
+            Some(_) if !good => self.leave_out(now, id, "failed its trial", acts),
             Some(n) if n + 1 >= TRIAL_GOOD => {
                 p.trial = None;
-                p.out_until = 0.0;
-                p.out_span = (p.out_span * 0.5).max(OUT_FIRST);
+                p.out_span *= 0.25;
             }
             Some(n) => p.trial = Some(n + 1),
+            None if p.err > ERR_LIMIT && least < p.err * 0.5 => self.leave_out(now, id, "errors", acts),
             None => {}
         }
-        if p.err > ERR_LIMIT && (peers.is_empty() || err_of_peers < p.err * 0.5) {
-            self.leave_out(now, id, "errors", acts);
-        } else if let (Some(own), Some(usual)) = (p.pace, usual)
-            && own > SLOW_LIMIT * usual.max(1.0)
-        {
-            self.leave_out(now, id, "slow against its peers", acts);
+    }
+
+    /// How many times slower than its peers a member answers, from 1. A slow one counts as a smaller one:
+    /// its objects spill sooner, whatever slows it (a busy disk, pauses, a lame core). It can hurt where a
+    /// member only got the harder requests; then some of its objects are kept twice.
+    fn slowness(&self, p: &Peer) -> f64 {
+        let mut paces: Vec<f64> = self.pool(&p.m).filter(|q| q.answers >= 8).map(|q| q.pace).collect();
+        if p.answers < 8 || paces.is_empty() {
+            return 1.0;
         }
+        paces.sort_by(f64::total_cmp);
+        let ratio = p.pace / paces[(paces.len() - 1) / 2].max(0.5);
+        if ratio > SLOW_FROM { ratio } else { 1.0 }
     }
 
-    // ---- Choice of cache and source -------------------------------------------------------------------
+    // ---- Choice of cache and source ----------------------------------------------------------------------
 
     /// The routers that may send to a member.
     fn sharers(&self, m: &Member) -> f64 {
-        let n = if self.is_cache(m) {
-            self.s.zone_routers.get(m.zone as usize).copied().unwrap_or(self.s.routers)
-        } else {
-            self.s.routers
-        };
-        f64::from(n.max(1))
+        let zone = self.s.zone_routers.get(m.zone as usize).copied().filter(|_| self.is_cache(m));
+        f64::from(zone.unwrap_or(self.s.routers).max(1))
     }
 
-    /// Our attempts out over our part of the member's link.
+    /// Answers out over the member's link, all routers' guessed from ours.
     fn load(&self, p: &Peer) -> f64 {
-        (p.out + p.fills) * self.sharers(&p.m) / p.m.weight.max(0.1)
+        (p.out + p.fills) * self.sharers(&p.m) * self.slowness(p) / p.m.weight.max(0.1)
     }
 
-    /// Ready members of a pool in the object's order.
-    fn ranked(&self, object: u64, member: impl Fn(&Member) -> bool) -> Vec<MemberId> {
-        let mut all: Vec<(f64, MemberId)> = self
-            .peers
-            .values()
-            .filter(|p| p.m.lifecycle == Lifecycle::Ready && member(&p.m))
-            .map(|p| (score(object, &p.m), p.m.id))
-            .collect();
-        all.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        all.into_iter().map(|x| x.1).collect()
+    /// Ready members of a pool in the hash's order, those holding too much of our work moved behind.
+    fn order(&self, hash: u64, limit: f64, member: impl Fn(&Member) -> bool) -> Vec<MemberId> {
+        let ready = |p: &&Peer| p.m.lifecycle == Lifecycle::Ready && member(&p.m);
+        let mut all: Vec<(bool, f64, MemberId)> =
+            self.peers.values().filter(ready).map(|p| (false, score(hash, &p.m), p.m.id)).collect();
+        let mean = all.iter().map(|x| self.load(&self.peers[&x.2])).sum::<f64>() / all.len().max(1) as f64;
+        for x in &mut all {
+            let load = self.load(&self.peers[&x.2]);
+            x.0 = load > limit && load > BOUND * mean;
+        }
+        all.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)).then(a.2.cmp(&b.2)));
+        all.into_iter().map(|x| x.2).collect()
     }
 
-    fn caches(&self, object: u64) -> Vec<MemberId> {
-        self.ranked(object, |m| self.is_cache(m) && m.zone == self.s.zone)
+    /// The caches of the location for a request. An object that draws much of the work is spread by its
+    /// parts, in one order that all routers share.
+    fn caches(&self, r: &Request, now: Millis) -> Vec<MemberId> {
+        let hash = if self.hot(r, now) { r.object ^ mix(u64::from(r.part) + 1) } else { r.object };
+        self.order(hash, SPILL_AT, |m| self.is_cache(m) && m.zone == self.s.zone)
     }
 
-    fn parents(&self, object: u64) -> Vec<MemberId> {
-        self.ranked(object, |m| Self::is_kind(m, self.s.parent_kind))
+    /// The sources of fills: the parents, then the origin.
+    fn sources(&self, r: &Request) -> Vec<MemberId> {
+        let mut all = self.order(r.object, PASS_AT, |m| self.is_parent(m));
+        all.extend(self.origin());
+        all
     }
 
     fn origin(&self) -> Option<MemberId> {
-        self.ranked(0, |m| Self::is_kind(m, self.s.origin_kind)).first().copied()
+        self.order(0, f64::MAX, |m| self.is_origin(m)).first().copied()
     }
 
-    /// The order of a pool with those holding too much of our work moved behind (bounded loads).
-    fn spilled(&self, order: Vec<MemberId>) -> Vec<MemberId> {
-        let total: f64 = order.iter().map(|id| self.peers[id].out + self.peers[id].fills).sum();
-        let weight: f64 = order.iter().map(|id| self.peers[id].m.weight).sum();
-        let (mut fit, mut full) = (Vec::new(), Vec::new());
-        for id in order {
-            let p = &self.peers[&id];
-            let bound = BOUND * total * p.m.weight / weight.max(0.1);
-            let over = self.load(p) > SPILL_AT && p.out + p.fills > bound;
-            if over { full.push(id) } else { fit.push(id) }
-        }
-        full.sort_by(|a, b| self.load(&self.peers[a]).total_cmp(&self.load(&self.peers[b])));
-        fit.extend(full);
-        fit
+    fn faded((work, at): (f64, Millis), now: Millis) -> f64 {
+        work * (-(now - at) / HOT_SPAN).exp()
+    }
+
+    fn hot(&self, r: &Request, now: Millis) -> bool {
+        let own = self.work_of.get(&r.object).map_or(0.0, |w| Self::faded(*w, now));
+        let caches = self.peers.values().filter(|p| self.is_cache(&p.m) && p.m.zone == self.s.zone).count();
+        own * caches as f64 > HOT_SHARE * Self::faded(self.work_all, now)
     }
 
     /// Sending time of a request: told, else the class's learned mean.
     fn work(&self, r: &Request) -> f64 {
         match r.size {
             Some(kb) if self.s.flow > 0.0 => kb / self.s.flow * 1000.0,
-            _ => self.classes[r.class].mean,
+            _ => self.means[r.class].0,
         }
     }
 
-    // ---- Purges ---------------------------------------------------------------------------------------
-
-    fn purge(&mut self, now: Millis, object: Option<u64>, group: u32, age: Millis) {
-        let at = now - age.max(0.0);
-        let new = Purge { at, until: at + self.s.purge_done };
-        let keep = |old: &mut Purge| {
-            if new.at > old.at {
-                (old.at, old.until) = (new.at, new.until);
-            }
-        };
-        match object {
-            Some(o) => self.purged_objects.entry(o).and_modify(keep).or_insert(Purge { ..new }),
-            None => self.purged_groups.entry(group).and_modify(keep).or_insert(Purge { ..new }),
-        };
+    fn learn_mean(&mut self, class: usize, work: f64) {
+        // The first guess weighs as five answers.
+        let (mean, count, _) = &mut self.means[class];
+        *count = (*count + 1.0).min(300.0);
+        *mean += (work - *mean) / (*count + 5.0);
     }
 
     /// The oldest copy that will do, in ms, where a purge binds; judged at each send.
     fn purge_bound(&self, r: &Request, now: Millis) -> Option<f64> {
-        let live = |p: Option<&Purge>| p.filter(|p| now <= p.until).map(|p| (now - p.at - 0.002).max(0.001));
-        let a = live(self.purged_objects.get(&r.object));
-        let b = live(self.purged_groups.get(&r.group));
-        match (a, b) {
-            (Some(a), Some(b)) => Some(a.min(b)),
-            (a, b) => a.or(b),
-        }
+        let last = [self.purged_objects.get(&r.object), self.purged_groups.get(&r.group)];
+        let last = last.into_iter().flatten().copied().fold(f64::MIN, f64::max);
+        (now <= last + self.s.purge_done).then(|| (now - last - 0.002).max(0.001))
     }
 
-    // ---- The gate -------------------------------------------------------------------------------------
+    // ---- The gate ----------------------------------------------------------------------------------------
 
     /// The only way out for attempts: every check of the rules is here. Tells whether it was sent.
     fn emit(
@@ -488,13 +458,9 @@
     ) -> bool {
         let Some(o) = self.open.get(&id) else { return false };
         let class = &self.s.classes[o.r.class];
-        // Attempt count, one at a time, deadline, a stream that has begun.
-        if o.ended
-            || o.streaming
-            || !o.out.is_empty()
-            || o.sends >= self.s.max_attempts
-            || now >= o.r.expires
-        {
+        // One at a time, attempt count, deadline, a stream that has begun.
+        let spent = o.ended || o.streaming || !o.out.is_empty();
+        if spent || o.sends >= self.s.max_attempts || now >= o.r.expires {
             return false;
         }
         // Effects: what may have run goes again only where repeats are dropped, and in time.
@@ -505,18 +471,15 @@
                 (Some(a), Some(b), Group::Cell) => a.m.cell == b.m.cell,
                 _ => false,
             };
-            match class.effect {
-                Effect::Safe => {}
-                Effect::Keyed if same && now < at + class.dedup_window - 1.0 => {}
-                _ => return false,
+            let in_time = now < at + class.dedup_window - 1.0;
+            if !(class.effect == Effect::Safe || class.effect == Effect::Keyed && same && in_time) {
+                return false;
             }
         }
-        // Drain and zone, of the member asked and of the source.
+        // Drain, of the member asked and of the source; zone.
         let ends: Vec<MemberId> = [Some(to), source.filter(|s| *s != to)].into_iter().flatten().collect();
-        for m in &ends {
-            if self.peers.get(m).is_none_or(|p| !p.usable(now)) {
-                return false;
-            }
+        if ends.iter().any(|m| self.peers.get(m).is_none_or(|p| !p.usable(now))) {
+            return false;
         }
         let target = self.peers[&to].m;
         let local = self.is_cache(&target) && target.zone == self.s.zone;
@@ -524,121 +487,100 @@
             return false;
         }
         // Cold budgets, of both; look-ups count, and so do fills that may turn out to be hits.
-        let work = self.work(&o.r);
-        let cost = self.classes[o.r.class].mean * 1.1;
-        let rule = |c: &Self, m: &Member| {
-            if c.is_cache(m) { c.s.cold_cache } else { c.s.cold_parent }
-        };
+        let (work, cost) = (self.work(&o.r), self.means[o.r.class].0 * 1.1);
         for m in &ends {
             let (member, sharers) = (self.peers[m].m, self.sharers(&self.peers[m].m));
-            let rule = rule(self, &member);
-            if Self::is_kind(&member, self.s.origin_kind) {
-                continue;
-            }
-            if !self.peers.get_mut(m).is_some_and(|p| p.cold_room(&rule, sharers, cost, now)) {
+            let rule = if self.is_cache(&member) { self.s.cold_cache } else { self.s.cold_parent };
+            let warm = self.is_origin(&member);
+            let Some(p) = self.peers.get_mut(m) else { return false };
+            if !warm && !p.cold_room(&rule, sharers, cost, now) {
                 return false;
             }
         }
-        for m in &ends {
-            if let Some(p) = self.peers.get_mut(m) {
-                p.spend(cost);
-            }
-        }
-        // Time: give up early enough for one more attempt while there are attempts left.
+        // Time. An answer is given up early only where that costs little (a write) or trouble is likely (a
+        // trial): elsewhere a long wait means a crowded link, and a second try would crowd it more.
+        let trial = ends.iter().any(|m| self.peers[m].trial.is_some());
         let o = &self.open[&id];
-        let (mean, dev) = self.classes[o.r.class].pace[usize::from(kind != Kind::LookUp)];
         let left = o.r.expires - now;
-        let limit = ((work + WAY) * (mean + SPREAD * dev)).max(LEAST_LIMIT);
-        let last = o.sends + 1 >= self.s.max_attempts || left < 2.0 * (work + WAY) * mean;
-        let until = if last { o.r.expires } else { now + limit.min(left - (work + WAY) * mean) };
+        let early = (trial || class.write) && o.sends + 1 < self.s.max_attempts;
+        let until = if early { now + (left / 2.0).max(SILENT_FOR.min(left)) } else { o.r.expires };
         let bound = self.purge_bound(&o.r, now);
-        let fresh = class.fresh;
-        let age = match bound {
-            Some(b) if fresh > 0.0 => b.min(fresh),
-            Some(b) => b,
-            None => 0.0,
-        };
+        let age = bound.map_or(0.0, |b| if class.fresh > 0.0 { b.min(class.fresh) } else { b });
         let how = How { join: self.s.joins && kind != Kind::LookUp, ..How::default() };
-        let is_origin = Self::is_kind(&target, self.s.origin_kind);
-        let plain = kind == Kind::LookUp && bound.is_none() || is_origin;
+        let keep = if class.write || !local { 0 } else { RANK };
+        let plain = kind == Kind::LookUp && bound.is_none() || self.is_origin(&target);
         acts.push(if plain {
             Action::LookUp { request: id, member: to, until }
         } else {
-            let keep = if class.write || !local { 0 } else { RANK };
             Action::Get { request: id, member: to, until, source: source.unwrap_or(to), keep, age, how }
         });
         // Books.
-        let mut trial = false;
+        let expected = work * self.load(&self.peers[&to]).max(1.0) + WAY;
         for m in &ends {
-            let fill = *m != to;
-            if let Some(p) = self.peers.get_mut(m) {
-                if fill {
-                    p.fills += work;
-                } else {
-                    p.out += work;
-                    if p.unanswered == 0 {
-                        p.unanswered_since = now;
-                    }
-                    p.unanswered += 1;
-                }
-                if p.trial.is_some() {
-                    p.trial_out = true;
-                    trial = true;
-                }
+            let Some(p) = self.peers.get_mut(m) else { continue };
+            p.tokens -= cost;
+            p.trial_out |= p.trial.is_some();
+            if *m != to {
+                p.fills += 1.0;
+                continue;
             }
+            p.out += 1.0;
+            if p.unanswered == 0 {
+                p.unanswered_since = now;
+            }
+            p.unanswered += 1;
         }
         let Some(o) = self.open.get_mut(&id) else { return false };
-        o.out.push(Attempt { no: o.sends, member: to, source, kind, work, sent: now, trial });
+        o.out.push(Attempt { no: o.sends, member: to, source, kind, sent: now, expected, trial });
         o.sends += 1;
         true
     }
 
-    // ---- Dispatch -------------------------------------------------------------------------------------
+    // ---- Dispatch ----------------------------------------------------------------------------------------
 
     fn request(&mut self, now: Millis, r: Request, acts: &mut Vec<Action>) {
-        if r.class >= self.classes.len() {
+        if r.class >= self.means.len() {
             acts.push(Action::Fail { request: r.id });
             return;
         }
         self.retries = (self.retries + RETRY_EARN).min(RETRY_MOST);
-        if let Some(kb) = r.size
-            && self.s.flow > 0.0
-        {
-            self.learn_mean(r.class, kb / self.s.flow * 1000.0);
+        let work = self.work(&r);
+        if r.size.is_some() {
+            self.learn_mean(r.class, work);
+        }
+        self.work_all = (Self::faded(self.work_all, now) + work, now);
+        let own = self.work_of.get(&r.object).map_or(0.0, |w| Self::faded(*w, now));
+        if own > 0.0 || self.work_of.len() < HOT_MOST {
+            self.work_of.insert(r.object, (own + work, now));
         }
-        let id = r.id;
         let open = Open {
             r,
             arrived: now,
             ended: false,
+            streaming: false,
             sends: 0,
             out: Vec::new(),
             maybe_run: None,
             bad: Vec::new(),
             waiting: None,
-            leading: false,
-            streaming: false,
         };
-        self.open.insert(id, open);
-        self.route(now, id, acts);
-    }
-
-    fn learn_mean(&mut self, class: usize, work: f64) {
-        let c = &mut self.classes[class];
-        c.count = (c.count + 1.0).min(300.0);
-        // The first guess weighs as five answers.
-        c.mean += (work - c.mean) / (c.count + 5.0);
+        self.open.insert(r.id, open);
+        self.route(now, r.id, acts);
     }
 
     /// Sends a request on its way: a look-up at the first cache that will do, else past the caches.
     fn route(&mut self, now: Millis, id: RequestId, acts: &mut Vec<Action>) {
         let Some(o) = self.open.get(&id) else { return };
-        let (object, class) = (o.r.object, o.r.class);
-        if self.s.classes[class].write {
+        if self.s.classes[o.r.class].write {
             return self.write(now, id, acts);
         }
         let bad = o.bad.clone();
-        let order = self.spilled(self.caches(object));
+        // Where a fill of ours runs, the object is looked up there.
+        let mut order: Vec<MemberId> = self.table.get(&(o.r.object, o.r.part)).map(|e| e.cache).into_iter().collect();
+        order.extend(self.caches(&o.r, now));
+        if self.shed(now, id, &order) {
+            return self.give_up(now, id, acts);
+        }
         for cache in order.into_iter().filter(|c| !bad.contains(c)) {
             if self.emit(now, id, cache, None, Kind::LookUp, acts) {
                 return;
@@ -647,38 +589,41 @@
         self.direct(now, id, acts);
     }
 
+    /// Whether even the best cache is too crowded to answer anywhere near the aim: large answers of little
+    /// worth go first, as their aims leave the least room.
+    fn shed(&self, now: Millis, id: RequestId, order: &[MemberId]) -> bool {
+        let o = &self.open[&id];
+        let class = &self.s.classes[o.r.class];
+        let work = self.work(&o.r);
+        let Some(first) = order.iter().find(|c| self.peers.get(c).is_some_and(|p| p.usable(now))) else {
+            return false;
+        };
+        let takes = work * self.load(&self.peers[first]).max(1.0) + WAY;
+        let aim = (class.aim + class.aim_stretch * work).min(class.deadline);
+        o.sends == 0 && takes > SHED_AT * aim
+    }
+
     /// No cache will do: straight to the parents, in their order, then to the origin.
     fn direct(&mut self, now: Millis, id: RequestId, acts: &mut Vec<Action>) {
         let Some(o) = self.open.get(&id) else { return };
-        let bad = o.bad.clone();
-        let origin = self.origin();
-        if self.s.direct {
-            let parents = self.spilled(self.parents(o.r.object));
-            for p in parents.into_iter().filter(|p| !bad.contains(p)) {
-                if self.emit(now, id, p, origin, Kind::Direct, acts) {
-                    return;
-                }
-            }
-            if let Some(origin) = origin
-                && self.emit(now, id, origin, Some(origin), Kind::Direct, acts)
-            {
+        let (bad, origin) = (o.bad.clone(), self.origin());
+        for way in self.sources(&o.r).into_iter().filter(|p| !bad.contains(p)) {
+            if self.emit(now, id, way, origin, Kind::Direct, acts) {
                 return;
             }
         }
         self.give_up(now, id, acts);
     }
 
-    /// A write runs at the origin: straight, else through a parent or a cache.
+    /// A write runs at the origin: straight, else through a parent or, where neither is open, a cache.
     fn write(&mut self, now: Millis, id: RequestId, acts: &mut Vec<Action>) {
         let Some(o) = self.open.get(&id) else { return };
-        let Some(origin) = self.origin() else { return self.give_up(now, id, acts) };
-        let object = o.r.object;
-        if self.emit(now, id, origin, Some(origin), Kind::Direct, acts) {
-            return;
-        }
-        let ways = if self.s.direct { self.parents(object) } else { self.spilled(self.caches(object)) };
+        let (origin, r) = (self.origin(), o.r);
+        let mut ways = self.sources(&r);
+        ways.rotate_right(usize::from(origin.is_some()));
+        ways.extend(self.caches(&r, now));
         for way in ways {
-            if self.emit(now, id, way, Some(origin), Kind::Direct, acts) {
+            if origin.is_some() && self.emit(now, id, way, origin, Kind::Direct, acts) {
                 return;
             }
         }
@@ -688,60 +633,34 @@
     /// After a miss at a cache: lead, wait, or join at once.
     fn missed(&mut self, now: Millis, id: RequestId, cache: MemberId, acts: &mut Vec<Action>) {
         let Some(o) = self.open.get(&id) else { return };
-        let key = (o.r.object, o.r.part);
         let large = self.s.joins && self.work(&o.r) >= LARGE;
-        let entry = self.table.entry(key).or_default();
-        match entry.leader {
-            None => {
-                entry.leader = Some(id);
-                entry.cache = cache;
-                self.lead(now, id, cache, acts);
-            }
-            Some(_) if large || entry.waiters.len() >= WAITERS_MOST => {
-                let at = entry.cache;
-                self.fill(now, id, at, acts);
-            }
-            Some(_) => {
-                entry.waiters.push_back(id);
-                if let Some(o) = self.open.get_mut(&id) {
-                    o.waiting = Some(now);
-                }
-            }
+        let Some(entry) = self.table.get_mut(&(o.r.object, o.r.part)) else {
+            let entry = Collapse { leader: id, cache, waiters: VecDeque::new() };
+            self.table.insert((o.r.object, o.r.part), entry);
+            return self.fill(now, id, cache, acts);
+        };
+        if entry.leader == id || large || entry.waiters.len() >= WAITERS_MOST {
+            let cache = entry.cache;
+            return self.fill(now, id, cache, acts);
         }
-    }
-
-    fn lead(&mut self, now: Millis, id: RequestId, cache: MemberId, acts: &mut Vec<Action>) {
+        entry.waiters.push_back(id);
         if let Some(o) = self.open.get_mut(&id) {
-            o.leading = true;
+            o.waiting = Some(now);
         }
-        self.fill(now, id, cache, acts);
     }
 
-    /// A fill at a cache, from the first source that will do.
+    /// A fill at a cache, from the first source that will do; else at the next cache; else past them.
     fn fill(&mut self, now: Millis, id: RequestId, cache: MemberId, acts: &mut Vec<Action>) {
         let Some(o) = self.open.get(&id) else { return };
-        let bad = o.bad.clone();
-        let object = o.r.object;
-        if self.peers.get(&cache).is_some_and(|p| p.usable(now)) && !bad.contains(&cache) {
-            let mut sources = self.spilled(self.parents(object));
-            sources.extend(self.origin());
-            for source in sources.into_iter().filter(|s| !bad.contains(s)) {
-                if self.emit(now, id, cache, Some(source), Kind::Fill, acts) {
-                    return;
-                }
-            }
-        }
-        let others: Vec<MemberId> =
-            self.spilled(self.caches(object)).into_iter().filter(|c| *c != cache && !bad.contains(c)).collect();
-        let mut sources = self.spilled(self.parents(object));
-        sources.extend(self.origin());
-        for other in others {
+        let (r, bad) = (o.r, o.bad.clone());
+        let sources = self.sources(&r);
+        let others = self.caches(&r, now).into_iter().filter(|c| *c != cache);
+        let caches: Vec<MemberId> = std::iter::once(cache).chain(others).filter(|c| !bad.contains(c)).collect();
+        for at in caches {
             for source in sources.iter().filter(|s| !bad.contains(s)) {
-                if self.emit(now, id, other, Some(*source), Kind::Fill, acts) {
-                    if let Some(e) = self.table.get_mut(&(object, self.open[&id].r.part))
-                        && e.leader == Some(id)
-                    {
-                        e.cache = other;
+                if self.emit(now, id, at, Some(*source), Kind::Fill, acts) {
+                    if let Some(e) = self.table.get_mut(&(r.object, r.part)).filter(|e| e.leader == id) {
+                        e.cache = at;
                     }
                     return;
                 }
@@ -761,45 +680,40 @@
                 Effect::Unsafe => o.maybe_run.is_none(),
             };
             o.ended = true;
-            acts.push(if harmless {
-                let retry_after = if self.s.retry_after { self.s.max_retry_after.min(400.0) } else { 0.0 };
-                Action::Refuse { request: id, retry_after }
-            } else {
-                Action::Fail { request: id }
+            let retry_after = if self.s.retry_after { self.s.max_retry_after.min(COME_BACK) } else { 0.0 };
+            acts.push(match harmless {
+                true => Action::Refuse { request: id, retry_after },
+                false => Action::Fail { request: id },
             });
         }
-        self.close(now, id, false, acts);
+        self.close(now, id, None, acts);
     }
 
-    /// Forgets an ended request. If it led, its waiters get the fill's benefit or the lead.
-    fn close(&mut self, now: Millis, id: RequestId, filled: bool, acts: &mut Vec<Action>) {
-        let Some(o) = self.open.get_mut(&id) else { return };
-        if !o.out.is_empty() {
-            return; // its outcome is still to come
+    /// Forgets an ended request that has nothing out. If it led: after a fill its waiters go to that cache,
+    /// else the oldest of them leads.
+    fn close(&mut self, now: Millis, id: RequestId, filled: Option<MemberId>, acts: &mut Vec<Action>) {
+        if let Some(o) = self.open.get(&id).filter(|o| o.out.is_empty()) {
+            let (key, bad) = ((o.r.object, o.r.part), o.bad.clone());
+            self.open.remove(&id);
+            self.pass_on(now, id, key, filled, bad, acts);
         }
-        let key = (o.r.object, o.r.part);
-        let bad = std::mem::take(&mut o.bad);
-        self.open.remove(&id);
-        self.pass_on(now, id, key, filled, bad, acts);
     }
 
-    /// The leader is done: on success the waiters go to its cache, else the oldest of them leads.
     fn pass_on(
         &mut self,
         now: Millis,
         id: RequestId,
         key: Key,
-        filled: bool,
+        filled: Option<MemberId>,
         bad: Vec<MemberId>,
         acts: &mut Vec<Action>,
     ) {
         let Some(entry) = self.table.get_mut(&key) else { return };
-        if entry.leader != Some(id) {
-            entry.waiters.retain(|w| *w != id);
+        entry.waiters.retain(|w| *w != id);
+        if entry.leader != id {
             return;
         }
-        let cache = entry.cache;
-        if filled {
+        if let Some(cache) = filled {
             let waiters = self.table.remove(&key).map(|e| e.waiters).unwrap_or_default();
             for w in waiters {
                 if let Some(o) = self.open.get_mut(&w) {
@@ -811,193 +725,158 @@
             }
             return;
         }
-        while let Some(next) = self.table.get_mut(&key).and_then(|e| e.waiters.pop_front()) {
-            let Some(o) = self.open.get_mut(&next) else { continue };
+        let Some(next) = entry.waiters.pop_front() else {
+            self.table.remove(&key);
+            return;
+        };
+        entry.leader = next;
+        let cache = entry.cache;
+        if let Some(o) = self.open.get_mut(&next) {
             o.waiting = None;
             o.bad.extend(bad);
-            if let Some(e) = self.table.get_mut(&key) {
-                e.leader = Some(next);
-            }
-            return self.lead(now, next, cache, acts);
         }
-        self.table.remove(&key);
+        self.fill(now, next, cache, acts);
     }
 
-    #[allow(clippy::too_many_arguments)]
     fn outcome(
         &mut self,
         now: Millis,
         id: RequestId,
         no: u32,
-        member: MemberId,
-        ending: Ending,
-        elapsed: Millis,
+        end: Ended,
         finished: bool,
-        note: Note,
         acts: &mut Vec<Action>,
     ) {
         let Some(o) = self.open.get_mut(&id) else { return };
-        let Some(i) = o.out.iter().position(|a| a.no == no && a.member == member) else { return };
+        let Some(i) = o.out.iter().position(|a| a.no == no && a.member == end.member) else { return };
         let a = o.out.remove(i);
-        o.ended |= finished;
-        let never_ran = matches!(ending, Ending::Full | Ending::ConnectFailed | Ending::Moot | Ending::Miss);
+        let ok = end.ending == Ending::Ok;
+        o.ended |= finished || ok;
+        let never_ran = [Ending::Full, Ending::ConnectFailed, Ending::Moot, Ending::Miss].contains(&end.ending);
         if !never_ran && o.maybe_run.is_none() {
             o.maybe_run = Some((a.sent, a.member));
         }
-        let (class, leading, ended) = (o.r.class, o.leading, o.ended);
-        let key = (o.r.object, o.r.part);
-        self.book(now, &a, class, ending, elapsed, note, acts);
-        if ending == Ending::Ok || ended {
-            if ending == Ending::Ok && a.kind != Kind::Direct && !leading {
-                // A fill that was not led (a join, one gone alone) serves the waiters as well.
-            }
-            let filled = ending == Ending::Ok && a.kind == Kind::Fill;
-            if ending == Ending::Ok
-                && let Some(o) = self.open.get_mut(&id)
-            {
-                o.ended = true;
-            }
+        let (r, ended) = (o.r, o.ended);
+        self.book(now, &a, r.class, end, acts);
+        if ended {
+            let filled = (ok && a.kind == Kind::Fill).then_some(a.member);
             return self.close(now, id, filled, acts);
         }
-        let Some(o) = self.open.get_mut(&id) else { return };
-        if ending == Ending::Miss && a.kind == Kind::LookUp {
-            return self.missed(now, id, member, acts);
+        if end.ending == Ending::Miss && a.kind == Kind::LookUp {
+            return self.missed(now, id, a.member, acts);
         }
         // A failure: whom the request avoids from now on.
-        let source_fault = a.kind == Kind::Fill
-            && !matches!(ending, Ending::ConnectFailed | Ending::Reset)
-            && note != Note::NoPlace;
-        match a.source {
-            Some(s) if source_fault => o.bad.push(s),
-            _ => o.bad.push(member),
-        }
-        o.leading = false;
+        let at_source = a.kind == Kind::Fill
+            && ![Ending::ConnectFailed, Ending::Reset, Ending::Cancelled].contains(&end.ending)
+            && end.note != Note::NoPlace;
+        let Some(o) = self.open.get_mut(&id) else { return };
+        o.bad.push(a.source.filter(|_| at_source).unwrap_or(a.member));
         let bad = o.bad.clone();
-        self.retries -= 1.0;
-        if self.retries < 0.0 || now >= self.open[&id].r.expires {
-            self.retries = self.retries.max(0.0);
+        if self.retries < 1.0 || now >= r.expires {
             return self.give_up(now, id, acts);
         }
-        if leading && a.kind != Kind::LookUp {
-            let others = self.table.get(&key).is_some_and(|e| !e.waiters.is_empty());
-            if others {
-                self.pass_on(now, id, key, false, bad, acts);
-                return match self.table.get(&key) {
-                    Some(_) => self.missed(now, id, member, acts),
-                    None => self.route(now, id, acts),
-                };
-            }
-            return self.lead(now, id, member, acts);
-        }
+        self.retries -= 1.0;
+        let key = (r.object, r.part);
+        let waited_for = self.table.get(&key).is_some_and(|e| e.leader == id && !e.waiters.is_empty());
         match a.kind {
-            Kind::Fill => self.fill(now, id, member, acts),
+            Kind::Fill if waited_for => {
+                self.pass_on(now, id, key, None, bad, acts);
+                self.missed(now, id, a.member, acts);
+            }
+            Kind::Fill => self.missed(now, id, a.member, acts),
             _ => self.route(now, id, acts),
         }
     }
 
-    /// Books an outcome: loads, learned paces, health.
-    #[allow(clippy::too_many_arguments)]
-    fn book(
-        &mut self,
-        now: Millis,
-        a: &Attempt,
-        class: usize,
-        ending: Ending,
-        elapsed: Millis,
-        note: Note,
-        acts: &mut Vec<Action>,
-    ) {
-        if let Some(p) = self.peers.get_mut(&a.member) {
-            p.out = (p.out - a.work).max(0.0);
-            if !matches!(ending, Ending::Timeout | Ending::Cancelled | Ending::Moot) {
-                p.answered();
-            }
-            if a.trial {
-                p.trial_out = false;
-            }
-        }
+    /// Books an outcome: loads, learned times, health.
+    fn book(&mut self, now: Millis, a: &Attempt, class: usize, end: Ended, acts: &mut Vec<Action>) {
         let source = a.source.filter(|s| *s != a.member);
-        if let Some(p) = source.and_then(|s| self.peers.get_mut(&s)) {
-            p.fills = (p.fills - a.work).max(0.0);
-            if a.trial {
-                p.trial_out = false;
+        for m in [Some(a.member), source].into_iter().flatten() {
+            let Some(p) = self.peers.get_mut(&m) else { continue };
+            p.trial_out &= !a.trial;
+            if m != a.member {
+                p.fills = (p.fills - 1.0).max(0.0);
+                continue;
+            }
+            p.out = (p.out - 1.0).max(0.0);
+            if !matches!(end.ending, Ending::Timeout | Ending::Cancelled | Ending::Moot) {
+                (p.unanswered, p.alive) = (0, now);
             }
+            p.link = end.load.and_then(|l| l.link).or(p.link);
         }
-        let ratio = elapsed / (a.work + WAY);
-        match ending {
+        match end.ending {
             Ending::Ok => {
-                let (mean, dev) = &mut self.classes[class].pace[usize::from(a.kind != Kind::LookUp)];
-                *dev += 0.05 * ((ratio - *mean).abs() - *dev);
-                *mean += 0.05 * (ratio - *mean);
-                let blame = source.unwrap_or(a.member);
-                self.judge(now, blame, true, Some(ratio), acts);
-                if blame != a.member {
-                    self.judge(now, a.member, true, None, acts);
+                if a.kind == Kind::Fill {
+                    let pace = &mut self.means[class].2;
+                    *pace += 0.05 * (end.elapsed / a.expected - *pace);
+                } else if let Some(p) = self.peers.get_mut(&a.member) {
+                    p.answers += 1;
+                    p.pace += PACE_STEP * (end.elapsed / a.expected - p.pace);
+                }
+                if self.open.values().next().is_some_and(|o| o.r.size.is_none()) && a.kind == Kind::LookUp {
+                    self.learn_mean(class, end.elapsed);
+                }
+                for m in [Some(a.member), source].into_iter().flatten() {
+                    self.judge(now, m, true, acts);
                 }
             }
-            Ending::Miss => self.judge(now, a.member, true, None, acts),
+            Ending::Miss => self.judge(now, a.member, true, acts),
+            // Crowding and the client's own deadline tell nothing of a member's health.
+            Ending::Full | Ending::Timeout if !a.trial && end.note == Note::None => {}
             Ending::Moot | Ending::Cancelled => {}
-            Ending::ConnectFailed | Ending::Reset => {
-                self.judge(now, a.member, false, None, acts);
-                self.judge(now, a.member, false, None, acts);
-            }
-            Ending::Full | Ending::Error | Ending::Timeout => match (source, note) {
+            _ => match (source, end.note) {
                 (_, Note::NoPlace | Note::SourceLacks | Note::OriginFailed) => {}
-                (Some(s), _) => self.judge(now, s, false, None, acts),
-                (None, _) => self.judge(now, a.member, false, None, acts),
+                (Some(s), n) if n != Note::None || end.ending == Ending::Error => self.judge(now, s, false, acts),
+                _ => self.judge(now, a.member, false, acts),
             },
         }
     }
 
-    fn gone(&mut self, now: Millis, id: RequestId, acts: &mut Vec<Action>) {
-        if let Some(o) = self.open.get_mut(&id) {
-            o.ended = true;
-            self.close(now, id, false, acts);
-        }
-    }
+    // ---- The sweep ---------------------------------------------------------------------------------------
 
-    // ---- The sweep ------------------------------------------------------------------------------------
-
-    /// Waiters whose time has come go alone; silent members are left out; old purges are forgotten.
+    /// Waiters whose time has come go alone; silent members are left out and what they hold called back;
+    /// what has gone out of date is forgotten.
     fn sweep(&mut self, now: Millis, acts: &mut Vec<Action>) {
-        self.purged_objects.retain(|_, p| now <= p.until);
-        self.purged_groups.retain(|_, p| now <= p.until);
+        let done = self.s.purge_done;
+        self.purged_objects.retain(|_, at| now <= *at + done);
+        self.purged_groups.retain(|_, at| now <= *at + done);
+        if self.work_of.len() * 2 > HOT_MOST {
+            self.work_of.retain(|_, w| now - w.1 < HOT_SPAN);
+        }
+        // Silence is relative: where the whole pool is silent, the fault lies elsewhere.
         let silent: Vec<MemberId> = self
             .peers
             .values()
-            .filter(|p| p.unanswered >= SILENT_SENDS && now - p.unanswered_since > SILENT_FOR)
+            .filter(|p| p.unanswered >= if p.trial.is_some() { 1 } else { SILENT_SENDS })
+            .filter(|p| now - p.unanswered_since > SILENT_FOR && !self.is_origin(&p.m))
+            .filter(|p| self.pool(&p.m).any(|q| now - q.alive < SILENT_FOR))
             .map(|p| p.m.id)
             .collect();
         for id in silent {
-            if let Some(p) = self.peers.get_mut(&id) {
-                p.unanswered = 0;
-            }
             self.leave_out(now, id, "silent", acts);
+            if self.s.cancel && self.peers.get(&id).is_some_and(|p| now < p.out_until) {
+                for (request, o) in self.open.iter().filter(|(_, o)| !o.ended && !o.streaming) {
+                    for a in o.out.iter().filter(|a| a.member == id) {
+                        acts.push(Action::Cancel { request: *request, attempt: a.no });
+                    }
+                }
+            }
         }
         let mut due = Vec::new();
         for (id, o) in &self.open {
-            if let Some(since) = o.waiting {
-                let need = (self.work(&o.r) + WAY) * self.classes[o.r.class].pace[1].0;
-                if now - since >= WAIT || o.r.expires - now <= need + SWEEP {
-                    due.push(*id);
-                }
+            let need = (self.work(&o.r) + WAY) * self.means[o.r.class].2;
+            let late = o.r.expires - now <= need + SWEEP;
+            if o.waiting.is_some_and(|since| now - since >= WAIT || late) {
+                due.push(*id);
             }
         }
         for id in due {
             let Some(o) = self.open.get_mut(&id) else { continue };
             o.waiting = None;
-            let key = (o.r.object, o.r.part);
-            let Some(entry) = self.table.get_mut(&key) else { continue };
+            let Some(entry) = self.table.get_mut(&(o.r.object, o.r.part)) else { continue };
             entry.waiters.retain(|w| *w != id);
             let cache = entry.cache;
             self.fill(now, id, cache, acts);
         }
     }
-
-    /// The next number of the seeded sequence.
-    #[allow(dead_code)]
-    fn chance(&mut self) -> f64 {
-        self.rng = self.rng.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        (mix(self.rng) >> 11) as f64 / (1u64 << 53) as f64
-    }
 }
