--- a/crates/deckproxy-adapter/src/settings.rs
+++ b/crates/deckproxy-adapter/src/settings.rs
@@ -120,7 +120,11 @@
         },
         flow: text.number("familyInfo.flowKbPerS", 0.0)?,
         cold_cache: rule("rules.coldFrom", "rules.rampTimeMs", "rules.fallMultiple")?,
-        cold_parent: rule("familyInfo.upperColdFrom", "familyInfo.upperColdMs", "familyInfo.parentFallMultiple")?,
+        cold_parent: rule(
+            "familyInfo.upperColdFrom",
+            "familyInfo.upperColdMs",
+            "familyInfo.parentFallMultiple",
+        )?,
         purge_grace: text.number("familyInfo.obeyAfterMs", 0.0)?,
         purge_done: text.number("familyInfo.clearedWithinMs", 0.0)?,
         list_on_request: text.get("discovery") == Some("on_request"),
--- a/crates/deckproxy-adapter/src/wire.rs
+++ b/crates/deckproxy-adapter/src/wire.rs
@@ -139,7 +139,9 @@
     // An empty batch tells a length of 0 although its header follows.
     let total = HEADER + length;
     if total > LARGEST {
-        return Err(WireError::Malformed(format!("a batch of {length} bytes is over the limit of {LARGEST}")));
+        return Err(WireError::Malformed(format!(
+            "a batch of {length} bytes is over the limit of {LARGEST}"
+        )));
     }
     // Grows with what arrives, not with what the length promises.
     let mut body = Vec::new();
@@ -182,7 +184,8 @@
             .get(start..start + EVENT)
             .filter(|_| at < self.count)
             .ok_or(WireError::Truncated("the records"))?;
-        decode(record, tail).map_err(|e| WireError::Malformed(format!("batch {}, record {at}: {e}", self.number)))
+        decode(record, tail)
+            .map_err(|e| WireError::Malformed(format!("batch {}, record {at}: {e}", self.number)))
     }
 }
 
@@ -193,10 +196,7 @@
 
 impl<'a> Fields<'a> {
     fn take<const N: usize>(&self, at: usize) -> Result<[u8; N], WireError> {
-        self.bytes
-            .get(at..at + N)
-            .and_then(|b| b.try_into().ok())
-            .ok_or(WireError::Truncated(self.what))
+        self.bytes.get(at..at + N).and_then(|b| b.try_into().ok()).ok_or(WireError::Truncated(self.what))
     }
     fn u8(&self, at: usize) -> Result<u8, WireError> {
         Ok(self.take::<1>(at)?[0])
@@ -215,7 +215,11 @@
     }
     fn f64(&self, at: usize) -> Result<f64, WireError> {
         let x = f64::from_le_bytes(self.take(at)?);
-        if x.is_nan() { Err(WireError::Malformed(format!("{}: no number at {at}", self.what))) } else { Ok(x) }
+        if x.is_nan() {
+            Err(WireError::Malformed(format!("{}: no number at {at}", self.what)))
+        } else {
+            Ok(x)
+        }
     }
     /// A field that points into the tail, its unit being `size` bytes.
     fn tail(&self, at: usize, tail: &'a [u8], size: usize) -> Result<&'a [u8], WireError> {
--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -109,7 +109,9 @@
     }
 
     fn usable(&self, now: Millis) -> bool {
-        self.m.lifecycle == Lifecycle::Ready && now >= self.out_until && !(self.trial.is_some() && self.trial_out)
+        self.m.lifecycle == Lifecycle::Ready
+            && now >= self.out_until
+            && !(self.trial.is_some() && self.trial_out)
     }
 
     /// Fills the cold budget up and tells whether it has `cost`, in ms of sending. Any window of the rule's
@@ -165,7 +167,6 @@
 
 struct Open {
     r: Request,
-    arrived: Millis,
     /// Nothing is owed any more; kept while an outcome is still to come.
     ended: bool,
     streaming: bool,
@@ -555,7 +556,6 @@
         }
         let open = Open {
             r,
-            arrived: now,
             ended: false,
             streaming: false,
             sends: 0,
@@ -576,7 +576,8 @@
         }
         let bad = o.bad.clone();
         // Where a fill of ours runs, the object is looked up there.
-        let mut order: Vec<MemberId> = self.table.get(&(o.r.object, o.r.part)).map(|e| e.cache).into_iter().collect();
+        let mut order: Vec<MemberId> =
+            self.table.get(&(o.r.object, o.r.part)).map(|e| e.cache).into_iter().collect();
         order.extend(self.caches(&o.r, now));
         if self.shed(now, id, &order) {
             return self.give_up(now, id, acts);
@@ -655,7 +656,8 @@
         let (r, bad) = (o.r, o.bad.clone());
         let sources = self.sources(&r);
         let others = self.caches(&r, now).into_iter().filter(|c| *c != cache);
-        let caches: Vec<MemberId> = std::iter::once(cache).chain(others).filter(|c| !bad.contains(c)).collect();
+        let caches: Vec<MemberId> =
+            std::iter::once(cache).chain(others).filter(|c| !bad.contains(c)).collect();
         for at in caches {
             for source in sources.iter().filter(|s| !bad.contains(s)) {
                 if self.emit(now, id, at, Some(*source), Kind::Fill, acts) {
@@ -752,7 +754,8 @@
         let a = o.out.remove(i);
         let ok = end.ending == Ending::Ok;
         o.ended |= finished || ok;
-        let never_ran = [Ending::Full, Ending::ConnectFailed, Ending::Moot, Ending::Miss].contains(&end.ending);
+        let never_ran =
+            [Ending::Full, Ending::ConnectFailed, Ending::Moot, Ending::Miss].contains(&end.ending);
         if !never_ran && o.maybe_run.is_none() {
             o.maybe_run = Some((a.sent, a.member));
         }
@@ -826,7 +829,9 @@
             Ending::Moot | Ending::Cancelled => {}
             _ => match (source, end.note) {
                 (_, Note::NoPlace | Note::SourceLacks | Note::OriginFailed) => {}
-                (Some(s), n) if n != Note::None || end.ending == Ending::Error => self.judge(now, s, false, acts),
+                (Some(s), n) if n != Note::None || end.ending == Ending::Error => {
+                    self.judge(now, s, false, acts)
+                }
                 _ => self.judge(now, a.member, false, acts),
             },
         }
