Shed misses when the location's link is crowded; leave out whole silent pools

Told from slow parents by the other locations being well, and by the debug lines: no usable cache, then all of them cold.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -45,8 +45,11 @@
 /// Further attempts after failures: earned by each request, and saved up at most.
 const RETRY_EARN: f64 = 0.1;
 const RETRY_MOST: f64 = 20.0;
+/// Weight of one report in the learned room of the location's link.
+const FIT_STEP: f64 = 0.02;
 /// Times the aim that an answer may be expected to take before the request is shed.
 const SHED_AT: f64 = 1.5;
+const LINK_SHED_AT: f64 = 1.5;
 /// ms over which an object's share of the work is counted, the share of one cache's part from which its
 /// parts are spread, and the objects counted at most.
 const HOT_SPAN: Millis = 3000.0;
@@ -73,17 +76,14 @@
     err: f64,
     pace: f64,
     answers: u32,
-    /// Sends since its last sign of life, when the first of them went, and that sign's time.
+    /// Sends since its last sign of life, and when the first of them went.
     unanswered: u32,
     unanswered_since: Millis,
-    alive: Millis,
     /// Left out until then, and for how long; afterwards on trial until enough good answers.
     out_until: Millis,
     out_span: Millis,
     trial: Option<u32>,
     trial_out: bool,
-    /// Last report of its location's link (a cache).
-    link: Option<f64>,
 }
 
 impl Peer {
@@ -99,12 +99,10 @@
             answers: 0,
             unanswered: 0,
             unanswered_since: now,
-            alive: now,
             out_until: f64::MIN,
             out_span: 0.0,
             trial: None,
             trial_out: false,
-            link: None,
         }
     }
 
@@ -163,10 +161,13 @@
     /// What the answer was expected to take.
     expected: Millis,
     trial: bool,
+    /// It draws on the location's link by itself.
+    linked: bool,
 }
 
 struct Open {
     r: Request,
+    arrived: Millis,
     /// Nothing is owed any more; kept while an outcome is still to come.
     ended: bool,
     streaming: bool,
@@ -210,6 +211,9 @@
     /// Work asked for lately: in all, and by object (with the time it was last brought up to date).
     work_all: (f64, Millis),
     work_of: BTreeMap<u64, (f64, Millis)>,
+    /// Our attempts that draw on the location's link, and the transfers that fit it as learned.
+    link_out: f64,
+    link_fit: f64,
     retries: f64,
     sweeping: bool,
     logs: u32,
@@ -229,6 +233,8 @@
             purged_groups: BTreeMap::new(),
             work_all: (0.0, 0.0),
             work_of: BTreeMap::new(),
+            link_out: 0.0,
+            link_fit: 0.0,
             retries: RETRY_MOST,
             sweeping: false,
             logs: 0,
@@ -319,13 +325,14 @@
         })
     }
 
-    /// Leaves a member out for a while, unless too much of its pool is out already.
-    fn leave_out(&mut self, now: Millis, id: MemberId, why: &str, acts: &mut Vec<Action>) {
+    /// Leaves a member out for a while, unless too much of its pool is out already. Silence is certain
+    /// enough to leave out a whole pool: a location whose caches all died is passed by.
+    fn leave_out(&mut self, now: Millis, id: MemberId, silent: bool, why: &str, acts: &mut Vec<Action>) {
         let Some(m) = self.peers.get(&id).map(|p| p.m) else { return };
         let others = self.pool(&m).count();
         let out = self.pool(&m).filter(|p| now < p.out_until).count();
         let Some(p) = self.peers.get_mut(&id) else { return };
-        if (out + 1) * 2 > others + 1 || now < p.out_until {
+        if !silent && (out + 1) * 2 > others + 1 || now < p.out_until {
             return;
         }
         p.out_span = (p.out_span * 2.0).clamp(OUT_FIRST, OUT_MOST);
@@ -333,7 +340,11 @@
         (p.trial, p.trial_out, p.err, p.unanswered) = (Some(0), false, 0.0, 0);
         if self.logs < LOGS {
             self.logs += 1;
-            acts.push(Action::Log(format!("member {id} left out for {:.0} ms: {why}", p.out_span)));
+            let (zone, kind) = (m.zone, m.kind);
+            let span = p.out_span;
+            acts.push(Action::Log(format!(
+                "member {id} (kind {kind}, zone {zone}) out for {span:.0} ms: {why}"
+            )));
         }
     }
 
@@ -344,13 +355,15 @@
         let Some(p) = self.peers.get_mut(&id) else { return };
         p.err += ERR_STEP * (if good { 0.0 } else { 1.0 } - p.err);
         match p.trial {
-            Some(_) if !good => self.leave_out(now, id, "failed its trial", acts),
+            Some(_) if !good => self.leave_out(now, id, false, "failed its trial", acts),
             Some(n) if n + 1 >= TRIAL_GOOD => {
                 p.trial = None;
                 p.out_span *= 0.25;
             }
             Some(n) => p.trial = Some(n + 1),
-            None if p.err > ERR_LIMIT && least < p.err * 0.5 => self.leave_out(now, id, "errors", acts),
+            None if p.err > ERR_LIMIT && least < p.err * 0.5 => {
+                self.leave_out(now, id, false, "errors", acts)
+            }
             None => {}
         }
     }
@@ -531,12 +544,20 @@
             }
             p.unanswered += 1;
         }
+        let leads = self.leads(id);
         let Some(o) = self.open.get_mut(&id) else { return false };
-        o.out.push(Attempt { no: o.sends, member: to, source, kind, sent: now, expected, trial });
+        let linked = kind == Kind::Direct || kind == Kind::Fill && leads;
+        self.link_out += f64::from(u8::from(linked));
+        o.out.push(Attempt { no: o.sends, member: to, source, kind, sent: now, expected, trial, linked });
         o.sends += 1;
         true
     }
 
+    fn leads(&self, id: RequestId) -> bool {
+        let key = self.open.get(&id).map(|o| (o.r.object, o.r.part));
+        key.and_then(|k| self.table.get(&k)).is_some_and(|e| e.leader == id)
+    }
+
     // ---- Dispatch ----------------------------------------------------------------------------------------
 
     fn request(&mut self, now: Millis, r: Request, acts: &mut Vec<Action>) {
@@ -556,6 +577,7 @@
         }
         let open = Open {
             r,
+            arrived: now,
             ended: false,
             streaming: false,
             sends: 0,
@@ -604,10 +626,30 @@
         o.sends == 0 && takes > SHED_AT * aim
     }
 
+    fn routers_here(&self) -> f64 {
+        f64::from(self.s.zone_routers.get(self.s.zone as usize).copied().unwrap_or(1).max(1))
+    }
+
+    /// Whether the location's link is so crowded that one more transfer would not be through anywhere near
+    /// the aim. Guards against a link that everyone fills and nobody gets through (a mass purge, dead
+    /// caches, a cut link); it could hurt where the link's room is told or learned too low.
+    fn link_full(&self, now: Millis, id: RequestId) -> bool {
+        let Some(o) = self.open.get(&id) else { return false };
+        let told = self.s.zone_link.get(self.s.zone as usize).copied().unwrap_or(0.0);
+        let fit = if told > 0.0 && self.s.flow > 0.0 { told / self.s.flow } else { self.link_fit };
+        let (class, work) = (&self.s.classes[o.r.class], self.work(&o.r));
+        let crowd = (self.link_out + 1.0) * self.routers_here() / fit.max(1.0);
+        let takes = now - o.arrived + work * crowd.max(1.0) + WAY;
+        fit > 0.0 && takes > LINK_SHED_AT * (class.aim + class.aim_stretch * work).min(class.deadline)
+    }
+
     /// No cache will do: straight to the parents, in their order, then to the origin.
     fn direct(&mut self, now: Millis, id: RequestId, acts: &mut Vec<Action>) {
         let Some(o) = self.open.get(&id) else { return };
         let (bad, origin) = (o.bad.clone(), self.origin());
+        if self.link_full(now, id) {
+            return self.give_up(now, id, acts);
+        }
         for way in self.sources(&o.r).into_iter().filter(|p| !bad.contains(p)) {
             if self.emit(now, id, way, origin, Kind::Direct, acts) {
                 return;
@@ -654,6 +696,9 @@
     fn fill(&mut self, now: Millis, id: RequestId, cache: MemberId, acts: &mut Vec<Action>) {
         let Some(o) = self.open.get(&id) else { return };
         let (r, bad) = (o.r, o.bad.clone());
+        if self.leads(id) && self.link_full(now, id) {
+            return self.give_up(now, id, acts);
+        }
         let sources = self.sources(&r);
         let others = self.caches(&r, now).into_iter().filter(|c| *c != cache);
         let caches: Vec<MemberId> =
@@ -794,6 +839,14 @@
     /// Books an outcome: loads, learned times, health.
     fn book(&mut self, now: Millis, a: &Attempt, class: usize, end: Ended, acts: &mut Vec<Action>) {
         let source = a.source.filter(|s| *s != a.member);
+        if let Some(x) = end.load.and_then(|l| l.link)
+            && x > 0.3
+            && self.peers.get(&a.member).is_some_and(|p| self.is_cache(&p.m))
+        {
+            let fit = self.link_out * self.routers_here() / x;
+            self.link_fit += if self.link_fit == 0.0 { fit } else { FIT_STEP * (fit - self.link_fit) };
+        }
+        self.link_out -= f64::from(u8::from(a.linked));
         for m in [Some(a.member), source].into_iter().flatten() {
             let Some(p) = self.peers.get_mut(&m) else { continue };
             p.trial_out &= !a.trial;
@@ -803,9 +856,8 @@
             }
             p.out = (p.out - 1.0).max(0.0);
             if !matches!(end.ending, Ending::Timeout | Ending::Cancelled | Ending::Moot) {
-                (p.unanswered, p.alive) = (0, now);
+                p.unanswered = 0;
             }
-            p.link = end.load.and_then(|l| l.link).or(p.link);
         }
         match end.ending {
             Ending::Ok => {
@@ -848,17 +900,15 @@
         if self.work_of.len() * 2 > HOT_MOST {
             self.work_of.retain(|_, w| now - w.1 < HOT_SPAN);
         }
-        // Silence is relative: where the whole pool is silent, the fault lies elsewhere.
         let silent: Vec<MemberId> = self
             .peers
             .values()
             .filter(|p| p.unanswered >= if p.trial.is_some() { 1 } else { SILENT_SENDS })
             .filter(|p| now - p.unanswered_since > SILENT_FOR && !self.is_origin(&p.m))
-            .filter(|p| self.pool(&p.m).any(|q| now - q.alive < SILENT_FOR))
             .map(|p| p.m.id)
             .collect();
         for id in silent {
-            self.leave_out(now, id, "silent", acts);
+            self.leave_out(now, id, true, "silent", acts);
             if self.s.cancel && self.peers.get(&id).is_some_and(|p| now < p.out_until) {
                 for (request, o) in self.open.iter().filter(|(_, o)| !o.ended && !o.streaming) {
                     for a in o.out.iter().filter(|a| a.member == id) {
