--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -21,6 +21,8 @@
 const RANK: u8 = 2;
 /// ms: allowance for ways and queues that adds to every sending time.
 const WAY: Millis = 60.0;
+/// ms of a hit's time that are ways, not sending.
+const LEAST_WAY: Millis = 5.0;
 /// Answers out over a member's link from which its objects may spill; and from which a parent is passed.
 const SPILL_AT: f64 = 1.5;
 const PASS_AT: f64 = 3.0;
@@ -50,11 +52,15 @@
 /// Times the aim that an answer may be expected to take before the request is shed.
 const SHED_AT: f64 = 1.5;
 const LINK_SHED_AT: f64 = 1.5;
+/// Times a client's pace at which a fill is taken to run on an idle link, where reports do not tell.
+const FILL_PACE: f64 = 2.0;
 /// ms over which an object's share of the work is counted, the share of one cache's part from which its
 /// parts are spread, and the objects counted at most.
 const HOT_SPAN: Millis = 3000.0;
 const HOT_SHARE: f64 = 0.2;
-const HOT_MOST: usize = 4096;
+const OBJECTS_MOST: usize = 8192;
+/// ms after which an object that is not asked for is forgotten.
+const OBJECT_SPAN: Millis = 30_000.0;
 /// Requests that wait for one fill, at most; later ones go alone.
 const WAITERS_MOST: usize = 512;
 /// ms named to refused clients as the time to come back, within what they follow.
@@ -158,7 +164,8 @@
     source: Option<MemberId>,
     kind: Kind,
     sent: Millis,
-    /// What the answer was expected to take.
+    /// Load of the member when it was sent, and what the answer was expected to take.
+    load: f64,
     expected: Millis,
     trial: bool,
     /// It draws on the location's link by itself.
@@ -182,6 +189,14 @@
 
 type Key = (u64, u32);
 
+/// What is known of an object: the work asked for lately and when that was brought up to date; the sending
+/// time of one part as learned from its hits, where sizes are not told.
+#[derive(Clone, Copy, Default)]
+struct Known {
+    asked: (f64, Millis),
+    sending: Option<Millis>,
+}
+
 struct Collapse {
     leader: RequestId,
     cache: MemberId,
@@ -208,9 +223,9 @@
     /// Instant of the last purge, by object and by group.
     purged_objects: BTreeMap<u64, Millis>,
     purged_groups: BTreeMap<u32, Millis>,
-    /// Work asked for lately: in all, and by object (with the time it was last brought up to date).
-    work_all: (f64, Millis),
-    work_of: BTreeMap<u64, (f64, Millis)>,
+    /// Work asked for lately, in all, and when that was brought up to date; and what is known by object.
+    asked: (f64, Millis),
+    objects: BTreeMap<u64, Known>,
     /// Our attempts that draw on the location's link, and the transfers that fit it as learned.
     link_out: f64,
     link_fit: f64,
@@ -231,8 +246,8 @@
             table: BTreeMap::new(),
             purged_objects: BTreeMap::new(),
             purged_groups: BTreeMap::new(),
-            work_all: (0.0, 0.0),
-            work_of: BTreeMap::new(),
+            asked: (0.0, 0.0),
+            objects: BTreeMap::new(),
             link_out: 0.0,
             link_fit: 0.0,
             retries: RETRY_MOST,
@@ -431,16 +446,26 @@
     }
 
     fn hot(&self, r: &Request, now: Millis) -> bool {
-        let own = self.work_of.get(&r.object).map_or(0.0, |w| Self::faded(*w, now));
+        let own = self.objects.get(&r.object).map_or(0.0, |o| Self::faded(o.asked, now));
         let caches = self.peers.values().filter(|p| self.is_cache(&p.m) && p.m.zone == self.s.zone).count();
-        own * caches as f64 > HOT_SHARE * Self::faded(self.work_all, now)
+        own * caches as f64 > HOT_SHARE * Self::faded(self.asked, now)
     }
 
     /// Sending time of a request: told, else the class's learned mean.
     fn work(&self, r: &Request) -> f64 {
         match r.size {
             Some(kb) if self.s.flow > 0.0 => kb / self.s.flow * 1000.0,
-            _ => self.means[r.class].0,
+            _ => self.objects.get(&r.object).and_then(|o| o.sending).unwrap_or(self.means[r.class].0),
+        }
+    }
+
+    /// Learns from a hit how long an object takes to send, crowding taken out; a quicker hit counts more.
+    fn learn_sending(&mut self, r: &Request, a: &Attempt, elapsed: Millis) {
+        let took = (elapsed - LEAST_WAY).max(1.0) / a.load.max(1.0);
+        self.learn_mean(r.class, took);
+        if let Some(o) = self.objects.get_mut(&r.object) {
+            let old = o.sending.unwrap_or(took);
+            o.sending = Some(old + if took < old { 0.6 } else { 0.2 } * (took - old));
         }
     }
 
@@ -529,7 +554,8 @@
             Action::Get { request: id, member: to, until, source: source.unwrap_or(to), keep, age, how }
         });
         // Books.
-        let expected = work * self.load(&self.peers[&to]).max(1.0) + WAY;
+        let load = self.load(&self.peers[&to]);
+        let expected = work * load.max(1.0) + WAY;
         for m in &ends {
             let Some(p) = self.peers.get_mut(m) else { continue };
             p.tokens -= cost;
@@ -548,7 +574,17 @@
         let Some(o) = self.open.get_mut(&id) else { return false };
         let linked = kind == Kind::Direct || kind == Kind::Fill && leads;
         self.link_out += f64::from(u8::from(linked));
-        o.out.push(Attempt { no: o.sends, member: to, source, kind, sent: now, expected, trial, linked });
+        o.out.push(Attempt {
+            no: o.sends,
+            member: to,
+            source,
+            kind,
+            sent: now,
+            load,
+            expected,
+            trial,
+            linked,
+        });
         o.sends += 1;
         true
     }
@@ -570,10 +606,12 @@
         if r.size.is_some() {
             self.learn_mean(r.class, work);
         }
-        self.work_all = (Self::faded(self.work_all, now) + work, now);
-        let own = self.work_of.get(&r.object).map_or(0.0, |w| Self::faded(*w, now));
-        if own > 0.0 || self.work_of.len() < HOT_MOST {
-            self.work_of.insert(r.object, (own + work, now));
+        self.asked = (Self::faded(self.asked, now) + work, now);
+        let known = self.objects.get(&r.object).copied();
+        if known.is_some() || self.objects.len() < OBJECTS_MOST {
+            let known = known.unwrap_or_default();
+            let asked = (Self::faded(known.asked, now) + work, now);
+            self.objects.insert(r.object, Known { asked, ..known });
         }
         let open = Open {
             r,
@@ -636,7 +674,8 @@
     fn link_full(&self, now: Millis, id: RequestId) -> bool {
         let Some(o) = self.open.get(&id) else { return false };
         let told = self.s.zone_link.get(self.s.zone as usize).copied().unwrap_or(0.0);
-        let fit = if told > 0.0 && self.s.flow > 0.0 { told / self.s.flow } else { self.link_fit };
+        let fit =
+            if told > 0.0 && self.s.flow > 0.0 { told / self.s.flow / FILL_PACE } else { self.link_fit };
         let (class, work) = (&self.s.classes[o.r.class], self.work(&o.r));
         let crowd = (self.link_out + 1.0) * self.routers_here() / fit.max(1.0);
         let takes = now - o.arrived + work * crowd.max(1.0) + WAY;
@@ -805,7 +844,7 @@
             o.maybe_run = Some((a.sent, a.member));
         }
         let (r, ended) = (o.r, o.ended);
-        self.book(now, &a, r.class, end, acts);
+        self.book(now, &a, &r, end, acts);
         if ended {
             let filled = (ok && a.kind == Kind::Fill).then_some(a.member);
             return self.close(now, id, filled, acts);
@@ -837,7 +876,7 @@
     }
 
     /// Books an outcome: loads, learned times, health.
-    fn book(&mut self, now: Millis, a: &Attempt, class: usize, end: Ended, acts: &mut Vec<Action>) {
+    fn book(&mut self, now: Millis, a: &Attempt, r: &Request, end: Ended, acts: &mut Vec<Action>) {
         let source = a.source.filter(|s| *s != a.member);
         if let Some(x) = end.load.and_then(|l| l.link)
             && x > 0.3
@@ -862,14 +901,14 @@
         match end.ending {
             Ending::Ok => {
                 if a.kind == Kind::Fill {
-                    let pace = &mut self.means[class].2;
+                    let pace = &mut self.means[r.class].2;
                     *pace += 0.05 * (end.elapsed / a.expected - *pace);
                 } else if let Some(p) = self.peers.get_mut(&a.member) {
                     p.answers += 1;
                     p.pace += PACE_STEP * (end.elapsed / a.expected - p.pace);
                 }
-                if self.open.values().next().is_some_and(|o| o.r.size.is_none()) && a.kind == Kind::LookUp {
-                    self.learn_mean(class, end.elapsed);
+                if r.size.is_none() && a.kind == Kind::LookUp {
+                    self.learn_sending(r, a, end.elapsed);
                 }
                 for m in [Some(a.member), source].into_iter().flatten() {
                     self.judge(now, m, true, acts);
@@ -897,8 +936,8 @@
         let done = self.s.purge_done;
         self.purged_objects.retain(|_, at| now <= *at + done);
         self.purged_groups.retain(|_, at| now <= *at + done);
-        if self.work_of.len() * 2 > HOT_MOST {
-            self.work_of.retain(|_, w| now - w.1 < HOT_SPAN);
+        if self.objects.len() * 2 > OBJECTS_MOST {
+            self.objects.retain(|_, o| now - o.asked.1 < OBJECT_SPAN);
         }
         let silent: Vec<MemberId> = self
             .peers
