--- /dev/null
+++ b/crates/deckproxy-control/tests/common/mod.rs
@@ -0,0 +1,165 @@
+//! A small location for the tests: three caches, two parents in two hubs, an origin, four classes.
+#![allow(dead_code)]
+
+use deckproxy_control::Control;
+use deckproxy_control::interface::*;
+
+pub const CACHE: u32 = 0;
+pub const PARENT: u32 = 1;
+pub const ORIGIN: u32 = 2;
+pub const CACHES: [MemberId; 3] = [101, 102, 103];
+pub const PARENTS: [MemberId; 2] = [201, 202];
+pub const THE_ORIGIN: MemberId = 301;
+pub const HERE: u32 = 2;
+
+/// Classes: small and safe, large and safe, a keyed write, an unsafe write.
+pub const SMALL: usize = 0;
+pub const LARGE: usize = 1;
+pub const KEYED: usize = 2;
+pub const UNSAFE: usize = 3;
+/// KB of one part, by class; at 1000 KB/s these are the sending times in ms.
+pub const SIZES: [f64; 4] = [50.0, 400.0, 20.0, 20.0];
+
+pub fn class(aim: f64, deadline: f64, effect: Effect, write: bool) -> Class {
+    Class {
+        aim,
+        aim_stretch: 2.0,
+        deadline,
+        worth: 1.0,
+        late_share: 0.0,
+        effect,
+        group: Group::All,
+        dedup_window: 2000.0,
+        fresh: 0.0,
+        grace: 0.0,
+        stale_worth: 0.0,
+        write,
+        stream: false,
+    }
+}
+
+pub fn settings() -> Settings {
+    Settings {
+        classes: vec![
+            Class { fresh: 12_000.0, ..class(400.0, 8000.0, Effect::Safe, false) },
+            class(600.0, 8000.0, Effect::Safe, false),
+            class(700.0, 6000.0, Effect::Keyed, true),
+            class(700.0, 6000.0, Effect::Unsafe, true),
+        ],
+        zone: HERE,
+        zone_routers: vec![0, 0, 1, 1],
+        zone_link: vec![0.0; 4],
+        routers: 2,
+        parent_kind: Some(PARENT),
+        origin_kind: Some(ORIGIN),
+        direct: true,
+        joins: true,
+        siblings: Siblings::None,
+        flow: 1000.0,
+        cold_cache: ColdRule { from: 0.2, ramp: 16_000.0, multiple: 3.0, window: 2000.0 },
+        cold_parent: ColdRule { from: 0.1, ramp: 20_000.0, multiple: 2.0, window: 2000.0 },
+        purge_grace: 300.0,
+        purge_done: 6000.0,
+        list_on_request: false,
+        max_attempts: 6,
+        second_copies: false,
+        cancel: true,
+        retry_after: true,
+        max_retry_after: 1000.0,
+    }
+}
+
+pub fn member(id: MemberId) -> Member {
+    let (kind, zone, weight) = match id {
+        101..=103 => (CACHE, HERE, 4.0),
+        201 => (PARENT, 0, 12.0),
+        202 => (PARENT, 1, 12.0),
+        _ => (ORIGIN, 0, 4.0),
+    };
+    Member { id, lifecycle: Lifecycle::Ready, started: None, weight, kind, zone, cell: 0 }
+}
+
+pub fn everyone() -> Vec<Member> {
+    CACHES.into_iter().chain(PARENTS).chain([THE_ORIGIN]).map(member).collect()
+}
+
+/// A router with its clock and the actions of its last step.
+pub struct Rig {
+    pub control: Control,
+    pub now: Millis,
+    pub acts: Vec<Action>,
+    pub next: RequestId,
+}
+
+impl Rig {
+    pub fn with(settings: Settings, members: Vec<Member>) -> Rig {
+        let mut rig = Rig { control: Control::new(settings, 1), now: 1000.0, acts: vec![], next: 1 };
+        rig.event(Event::Started);
+        rig.event(Event::Members(ListKind::Cached, members));
+        rig
+    }
+
+    pub fn new() -> Rig {
+        Rig::with(settings(), everyone())
+    }
+
+    /// Hands over one event; what it brought is in `acts`.
+    pub fn event(&mut self, event: Event) -> &[Action] {
+        self.acts.clear();
+        self.control.handle(self.now, event, &mut self.acts);
+        &self.acts
+    }
+
+    /// Asks for an object's part; returns the request's id.
+    pub fn ask(&mut self, class: usize, object: u64, part: u32) -> RequestId {
+        let id = self.next;
+        self.next += 1;
+        let expires = self.now + 5000.0;
+        let size = Some(SIZES[class]);
+        self.event(Event::Request(Request { id, object, part, group: 7, size, class, expires }));
+        id
+    }
+
+    /// Ends the attempt that a send began.
+    pub fn end(&mut self, request: RequestId, attempt: u32, member: MemberId, ending: Ending) {
+        let finished = ending == Ending::Ok;
+        let (elapsed, note, load) = (10.0, Note::None, None);
+        self.event(Event::Outcome { request, attempt, member, ending, elapsed, finished, note, load });
+    }
+
+    pub fn sweep_at(&mut self, now: Millis) {
+        self.now = now;
+        self.event(Event::Timer(0));
+    }
+
+    /// The sends of the last step: request, member, source if it is a get.
+    pub fn sends(&self) -> Vec<(RequestId, MemberId, Option<MemberId>)> {
+        sends(&self.acts)
+    }
+
+    /// Asks, and answers the look-up with a miss; returns the id, the cache and the source of the fill.
+    pub fn ask_and_miss(&mut self, class: usize, object: u64) -> (RequestId, MemberId) {
+        let id = self.ask(class, object, 0);
+        let cache = self.sends()[0].1;
+        self.end(id, 0, cache, Ending::Miss);
+        (id, cache)
+    }
+}
+
+pub fn sends(acts: &[Action]) -> Vec<(RequestId, MemberId, Option<MemberId>)> {
+    acts.iter()
+        .filter_map(|a| match a {
+            Action::LookUp { request, member, .. } => Some((*request, *member, None)),
+            Action::Get { request, member, source, .. } => Some((*request, *member, Some(*source))),
+            _ => None,
+        })
+        .collect()
+}
+
+pub fn refused(acts: &[Action], id: RequestId) -> bool {
+    acts.iter().any(|a| matches!(a, Action::Refuse { request, .. } if *request == id))
+}
+
+pub fn failed(acts: &[Action], id: RequestId) -> bool {
+    acts.iter().any(|a| matches!(a, Action::Fail { request } if *request == id))
+}
--- /dev/null
+++ b/crates/deckproxy-control/tests/ordinary_path.rs
@@ -0,0 +1,277 @@
+//! The path that the design decides: look-ups, led fills, waiters, the shared hash.
+
+mod common;
+use common::*;
+use deckproxy_control::interface::*;
+
+#[test]
+fn a_request_is_looked_up_at_one_home_and_a_hit_ends_it() {
+    let mut rig = Rig::new();
+    let first = rig.ask(SMALL, 5, 0);
+    let home = rig.sends()[0];
+    assert!(matches!(rig.acts[0], Action::LookUp { .. }));
+    assert!(CACHES.contains(&home.1));
+    rig.end(first, 0, home.1, Ending::Ok);
+    assert!(rig.acts.is_empty());
+    rig.ask(SMALL, 5, 0);
+    assert_eq!(rig.sends()[0].1, home.1, "an object has one home");
+}
+
+#[test]
+fn homes_and_parents_spread_over_all_members() {
+    let mut rig = Rig::new();
+    let (mut homes, mut parents) = (vec![], vec![]);
+    for object in 1..60 {
+        let (id, cache) = rig.ask_and_miss(SMALL, object);
+        homes.push(cache);
+        parents.extend(rig.sends()[0].2);
+        rig.end(id, 1, cache, Ending::Ok);
+    }
+    assert!(CACHES.iter().all(|c| homes.contains(c)));
+    assert!(PARENTS.iter().all(|p| parents.contains(p)), "also the parent of the other hub");
+    assert!(parents.iter().all(|p| PARENTS.contains(p)));
+}
+
+#[test]
+fn routers_of_other_locations_pick_the_same_parent() {
+    let mut here = Rig::new();
+    let mut other = Settings { zone: 3, ..settings() };
+    other.zone_routers = vec![0, 0, 1, 1];
+    let moved = everyone()
+        .into_iter()
+        .map(|m| if m.kind == CACHE { Member { id: m.id + 10, zone: 3, ..m } } else { m });
+    let mut there = Rig::with(other, moved.collect());
+    for object in 1..40 {
+        let (a, at) = here.ask_and_miss(SMALL, object);
+        let mine = here.sends()[0].2;
+        here.end(a, 1, at, Ending::Ok);
+        let (b, at) = there.ask_and_miss(SMALL, object);
+        assert_eq!(there.sends()[0].2, mine);
+        there.end(b, 1, at, Ending::Ok);
+    }
+}
+
+#[test]
+fn after_a_miss_one_leads_at_the_middle_rank_and_the_others_wait() {
+    let mut rig = Rig::new();
+    let (leader, cache) = rig.ask_and_miss(SMALL, 5);
+    let Action::Get { request, member, source, keep, how, age, .. } = rig.acts[0] else { panic!("no fill") };
+    assert_eq!((request, member, keep, age), (leader, cache, 2, 0.0));
+    assert!(PARENTS.contains(&source) && how.join);
+    let (waiter, _) = rig.ask_and_miss(SMALL, 5);
+    assert!(rig.sends().is_empty(), "the second waits");
+    // Another part is another key.
+    let part = rig.ask(SMALL, 5, 1);
+    let at = rig.sends()[0].1;
+    rig.end(part, 0, at, Ending::Miss);
+    assert_eq!(rig.sends().len(), 1);
+    // The leader is served: the waiter looks up at that cache.
+    rig.end(leader, 1, cache, Ending::Ok);
+    assert_eq!(rig.sends(), vec![(waiter, cache, None)]);
+}
+
+#[test]
+fn when_the_leader_errs_the_oldest_waiter_leads() {
+    let mut rig = Rig::new();
+    let (leader, cache) = rig.ask_and_miss(SMALL, 5);
+    let source = rig.sends()[0].2;
+    let (oldest, _) = rig.ask_and_miss(SMALL, 5);
+    let (_younger, _) = rig.ask_and_miss(SMALL, 5);
+    rig.end(leader, 1, cache, Ending::Error);
+    let sends = rig.sends();
+    assert_eq!(sends.len(), 1, "{sends:?}");
+    assert_eq!(sends[0].0, oldest);
+    assert_ne!(sends[0].2, source, "not from the source that failed");
+    // Once it is served, the others go to its cache, the first leader among them.
+    rig.end(oldest, 1, cache, Ending::Ok);
+    assert_eq!(rig.sends().len(), 2);
+}
+
+#[test]
+fn a_waiter_goes_alone_after_the_lock_time_out_and_not_before() {
+    let mut rig = Rig::new();
+    rig.ask_and_miss(SMALL, 5);
+    let (waiter, cache) = rig.ask_and_miss(SMALL, 5);
+    let start = rig.now;
+    rig.sweep_at(start + 2990.0);
+    assert!(rig.sends().is_empty());
+    rig.sweep_at(start + 3001.0);
+    assert_eq!(rig.sends().len(), 1);
+    assert_eq!((rig.sends()[0].0, rig.sends()[0].1), (waiter, cache));
+    assert!(rig.sends()[0].2.is_some(), "a fill of its own");
+}
+
+#[test]
+fn a_waiter_goes_alone_earlier_when_only_one_attempts_time_is_left() {
+    let mut rig = Rig::new();
+    rig.ask_and_miss(SMALL, 5);
+    let id = 90;
+    let expires = rig.now + 1000.0;
+    let r = Request { id, object: 5, part: 0, group: 7, size: Some(50.0), class: SMALL, expires };
+    rig.event(Event::Request(r));
+    let cache = rig.sends()[0].1;
+    rig.end(id, 0, cache, Ending::Miss);
+    let start = rig.now;
+    rig.sweep_at(start + 500.0);
+    assert!(rig.sends().is_empty());
+    rig.sweep_at(start + 900.0);
+    assert_eq!(rig.sends().first().map(|s| s.0), Some(id));
+}
+
+#[test]
+fn large_objects_join_the_running_fill_at_once() {
+    let mut rig = Rig::new();
+    let (_, cache) = rig.ask_and_miss(LARGE, 5);
+    let (second, _) = rig.ask_and_miss(LARGE, 5);
+    let Action::Get { request, member, how, .. } = rig.acts[0] else { panic!("it waits") };
+    assert_eq!((request, member, how.join), (second, cache, true));
+}
+
+#[test]
+fn a_leader_whose_client_leaves_still_serves_its_waiters() {
+    let mut rig = Rig::new();
+    let (leader, cache) = rig.ask_and_miss(SMALL, 5);
+    let (waiter, _) = rig.ask_and_miss(SMALL, 5);
+    rig.event(Event::Gone(leader));
+    assert!(rig.sends().is_empty(), "its fill runs on");
+    rig.end(leader, 1, cache, Ending::Ok);
+    assert_eq!(rig.sends(), vec![(waiter, cache, None)]);
+}
+
+#[test]
+fn a_leader_whose_client_leaves_and_whose_fill_fails_passes_the_lead_on() {
+    let mut rig = Rig::new();
+    let (leader, cache) = rig.ask_and_miss(SMALL, 5);
+    let (waiter, _) = rig.ask_and_miss(SMALL, 5);
+    rig.event(Event::Gone(leader));
+    rig.end(leader, 1, cache, Ending::Cancelled);
+    assert_eq!(rig.sends().len(), 1);
+    assert_eq!(rig.sends()[0].0, waiter);
+    assert!(rig.sends()[0].2.is_some());
+}
+
+#[test]
+fn a_gone_waiter_is_never_sent() {
+    let mut rig = Rig::new();
+    let (leader, cache) = rig.ask_and_miss(SMALL, 5);
+    let (waiter, _) = rig.ask_and_miss(SMALL, 5);
+    rig.event(Event::Gone(waiter));
+    rig.end(leader, 1, cache, Ending::Ok);
+    assert!(rig.sends().is_empty());
+}
+
+#[test]
+fn sources_follow_the_hash_then_the_origin() {
+    let mut rig = Rig::new();
+    let (id, cache) = rig.ask_and_miss(SMALL, 5);
+    let mut seen = vec![rig.sends()[0].2.unwrap()];
+    for attempt in 1..3 {
+        rig.end(id, attempt, cache, Ending::Error);
+        seen.push(rig.sends()[0].2.unwrap());
+    }
+    assert_ne!(seen[0], seen[1]);
+    assert!(PARENTS.contains(&seen[0]) && PARENTS.contains(&seen[1]));
+    assert_eq!(seen[2], THE_ORIGIN);
+}
+
+#[test]
+fn without_parents_the_origin_fills() {
+    let members = everyone().into_iter().filter(|m| m.kind != PARENT).collect();
+    let mut rig = Rig::with(Settings { parent_kind: None, ..settings() }, members);
+    rig.ask_and_miss(SMALL, 5);
+    assert_eq!(rig.sends()[0].2, Some(THE_ORIGIN));
+}
+
+#[test]
+fn without_joins_everyone_waits_for_the_leader() {
+    let mut rig = Rig::with(Settings { joins: false, ..settings() }, everyone());
+    rig.ask_and_miss(LARGE, 5);
+    assert!(matches!(rig.acts[0], Action::Get { how: How { join: false, .. }, .. }));
+    rig.ask_and_miss(LARGE, 5);
+    assert!(rig.sends().is_empty());
+}
+
+#[test]
+fn a_cache_that_cannot_be_reached_is_followed_by_the_next() {
+    let mut rig = Rig::new();
+    let id = rig.ask(SMALL, 5, 0);
+    let home = rig.sends()[0].1;
+    rig.end(id, 0, home, Ending::ConnectFailed);
+    let next = rig.sends()[0];
+    assert!(next.1 != home && CACHES.contains(&next.1) && next.2.is_none());
+}
+
+#[test]
+fn with_no_cache_it_goes_straight_to_a_parent_and_with_nobody_it_is_refused_at_once() {
+    let mut rig = Rig::with(settings(), everyone().into_iter().filter(|m| m.kind != CACHE).collect());
+    rig.ask(SMALL, 5, 0);
+    assert!(PARENTS.contains(&rig.sends()[0].1));
+    let mut rig = Rig::with(settings(), vec![]);
+    let id = rig.ask(SMALL, 5, 0);
+    assert!(refused(&rig.acts, id));
+    let id = rig.ask(KEYED, 5, 0);
+    assert!(refused(&rig.acts, id));
+}
+
+#[test]
+fn writes_pass_untouched_to_the_origin() {
+    let mut rig = Rig::new();
+    let id = rig.ask(KEYED, 5, 0);
+    assert_eq!(rig.sends()[0].1, THE_ORIGIN);
+    rig.end(id, 0, THE_ORIGIN, Ending::Ok);
+    // And through a cache where nothing goes straight.
+    let mut rig = Rig::with(Settings { direct: false, ..settings() }, everyone());
+    rig.ask(KEYED, 5, 0);
+    let Action::Get { member, source, keep, .. } = rig.acts[0] else { panic!("not sent") };
+    assert!(CACHES.contains(&member));
+    assert_eq!((source, keep), (THE_ORIGIN, 0));
+}
+
+#[test]
+fn the_list_is_asked_for_where_it_must_be_and_again_after_a_failure() {
+    let mut rig = Rig::with(Settings { list_on_request: true, ..settings() }, everyone());
+    rig.event(Event::Started);
+    assert_eq!(rig.acts, vec![Action::Watch(true)]);
+    rig.event(Event::Members(ListKind::Failed, vec![]));
+    let Action::Timer { token, at } = rig.acts[0] else { panic!("no timer") };
+    rig.now = at;
+    rig.event(Event::Timer(token));
+    assert!(rig.acts.contains(&Action::Watch(true)));
+    rig.ask(SMALL, 5, 0);
+    assert_eq!(rig.sends().len(), 1, "the old list still holds");
+}
+
+#[test]
+fn events_for_what_is_unknown_mean_nothing() {
+    let mut rig = Rig::new();
+    rig.end(77, 0, 101, Ending::Ok);
+    assert!(rig.acts.is_empty());
+    rig.event(Event::Gone(77));
+    rig.event(Event::First { request: 77, attempt: 0 });
+    assert!(rig.acts.is_empty());
+    let id = rig.ask(SMALL, 5, 0);
+    rig.end(id, 9, 101, Ending::Error);
+    assert!(rig.acts.is_empty(), "an attempt that was never made");
+    let r = Request { id: 500, object: 1, part: 0, group: 0, size: None, class: 99, expires: 9e9 };
+    rig.event(Event::Request(r));
+    assert!(failed(&rig.acts, 500), "a class that the settings do not have");
+}
+
+#[test]
+fn equal_events_give_equal_actions() {
+    let run = || {
+        let mut rig = Rig::new();
+        let mut all = vec![];
+        for object in 0..200 {
+            let (id, cache) = rig.ask_and_miss(SMALL, object % 40);
+            all.extend(rig.acts.clone());
+            if object % 3 == 0 {
+                rig.end(id, 1, cache, Ending::Error);
+                all.extend(rig.acts.clone());
+            }
+            rig.now += 7.0;
+        }
+        all
+    };
+    assert_eq!(run(), run());
+}
