--- /dev/null
+++ b/crates/deckproxy-control/tests/rules.rs
@@ -0,0 +1,266 @@
+//! The five rules, each just inside and just past its boundary.
+
+mod common;
+use common::*;
+use deckproxy_control::interface::*;
+
+// ---- One final answer -------------------------------------------------------------------------------------
+
+#[test]
+fn a_timeout_at_the_deadline_is_answered_at_once_and_once() {
+    let mut rig = Rig::new();
+    let id = rig.ask(SMALL, 5, 0);
+    let home = rig.sends()[0].1;
+    rig.now += 5000.0;
+    rig.end(id, 0, home, Ending::Timeout);
+    assert!(refused(&rig.acts, id));
+    assert!(rig.sends().is_empty());
+    rig.end(id, 0, home, Ending::Timeout);
+    assert!(rig.acts.is_empty());
+}
+
+#[test]
+fn a_request_never_makes_more_attempts_than_allowed() {
+    let mut rig = Rig::with(Settings { max_attempts: 3, ..settings() }, everyone());
+    let id = rig.ask(SMALL, 5, 0);
+    for attempt in 0..3 {
+        assert_eq!(rig.sends().len(), 1);
+        let at = rig.sends()[0].1;
+        rig.end(id, attempt, at, Ending::Reset);
+    }
+    assert!(rig.sends().is_empty() && refused(&rig.acts, id));
+}
+
+#[test]
+fn nothing_is_sent_for_a_request_that_has_ended() {
+    let mut rig = Rig::new();
+    let id = rig.ask(SMALL, 5, 0);
+    let home = rig.sends()[0].1;
+    rig.event(Event::Gone(id));
+    rig.end(id, 0, home, Ending::Miss);
+    assert!(rig.acts.is_empty());
+}
+
+#[test]
+fn a_refusal_names_a_time_to_come_back_only_where_allowed() {
+    for (retry_after, most) in [(true, 1000.0), (true, 100.0), (false, 1000.0)] {
+        let mut rig = Rig::with(Settings { retry_after, max_retry_after: most, ..settings() }, vec![]);
+        rig.ask(SMALL, 5, 0);
+        let Action::Refuse { retry_after: at, .. } = rig.acts[0] else { panic!("not refused") };
+        assert_eq!(at > 0.0, retry_after);
+        assert!(at <= most);
+    }
+}
+
+#[test]
+fn a_stream_that_has_begun_is_not_sent_again() {
+    let mut rig = Rig::new();
+    let id = rig.ask(SMALL, 5, 0);
+    let home = rig.sends()[0].1;
+    rig.event(Event::First { request: id, attempt: 0 });
+    rig.end(id, 0, home, Ending::Reset);
+    assert!(rig.sends().is_empty());
+}
+
+// ---- No effect twice --------------------------------------------------------------------------------------
+
+#[test]
+fn an_unsafe_request_goes_again_only_if_it_never_ran() {
+    for never in [Ending::Full, Ending::ConnectFailed, Ending::Miss] {
+        let mut rig = Rig::new();
+        let id = rig.ask(UNSAFE, 5, 0);
+        rig.end(id, 0, THE_ORIGIN, never);
+        assert!(rig.sends().len() == 1 || refused(&rig.acts, id), "{never:?}");
+    }
+    for maybe in [Ending::Error, Ending::Timeout, Ending::Reset, Ending::Cancelled] {
+        let mut rig = Rig::new();
+        let id = rig.ask(UNSAFE, 5, 0);
+        rig.end(id, 0, THE_ORIGIN, maybe);
+        assert!(rig.sends().is_empty() && failed(&rig.acts, id), "{maybe:?}");
+    }
+}
+
+#[test]
+fn a_keyed_request_goes_again_only_inside_its_window_from_the_first_send() {
+    for (at, again) in [(1990.0, true), (2000.0, false)] {
+        let mut rig = Rig::new();
+        let id = rig.ask(KEYED, 5, 0);
+        rig.now += at;
+        rig.end(id, 0, THE_ORIGIN, Ending::Timeout);
+        assert_eq!(!rig.sends().is_empty(), again, "{at}");
+        // Refusing does no harm: every member drops its repeats.
+        assert_eq!(refused(&rig.acts, id), !again);
+    }
+}
+
+#[test]
+fn a_keyed_request_stays_in_its_group_and_is_then_failed_not_refused() {
+    let mut s = settings();
+    s.classes[KEYED].group = Group::Cell;
+    let members = everyone().into_iter().map(|m| Member { cell: m.id, ..m }).collect();
+    let mut rig = Rig::with(s, members);
+    let id = rig.ask(KEYED, 5, 0);
+    rig.end(id, 0, THE_ORIGIN, Ending::Reset);
+    assert!(rig.sends().iter().all(|s| s.1 == THE_ORIGIN));
+    if rig.sends().is_empty() {
+        assert!(failed(&rig.acts, id) && !refused(&rig.acts, id));
+    }
+}
+
+// ---- Drains -----------------------------------------------------------------------------------------------
+
+#[test]
+fn a_draining_or_gone_member_gets_nothing_more_nor_is_it_a_source() {
+    for lifecycle in [Lifecycle::Draining, Lifecycle::Gone] {
+        for out in [101, 201] {
+            let mut rig = Rig::new();
+            rig.event(Event::Members(ListKind::Delta, vec![Member { lifecycle, ..member(out) }]));
+            for object in 0..60 {
+                let (id, cache) = rig.ask_and_miss(SMALL, object);
+                let fill = rig.sends()[0];
+                assert!(cache != out && fill.1 != out && fill.2 != Some(out));
+                rig.end(id, 1, cache, Ending::Ok);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_member_missing_from_a_full_list_is_gone_and_its_fills_move_on() {
+    let mut rig = Rig::new();
+    let (id, cache) = rig.ask_and_miss(SMALL, 5);
+    let left = everyone().into_iter().filter(|m| m.id != cache).collect();
+    rig.event(Event::Members(ListKind::Full, left));
+    rig.end(id, 1, cache, Ending::Reset);
+    assert!(rig.sends().iter().all(|s| s.1 != cache));
+    assert_eq!(rig.sends().len(), 1);
+}
+
+// ---- Cold members -----------------------------------------------------------------------------------------
+
+/// Sends as many requests as it can for ten seconds and returns when each reached the member, as target or
+/// as source.
+fn pressure(rig: &mut Rig, id: MemberId, class: usize) -> Vec<Millis> {
+    let mut times = vec![];
+    let end = rig.now + 10_000.0;
+    let mut object = 1000;
+    while rig.now < end {
+        object += 1;
+        let request = rig.ask(class, object, 0);
+        let mut attempt = 0;
+        while let Some((_, to, source)) = rig.sends().first().copied() {
+            if to == id || source == Some(id) {
+                times.push(rig.now);
+            }
+            let how = if attempt == 0 { Ending::Miss } else { Ending::Ok };
+            rig.end(request, attempt, to, how);
+            attempt += 1;
+        }
+        rig.now += 4.0;
+    }
+    times
+}
+
+#[test]
+fn a_cold_member_is_never_sent_more_than_its_budget() {
+    for (id, rule, routers) in [(101, settings().cold_cache, 1.0), (201, settings().cold_parent, 2.0)] {
+        for class in [SMALL, LARGE] {
+            let cold = |m: Member| Member { started: (m.id == id).then_some(900.0), ..m };
+            let mut rig = Rig::with(settings(), everyone().into_iter().map(cold).collect());
+            let times = pressure(&mut rig, id, class);
+            assert!(!times.is_empty(), "it gets its share");
+            for (i, end) in times.iter().enumerate() {
+                let sent = times[..=i].iter().filter(|t| **t > end - rule.window).count() as f64;
+                let capacity = rule.from + (1.0 - rule.from) * (end - 900.0) / rule.ramp;
+                let budget = rule.multiple * capacity * member(id).weight * rule.window / routers;
+                assert!(sent * SIZES[class] <= budget, "{id}: {sent} by {end} over {budget}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_member_past_its_ramp_has_no_budget() {
+    let rule = settings().cold_cache;
+    let count = |started: Millis| {
+        let warm = |m: Member| Member { started: (m.id == 101).then_some(started), ..m };
+        let mut rig = Rig::with(settings(), everyone().into_iter().map(warm).collect());
+        pressure(&mut rig, 101, SMALL).len()
+    };
+    assert!(count(1000.0 - rule.ramp) > 3 * count(1000.0));
+}
+
+#[test]
+fn a_member_that_restarts_gets_a_new_budget() {
+    let mut rig = Rig::new();
+    let before = pressure(&mut rig, 101, SMALL).len();
+    let again = Member { started: Some(rig.now), ..member(101) };
+    rig.event(Event::Members(ListKind::Delta, vec![again]));
+    assert!(pressure(&mut rig, 101, SMALL).len() < before / 2);
+}
+
+// ---- Purges -----------------------------------------------------------------------------------------------
+
+#[test]
+fn a_purge_binds_every_kind_of_send_until_copies_are_gone() {
+    let done = settings().purge_done;
+    for (object, group) in [(Some(5), 0), (None, 7)] {
+        let mut rig = Rig::new();
+        rig.event(Event::Purged { object, group, age: 100.0 });
+        let purged = rig.now - 100.0;
+        let id = rig.ask(SMALL, 5, 0);
+        let Action::Get { member, source, age, how, .. } = rig.acts[0] else { panic!("no bound") };
+        assert_eq!(member, source, "still only a look-up");
+        assert!(!how.join && age > 0.0 && age <= rig.now - purged);
+        rig.now += 40.0;
+        rig.end(id, 0, member, Ending::Miss);
+        let Action::Get { age, source, .. } = rig.acts[0] else { panic!("no fill") };
+        assert!(PARENTS.contains(&source) && age > 0.0 && age <= rig.now - purged, "judged at its send");
+        rig.now = purged + done + 1.0;
+        rig.ask(SMALL, 5, 1);
+        assert!(matches!(rig.acts[0], Action::LookUp { .. }), "past it, copies are gone by themselves");
+        // Others are not bound.
+        rig.now = purged + 200.0;
+        rig.event(Event::Purged { object: Some(6), group: 3, age: 0.0 });
+    }
+}
+
+#[test]
+fn a_purge_of_this_instant_leaves_a_bound_that_is_not_nothing() {
+    let mut rig = Rig::new();
+    rig.event(Event::Purged { object: Some(5), group: 7, age: 0.0 });
+    rig.ask(LARGE, 5, 0);
+    let Action::Get { age, .. } = rig.acts[0] else { panic!("no bound") };
+    assert!(age >= 0.001, "0 would mean any age");
+}
+
+#[test]
+fn an_older_purge_told_later_does_not_loosen_a_newer_one() {
+    let mut rig = Rig::new();
+    rig.event(Event::Purged { object: Some(5), group: 7, age: 0.0 });
+    rig.event(Event::Purged { object: Some(5), group: 7, age: 4000.0 });
+    rig.now += 50.0;
+    rig.ask(SMALL, 5, 0);
+    let Action::Get { age, .. } = rig.acts[0] else { panic!("no bound") };
+    assert!(age <= 50.0);
+}
+
+#[test]
+fn the_bound_is_never_looser_than_the_fresh_time() {
+    let mut s = settings();
+    s.classes[SMALL].fresh = 30.0;
+    let mut rig = Rig::with(s, everyone());
+    rig.event(Event::Purged { object: Some(5), group: 7, age: 1000.0 });
+    rig.ask(SMALL, 5, 0);
+    let Action::Get { age, .. } = rig.acts[0] else { panic!("no bound") };
+    assert!(age <= 30.0);
+}
+
+#[test]
+fn straight_to_a_parent_the_purge_binds_too() {
+    let mut rig = Rig::with(settings(), everyone().into_iter().filter(|m| m.kind != CACHE).collect());
+    rig.event(Event::Purged { object: Some(5), group: 7, age: 10.0 });
+    rig.ask(SMALL, 5, 0);
+    let Action::Get { age, member, .. } = rig.acts[0] else { panic!("no bound") };
+    assert!(PARENTS.contains(&member) && age > 0.0 && age <= 10.0);
+}
