--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -17,6 +17,8 @@
 const WAIT: Millis = 3000.0;
 /// ms of own sending time from which waiting for the leader costs more than joining its fill at once.
 const LARGE: Millis = 100.0;
+/// ms that a client must still have for another attempt.
+const LEAST_LEFT: Millis = 5.0;
 /// Rank of ordinary copies, the middle one.
 const RANK: u8 = 2;
 /// ms: allowance for ways and queues that adds to every sending time; and what a hit never spends less.
@@ -58,7 +60,7 @@
 const RETRY_LIGHT: f64 = 0.2;
 /// Times the aim that an answer may be expected to take, by the cache's load and by the link's, before the
 /// request is shed.
-const SHED_AT: f64 = 1.5;
+const SHED_AT: f64 = 1.0;
 const LINK_SHED_AT: f64 = 1.5;
 /// Times a client's pace at which a fill is taken to run on an idle link, where reports do not tell; weight
 /// of one report where they do, and the least fullness that tells anything.
@@ -512,7 +514,7 @@
         let class = &self.s.classes[o.r.class];
         // One at a time, attempt count, deadline, a stream that has begun.
         let spent = o.ended || o.streaming || !o.out.is_empty();
-        if spent || o.sends >= self.s.max_attempts || now >= o.r.expires {
+        if spent || o.sends >= self.s.max_attempts || o.r.expires - now < LEAST_LEFT {
             return false;
         }
         // Effects: what may have run goes again only where repeats are dropped, and in time.
@@ -688,13 +690,14 @@
     /// After a miss at a cache: lead, wait, or join at once.
     fn missed(&mut self, id: RequestId, cache: MemberId) {
         let Some(o) = self.open.get(&id) else { return };
-        let large = self.s.joins && self.work(&o.r) >= LARGE;
+        // Too little time to wait for the next sweep counts like a large object.
+        let alone = self.s.joins && self.work(&o.r) >= LARGE || self.last_call(o);
         let Some(entry) = self.table.get_mut(&(o.r.object, o.r.part)) else {
             let entry = Collapse { leader: id, cache, waiters: VecDeque::new() };
             self.table.insert((o.r.object, o.r.part), entry);
             return self.fill(id, cache);
         };
-        if entry.leader == id || large || entry.waiters.len() >= WAITERS_MOST {
+        if entry.leader == id || alone || entry.waiters.len() >= WAITERS_MOST {
             let cache = entry.cache;
             return self.fill(id, cache);
         }
@@ -704,6 +707,12 @@
         }
     }
 
+    /// Only one attempt's time is left.
+    fn last_call(&self, o: &Open) -> bool {
+        let need = (self.work(&o.r) + WAY) * self.means[o.r.class].2;
+        o.r.expires - self.now <= need.max(WAY) + SWEEP
+    }
+
     /// A fill at a cache, from the first source that will do; else at the next cache; else past them.
     fn fill(&mut self, id: RequestId, cache: MemberId) {
         let Some(o) = self.open.get(&id) else { return };
@@ -903,16 +912,13 @@
                 self.acts.extend(held.map(|a| Action::Cancel { request: *request, attempt: a.no }));
             }
         }
-        let mut due = Vec::new();
-        for (id, o) in &self.open {
-            let need = (self.work(&o.r) + WAY) * self.means[o.r.class].2;
-            let late = o.r.expires - now <= need + SWEEP;
-            if o.waiting.is_some_and(|since| now - since >= WAIT || late) {
-                due.push(*id);
-            }
-        }
-        for id in due {
-            let Some(o) = self.open.get_mut(&id) else { continue };
+        let due = self
+            .open
+            .iter()
+            .filter(|(_, o)| o.waiting.is_some_and(|since| now - since >= WAIT || self.last_call(o)));
+        for id in due.map(|(id, _)| *id).collect::<Vec<_>>() {
+            // One that came to lead meanwhile waits no more.
+            let Some(o) = self.open.get_mut(&id).filter(|o| o.waiting.is_some()) else { continue };
             o.waiting = None;
             let Some(entry) = self.table.get_mut(&(o.r.object, o.r.part)) else { continue };
             entry.waiters.retain(|w| *w != id);
--- a/crates/deckproxy-control/tests/properties.rs
+++ b/crates/deckproxy-control/tests/properties.rs
@@ -11,6 +11,7 @@
     Wait(u16),
     Ask { class: u8, object: u8, patience: u16 },
     End { which: u16, how: u8 },
+    Brink { which: u16, left: u8, how: u8 },
     Leave(u16),
     Member { which: u8, what: u8 },
     Purge { object: u8, whole: bool, age: u16 },
@@ -21,6 +22,7 @@
         3 => (1u16..400).prop_map(Op::Wait),
         6 => (0u8..4, 0u8..6, 300u16..5000).prop_map(|(class, object, patience)| Op::Ask { class, object, patience }),
         9 => (any::<u16>(), 0u8..12).prop_map(|(which, how)| Op::End { which, how }),
+        2 => (any::<u16>(), 0u8..30, 4u8..12).prop_map(|(which, left, how)| Op::Brink { which, left, how }),
         1 => any::<u16>().prop_map(Op::Leave),
         1 => (0u8..6, 0u8..4).prop_map(|(which, what)| Op::Member { which, what }),
         1 => (0u8..6, any::<bool>(), 0u16..3000).prop_map(|(object, whole, age)| Op::Purge { object, whole, age }),
@@ -232,6 +234,16 @@
                 };
                 self.end(out[usize::from(which) % out.len()], ending);
             }
+            // An attempt that ends just before its client gives up.
+            Op::Brink { which, left, how } => {
+                let out: Vec<Millis> =
+                    self.live.values().filter(|a| a.out.is_some()).map(|a| a.r.expires).collect();
+                if !out.is_empty() {
+                    let at = out[usize::from(which) % out.len()] - f64::from(left) / 2.0;
+                    self.wait((at - self.rig.now).max(0.0));
+                    self.step(Op::End { which, how });
+                }
+            }
             Op::Leave(which) => {
                 let ids: Vec<RequestId> = self.live.keys().copied().collect();
                 if let Some(id) = ids.get(usize::from(which) % ids.len().max(1)) {
--- a/crates/deckproxy-control/tests/rules.rs
+++ b/crates/deckproxy-control/tests/rules.rs
@@ -62,6 +62,22 @@
     assert!(rig.sends().is_empty());
 }
 
+/// A leader whose connection broke in its last millisecond became a waiter and was never answered.
+#[test]
+fn one_that_fails_at_the_brink_of_its_deadline_does_not_wait() {
+    for left in [0.5, 3.0, 15.0, 40.0] {
+        let mut rig = Rig::new();
+        let (leader, cache) = rig.ask_and_miss(SMALL, 5);
+        rig.now += 4000.0;
+        let (waiter, _) = rig.ask_and_miss(SMALL, 5);
+        rig.now += 1000.0 - left;
+        rig.end(leader, 1, cache, Ending::Error);
+        let sends: Vec<RequestId> = rig.sends().iter().map(|s| s.0).collect();
+        assert!(sends.contains(&waiter));
+        assert!(sends.contains(&leader) || refused(&rig.acts, leader), "{left}");
+    }
+}
+
 // ---- No effect twice --------------------------------------------------------------------------------------
 
 #[test]
