--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -27,6 +27,8 @@
 /// Answers out over a member's link from which its objects may spill; and from which a parent is passed.
 const SPILL_AT: f64 = 1.5;
 const PASS_AT: f64 = 3.0;
+/// ms over which our part of a load is averaged to guess the other routers'.
+const MEAN_SPAN: Millis = 1000.0;
 /// Times the mean load of its pool that a member may hold (bounded loads).
 const BOUND: f64 = 1.3;
 /// Share of the cold rule that all routers together use, and times a class's mean sending time that one
@@ -62,6 +64,10 @@
 /// request is shed.
 const SHED_AT: f64 = 1.0;
 const LINK_SHED_AT: f64 = 1.5;
+/// Weight of one transfer in what they take lately, and times what they would take alone that tells of a
+/// crowded link; then the link sheds as early as the caches do.
+const TOOK_STEP: f64 = 0.05;
+const CROWDED_FROM: f64 = 1.5;
 /// Times a client's pace at which a fill is taken to run on an idle link, where reports do not tell; weight
 /// of one report where they do, and the least fullness that tells anything.
 const FILL_PACE: f64 = 2.0;
@@ -90,9 +96,10 @@
     /// Cold budget in ms of sending, and when it was last filled up.
     tokens: f64,
     filled_at: Millis,
-    /// Our attempts out, and fills out that name it as the source.
+    /// Our attempts out, and fills out that name it as the source; their mean of late.
     out: f64,
     fills: f64,
+    usual: Mean,
     /// Share of errors lately; pace as a multiple of what is expected, from so many answers.
     err: f64,
     pace: f64,
@@ -223,6 +230,28 @@
     load: Option<Load>,
 }
 
+/// A mean over time of an amount that changes by steps: what the other routers are guessed to hold. Our own
+/// few attempts of the moment, times the routers, would be noise where many routers share little traffic.
+#[derive(Clone, Copy, Default)]
+struct Mean {
+    value: f64,
+    at: Millis,
+}
+
+impl Mean {
+    /// Brings the mean up to date, the amount having held since the last time.
+    fn hold(&mut self, amount: f64, now: Millis) {
+        self.value = amount + (self.value - amount) * (-(now - self.at) / MEAN_SPAN).exp();
+        self.at = now;
+    }
+
+    /// All routers' amount, guessed from ours.
+    fn all(mut self, amount: f64, routers: f64, now: Millis) -> f64 {
+        self.hold(amount, now);
+        amount + (routers - 1.0) * self.value
+    }
+}
+
 /// What is left of an amount after a while.
 fn faded((amount, at): (f64, Millis), now: Millis) -> f64 {
     amount * (-(now - at) / HOT_SPAN).exp()
@@ -246,7 +275,10 @@
     objects: BTreeMap<u64, Known>,
     /// Our attempts that draw on the location's link, and the transfers that fit it as learned.
     link_out: f64,
+    link_usual: Mean,
     link_fit: Option<f64>,
+    /// What they took lately, and what they would have taken alone.
+    link_took: (f64, f64),
     retries: f64,
     sweeping: bool,
     logs: u32,
@@ -269,7 +301,9 @@
             asked: (0.0, 0.0),
             objects: BTreeMap::new(),
             link_out: 0.0,
+            link_usual: Mean::default(),
             link_fit: None,
+            link_took: (0.0, 0.0),
             retries: RETRY_MOST,
             sweeping: false,
             logs: 0,
@@ -434,7 +468,8 @@
 
     /// Answers out over the member's link, all routers' guessed from ours.
     fn load(&self, p: &Peer) -> f64 {
-        (p.out + p.fills) * self.sharers(&p.m) * self.slowness(p) / p.m.weight.max(0.1)
+        let all = p.usual.all(p.out + p.fills, self.sharers(&p.m), self.now);
+        all * self.slowness(p) / p.m.weight.max(0.1)
     }
 
     /// Ready members of a pool in the hash's order, those holding too much of our work moved behind.
@@ -573,6 +608,7 @@
             let Some(p) = self.peers.get_mut(m) else { continue };
             p.tokens -= cost;
             p.trial_out |= p.trial.is_some();
+            p.usual.hold(p.out + p.fills, now);
             if *m != to {
                 p.fills += 1.0;
                 continue;
@@ -584,6 +620,7 @@
             p.unanswered += 1;
         }
         let linked = kind == Kind::Direct || kind == Kind::Fill && self.leads(id);
+        self.link_usual.hold(self.link_out, now);
         self.link_out += f64::from(u8::from(linked));
         let Some(o) = self.open.get_mut(&id) else { return false };
         let (no, member, sent) = (o.sends, to, now);
@@ -622,8 +659,11 @@
         let told =
             self.s.zone_link.get(self.s.zone as usize).copied().filter(|kb| *kb > 0.0 && self.s.flow > 0.0);
         let Some(fit) = told.map(|kb| kb / self.s.flow / FILL_PACE).or(self.link_fit) else { return false };
-        let crowd = (self.link_out + 1.0) * self.routers_in(self.s.zone) / fit.max(1.0);
-        self.too_late(o, self.work(&o.r) * crowd.max(1.0), LINK_SHED_AT)
+        let all = self.link_usual.all(self.link_out, self.routers_in(self.s.zone), self.now);
+        let crowd = (all + 1.0) / fit.max(1.0);
+        let crowded = self.link_took.0 > CROWDED_FROM * self.link_took.1;
+        let times = if crowded { SHED_AT } else { LINK_SHED_AT };
+        self.too_late(o, self.work(&o.r) * crowd.max(1.0), times)
     }
 
     // ---- Dispatch ----------------------------------------------------------------------------------------
@@ -846,13 +886,19 @@
         let source = a.source.filter(|s| *s != a.member);
         let cache = self.peers.get(&a.member).is_some_and(|p| self.is_cache(&p.m));
         if let Some(full) = end.load.and_then(|l| l.link).filter(|x| cache && *x > FIT_FROM) {
-            let fit = self.link_out * self.routers_in(self.s.zone) / full;
+            let fit = self.link_usual.all(self.link_out, self.routers_in(self.s.zone), self.now) / full;
             self.link_fit = Some(self.link_fit.map_or(fit, |old| old + FIT_STEP * (fit - old)));
         }
+        self.link_usual.hold(self.link_out, self.now);
         self.link_out -= f64::from(u8::from(a.linked));
+        if a.linked && end.ending == Ending::Ok {
+            self.link_took.0 += TOOK_STEP * (end.elapsed - self.link_took.0);
+            self.link_took.1 += TOOK_STEP * (self.work(r) + 2.0 * WAY - self.link_took.1);
+        }
         for m in [Some(a.member), source].into_iter().flatten() {
             let Some(p) = self.peers.get_mut(&m) else { continue };
             p.trial_out &= !a.trial;
+            p.usual.hold(p.out + p.fills, self.now);
             if m != a.member {
                 p.fills = (p.fills - 1.0).max(0.0);
                 continue;
