--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -129,19 +129,25 @@
             && !(self.trial.is_some() && self.trial_out)
     }
 
+    /// Share of its capacity that a member has at least, having started when the list says or when it came
+    /// back from out of reach: it may have died and come back before the list tells, and all routers at once
+    /// would push it over. It costs a hung one some seconds of little work.
+    fn warmth(&self, rule: &ColdRule, now: Millis) -> f64 {
+        let untold = self.back.filter(|b| now - b < UNTOLD);
+        let started = self.m.started.into_iter().chain(untold).fold(f64::MIN, f64::max);
+        let age = (now - started).max(0.0);
+        if age < rule.ramp { rule.from + (1.0 - rule.from) * age / rule.ramp } else { 1.0 }
+    }
+
     /// Fills the cold budget up and tells whether it has `cost`, in ms of sending. Any window of the rule's
     /// length then holds at most burst + rate x window: COLD_SHARE of what the rule allows at the present
     /// capacity on the slowest ramp, split evenly among the routers that may send.
-    /// A member back from out of reach counts as cold too: it may have died and come back before the list
-    /// tells, and all routers at once would push it over. It costs a hung one some seconds of little work.
     fn cold_room(&mut self, rule: &ColdRule, routers: f64, cost: f64, now: Millis) -> bool {
-        let untold = self.back.filter(|b| now - b < UNTOLD);
-        let started = self.m.started.into_iter().chain(untold).fold(f64::MIN, f64::max);
-        let age = (now - started).max(0.0);
-        if age >= rule.ramp {
+        let share = self.warmth(rule, now);
+        if share >= 1.0 {
             return true;
         }
-        let capacity = (rule.from + (1.0 - rule.from) * age / rule.ramp) * self.m.weight / routers;
+        let capacity = share * self.m.weight / routers;
         let rate = (COLD_SHARE * rule.multiple * 0.5).min(1.0);
         let burst = (COLD_SHARE * rule.multiple - rate) * capacity * rule.window;
         self.tokens = (self.tokens + rate * capacity * (now - self.filled_at)).min(burst);
@@ -469,7 +475,8 @@
     /// Answers out over the member's link, all routers' guessed from ours.
     fn load(&self, p: &Peer) -> f64 {
         let all = p.usual.all(p.out + p.fills, self.sharers(&p.m), self.now);
-        all * self.slowness(p) / p.m.weight.max(0.1)
+        let rule = if self.is_cache(&p.m) { &self.s.cold_cache } else { &self.s.cold_parent };
+        all * self.slowness(p) / (p.m.weight * p.warmth(rule, self.now).powf(0.5)).max(0.1)
     }
 
     /// Ready members of a pool in the hash's order, those holding too much of our work moved behind.
