--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -96,8 +96,10 @@
     /// Cold budget in ms of sending, and when it was last filled up.
     tokens: f64,
     filled_at: Millis,
-    /// Our attempts out, and fills out that name it as the source; their mean of late.
+    /// Our attempts out, those of them that fill, and fills out that name it as the source; their mean of
+    /// late.
     out: f64,
+    filling: f64,
     fills: f64,
     usual: Mean,
     /// Share of errors lately; pace as a multiple of what is expected, from so many answers.
@@ -129,25 +131,19 @@
             && !(self.trial.is_some() && self.trial_out)
     }
 
-    /// Share of its capacity that a member has at least, having started when the list says or when it came
-    /// back from out of reach: it may have died and come back before the list tells, and all routers at once
-    /// would push it over. It costs a hung one some seconds of little work.
-    fn warmth(&self, rule: &ColdRule, now: Millis) -> f64 {
-        let untold = self.back.filter(|b| now - b < UNTOLD);
-        let started = self.m.started.into_iter().chain(untold).fold(f64::MIN, f64::max);
-        let age = (now - started).max(0.0);
-        if age < rule.ramp { rule.from + (1.0 - rule.from) * age / rule.ramp } else { 1.0 }
-    }
-
     /// Fills the cold budget up and tells whether it has `cost`, in ms of sending. Any window of the rule's
     /// length then holds at most burst + rate x window: COLD_SHARE of what the rule allows at the present
     /// capacity on the slowest ramp, split evenly among the routers that may send.
+    /// A member back from out of reach counts as cold too: it may have died and come back before the list
+    /// tells, and all routers at once would push it over. It costs a hung one some seconds of little work.
     fn cold_room(&mut self, rule: &ColdRule, routers: f64, cost: f64, now: Millis) -> bool {
-        let share = self.warmth(rule, now);
-        if share >= 1.0 {
+        let untold = self.back.filter(|b| now - b < UNTOLD);
+        let started = self.m.started.into_iter().chain(untold).fold(f64::MIN, f64::max);
+        let age = (now - started).max(0.0);
+        if age >= rule.ramp {
             return true;
         }
-        let capacity = share * self.m.weight / routers;
+        let capacity = (rule.from + (1.0 - rule.from) * age / rule.ramp) * self.m.weight / routers;
         let rate = (COLD_SHARE * rule.multiple * 0.5).min(1.0);
         let burst = (COLD_SHARE * rule.multiple - rate) * capacity * rule.window;
         self.tokens = (self.tokens + rate * capacity * (now - self.filled_at)).min(burst);
@@ -472,11 +468,17 @@
         if self.is_cache(m) { self.routers_in(m.zone) } else { f64::from(self.s.routers.max(1)) }
     }
 
+    /// What our attempts take of a member's link. A fill that is slow to come draws little of the cache's.
+    fn held(&self, p: &Peer) -> f64 {
+        let (took, alone) = self.link_took;
+        let drawn = if took > alone { alone / took } else { 1.0 };
+        p.out - p.filling * (1.0 - drawn) + p.fills
+    }
+
     /// Answers out over the member's link, all routers' guessed from ours.
     fn load(&self, p: &Peer) -> f64 {
-        let all = p.usual.all(p.out + p.fills, self.sharers(&p.m), self.now);
-        let rule = if self.is_cache(&p.m) { &self.s.cold_cache } else { &self.s.cold_parent };
-        all * self.slowness(p) / (p.m.weight * p.warmth(rule, self.now).powf(0.5)).max(0.1)
+        let all = p.usual.all(self.held(p), self.sharers(&p.m), self.now);
+        all * self.slowness(p) / p.m.weight.max(0.1)
     }
 
     /// Ready members of a pool in the hash's order, those holding too much of our work moved behind.
@@ -612,15 +614,17 @@
         let load = self.load(&self.peers[&to]);
         let expected = work * load.max(1.0) + WAY;
         for m in &ends {
+            let held = self.held(&self.peers[m]);
             let Some(p) = self.peers.get_mut(m) else { continue };
             p.tokens -= cost;
             p.trial_out |= p.trial.is_some();
-            p.usual.hold(p.out + p.fills, now);
+            p.usual.hold(held, now);
             if *m != to {
                 p.fills += 1.0;
                 continue;
             }
             p.out += 1.0;
+            p.filling += f64::from(u8::from(kind == Kind::Fill));
             if p.unanswered == 0 {
                 p.unanswered_since = now;
             }
@@ -648,7 +652,8 @@
     fn too_late(&self, o: &Open, takes: Millis, times: f64) -> bool {
         let class = &self.s.classes[o.r.class];
         let aim = (class.aim + class.aim_stretch * self.work(&o.r)).min(class.deadline);
-        self.now - o.arrived + takes + WAY > times * aim
+        let left = (aim - (self.now - o.arrived)).max(aim * 0.5);
+        takes + WAY > times * left
     }
 
     /// Whether even the best cache is too crowded.
@@ -900,17 +905,19 @@
         self.link_out -= f64::from(u8::from(a.linked));
         if a.linked && end.ending == Ending::Ok {
             self.link_took.0 += TOOK_STEP * (end.elapsed - self.link_took.0);
-            self.link_took.1 += TOOK_STEP * (self.work(r) + 2.0 * WAY - self.link_took.1);
+            self.link_took.1 += TOOK_STEP * (a.expected + WAY - self.link_took.1);
         }
         for m in [Some(a.member), source].into_iter().flatten() {
+            let Some(held) = self.peers.get(&m).map(|p| self.held(p)) else { continue };
             let Some(p) = self.peers.get_mut(&m) else { continue };
             p.trial_out &= !a.trial;
-            p.usual.hold(p.out + p.fills, self.now);
+            p.usual.hold(held, self.now);
             if m != a.member {
                 p.fills = (p.fills - 1.0).max(0.0);
                 continue;
             }
             p.out = (p.out - 1.0).max(0.0);
+            p.filling = (p.filling - f64::from(u8::from(a.kind == Kind::Fill))).max(0.0);
             if !matches!(end.ending, Ending::Timeout | Ending::Cancelled | Ending::Moot) {
                 p.unanswered = 0;
             }
