--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -35,10 +35,11 @@
 /// send weighs: room for misjudged times.
 const COLD_SHARE: f64 = 0.8;
 const COLD_COST: f64 = 1.1;
-/// Weight of one outcome in a member's error share; the share over its peers' mean that leaves it out; the
-/// share that does so whatever its peers do.
+/// Weight of one outcome in a member's error share; the share over so many times its peers' mean that leaves
+/// it out; the share that does so whatever its peers do.
 const ERR_STEP: f64 = 0.07;
 const ERR_LIMIT: f64 = 0.3;
+const ERR_USUAL: f64 = 2.0;
 const ERR_CERTAIN: f64 = 0.75;
 /// Weight of one answer in a member's pace, answers before it counts, and times its peers' that are slow.
 const PACE_STEP: f64 = 0.08;
@@ -201,8 +202,7 @@
     out: Vec<Attempt>,
     /// First attempt that may have run: when it was sent, and where.
     maybe_run: Option<(Millis, MemberId)>,
-    /// Members that lost a connection for this request once, and those that it avoids.
-    failed: Vec<MemberId>,
+    /// Members that failed this request.
     bad: Vec<MemberId>,
     waiting: Option<Millis>,
 }
@@ -438,7 +438,7 @@
             }
             Some(n) => p.trial = Some(n + 1),
             None if p.err > ERR_CERTAIN => self.leave_out(id, true, "failing"),
-            None if p.err > ERR_LIMIT + usual => self.leave_out(id, false, "errors"),
+            None if p.err > ERR_LIMIT + ERR_USUAL * usual => self.leave_out(id, false, "errors"),
             None => {}
         }
     }
@@ -495,7 +495,7 @@
     /// The caches of the location for a request. An object that draws much of the work is spread by its
     /// parts, in one order that all routers share.
     fn caches(&self, r: &Request) -> Vec<MemberId> {
-        let hash = if self.hot(r) { r.object ^ mix(u64::from(r.part) + 1) } else { r.object };
+        let hash = if r.part > 0 && self.hot(r) { r.object ^ mix(u64::from(r.part)) } else { r.object };
         self.order(hash, SPILL_AT, |m| self.is_cache(m) && m.zone == self.s.zone)
     }
 
@@ -871,13 +871,7 @@
         let at_source = a.kind == Kind::Fill && !at_cache && end.note != Note::NoPlace;
         let guilty = a.source.filter(|_| at_source).unwrap_or(a.member);
         let Some(o) = self.open.get_mut(&id) else { return };
-        // A lost connection may hit anyone: the home is tried once more before it is passed by.
-        let again = end.ending == Ending::Reset && !o.failed.contains(&guilty);
-        if again {
-            o.failed.push(guilty)
-        } else {
-            o.bad.push(guilty)
-        }
+        o.bad.push(guilty);
         let (key, bad) = ((r.object, r.part), o.bad.clone());
         let price = if matches!(end.ending, Ending::Full | Ending::Timeout) { 1.0 } else { RETRY_LIGHT };
         if self.retries < price || self.now >= r.expires {
