Ask refused clients back after a fifth of their aim instead of 400 ms

Cause: the aim counts from the first try, so a client that comes back after 400 ms comes back too late.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -84,8 +84,8 @@
 const OBJECT_SPAN: Millis = 30_000.0;
 /// Requests that wait for one fill, at most; later ones go alone.
 const WAITERS_MOST: usize = 512;
-/// ms named to refused clients as the time to come back, within what they follow.
-const COME_BACK: Millis = 400.0;
+/// Share of its aim that a refused client is asked to stay away: there is time to be served within it.
+const COME_BACK: f64 = 0.2;
 /// Log lines of one router, at most.
 const LOGS: u32 = 60;
 
@@ -795,7 +795,8 @@
                 Effect::Unsafe => o.maybe_run.is_none(),
             };
             o.ended = true;
-            let retry_after = if self.s.retry_after { self.s.max_retry_after.min(COME_BACK) } else { 0.0 };
+            let retry_after =
+                if self.s.retry_after { self.s.max_retry_after.min(COME_BACK * class.aim) } else { 0.0 };
             self.acts.push(match harmless {
                 true => Action::Refuse { request: id, retry_after },
                 false => Action::Fail { request: id },
