--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -11,6 +11,8 @@
 
 /// ms between sweeps over waiters and silent members: fine enough for aims of some hundred ms.
 const SWEEP: Millis = 20.0;
+/// ms by which a sweep that late tells that the router itself stood still.
+const ASLEEP: Millis = 100.0;
 /// ms until a broken subscription to the list is asked for again.
 const REWATCH: Millis = 500.0;
 /// ms: the design's lock time-out; nobody waits longer for a leader.
@@ -82,6 +84,8 @@
 const HOT_FROM: Millis = 2000.0;
 const OBJECTS_MOST: usize = 8192;
 const OBJECT_SPAN: Millis = 30_000.0;
+/// Times what it should take at most after which a fill or direct send counts as stalled.
+const STALL: f64 = 2.0;
 /// Requests that wait for one fill, at most; later ones go alone.
 const WAITERS_MOST: usize = 512;
 /// Share of its aim that a refused client is asked to stay away: there is time to be served within it.
@@ -97,10 +101,8 @@
     /// Cold budget in ms of sending, and when it was last filled up.
     tokens: f64,
     filled_at: Millis,
-    /// Our attempts out, those of them that fill, and fills out that name it as the source; their mean of
-    /// late.
+    /// Our attempts out that draw on its link, and fills out that name it as the source; their mean of late.
     out: f64,
-    filling: f64,
     fills: f64,
     usual: Mean,
     /// Share of errors lately; pace as a multiple of what is expected, from so many answers.
@@ -189,6 +191,9 @@
     trial: bool,
     /// It draws on the location's link by itself.
     linked: bool,
+    /// When it counts as stalled: waiting for a source that does not send, it draws on no link; and whether.
+    stalls_at: Millis,
+    stalled: bool,
 }
 
 #[derive(Default)]
@@ -283,6 +288,7 @@
     link_took: (f64, f64),
     retries: f64,
     sweeping: bool,
+    sweep_due: Millis,
     logs: u32,
 }
 
@@ -308,6 +314,7 @@
             link_took: (0.0, 0.0),
             retries: RETRY_MOST,
             sweeping: false,
+            sweep_due: 0.0,
             logs: 0,
         }
     }
@@ -352,8 +359,8 @@
             Event::Probed { .. } | Event::Peer(..) | Event::Started => {}
         }
         if !self.sweeping && !self.open.is_empty() {
-            self.sweeping = true;
-            self.acts.push(Action::Timer { token: 0, at: now + SWEEP });
+            (self.sweeping, self.sweep_due) = (true, now + SWEEP);
+            self.acts.push(Action::Timer { token: 0, at: self.sweep_due });
         }
         acts.append(&mut self.acts);
     }
@@ -468,16 +475,9 @@
         if self.is_cache(m) { self.routers_in(m.zone) } else { f64::from(self.s.routers.max(1)) }
     }
 
-    /// What our attempts take of a member's link. A fill that is slow to come draws little of the cache's.
-    fn held(&self, p: &Peer) -> f64 {
-        let (took, alone) = self.link_took;
-        let drawn = if took > alone { alone / took } else { 1.0 };
-        p.out - p.filling * (1.0 - drawn) + p.fills
-    }
-
     /// Answers out over the member's link, all routers' guessed from ours.
     fn load(&self, p: &Peer) -> f64 {
-        let all = p.usual.all(self.held(p), self.sharers(&p.m), self.now);
+        let all = p.usual.all(p.out + p.fills, self.sharers(&p.m), self.now);
         all * self.slowness(p) / p.m.weight.max(0.1)
     }
 
@@ -611,20 +611,18 @@
             Action::Get { request: id, member: to, until, source: source.unwrap_or(to), keep, age, how }
         });
         // Books.
-        let load = self.load(&self.peers[&to]);
+        let (load, crowd) = (self.load(&self.peers[&to]), self.crowd());
         let expected = work * load.max(1.0) + WAY;
         for m in &ends {
-            let held = self.held(&self.peers[m]);
             let Some(p) = self.peers.get_mut(m) else { continue };
             p.tokens -= cost;
             p.trial_out |= p.trial.is_some();
-            p.usual.hold(held, now);
+            p.usual.hold(p.out + p.fills, now);
             if *m != to {
                 p.fills += 1.0;
                 continue;
             }
             p.out += 1.0;
-            p.filling += f64::from(u8::from(kind == Kind::Fill));
             if p.unanswered == 0 {
                 p.unanswered_since = now;
             }
@@ -634,8 +632,10 @@
         self.link_usual.hold(self.link_out, now);
         self.link_out += f64::from(u8::from(linked));
         let Some(o) = self.open.get_mut(&id) else { return false };
-        let (no, member, sent) = (o.sends, to, now);
-        o.out.push(Attempt { no, member, source, kind, sent, load, expected, trial, linked });
+        let stalls_at = now + STALL * (work * load.max(crowd).max(1.0) + 2.0 * WAY);
+        let (no, member, sent, stalled) = (o.sends, to, now, false);
+        let a = Attempt { no, member, source, kind, sent, load, expected, trial, linked, stalls_at, stalled };
+        o.out.push(a);
         o.sends += 1;
         true
     }
@@ -663,19 +663,24 @@
         o.sends == 0 && self.too_late(o, self.work(&o.r) * load.max(1.0), SHED_AT)
     }
 
+    /// Transfers on the location's link, with one more, over those that fit; 0 where its room is not known.
+    fn crowd(&self) -> f64 {
+        let told = self.s.zone_link.get(self.s.zone as usize).copied();
+        let told = told.filter(|kb| *kb > 0.0 && self.s.flow > 0.0);
+        let fit = told.map(|kb| kb / self.s.flow / FILL_PACE).or(self.link_fit);
+        let all = self.link_usual.all(self.link_out, self.routers_in(self.s.zone), self.now);
+        fit.map_or(0.0, |fit| (all + 1.0) / fit.max(1.0))
+    }
+
     /// Whether the location's link is so crowded that one more transfer would not be through anywhere near
     /// the aim. Guards against a link that everyone fills and nobody gets through (a mass purge, dead
     /// caches, a cut link); it could hurt where the link's room is told or learned too low.
     fn link_full(&self, id: RequestId) -> bool {
         let Some(o) = self.open.get(&id) else { return false };
-        let told =
-            self.s.zone_link.get(self.s.zone as usize).copied().filter(|kb| *kb > 0.0 && self.s.flow > 0.0);
-        let Some(fit) = told.map(|kb| kb / self.s.flow / FILL_PACE).or(self.link_fit) else { return false };
-        let all = self.link_usual.all(self.link_out, self.routers_in(self.s.zone), self.now);
-        let crowd = (all + 1.0) / fit.max(1.0);
+        let crowd = self.crowd();
         let crowded = self.link_took.0 > CROWDED_FROM * self.link_took.1;
         let times = if crowded { SHED_AT } else { LINK_SHED_AT };
-        self.too_late(o, self.work(&o.r) * crowd.max(1.0), times)
+        crowd > 0.0 && self.too_late(o, self.work(&o.r) * crowd.max(1.0), times)
     }
 
     // ---- Dispatch ----------------------------------------------------------------------------------------
@@ -903,16 +908,14 @@
             self.link_took.1 += TOOK_STEP * (a.expected + WAY - self.link_took.1);
         }
         for m in [Some(a.member), source].into_iter().flatten() {
-            let Some(held) = self.peers.get(&m).map(|p| self.held(p)) else { continue };
             let Some(p) = self.peers.get_mut(&m) else { continue };
             p.trial_out &= !a.trial;
-            p.usual.hold(held, self.now);
+            p.usual.hold(p.out + p.fills, self.now);
             if m != a.member {
                 p.fills = (p.fills - 1.0).max(0.0);
                 continue;
             }
-            p.out = (p.out - 1.0).max(0.0);
-            p.filling = (p.filling - f64::from(u8::from(a.kind == Kind::Fill))).max(0.0);
+            p.out = (p.out - f64::from(u8::from(!a.stalled))).max(0.0);
             if !matches!(end.ending, Ending::Timeout | Ending::Cancelled | Ending::Moot) {
                 p.unanswered = 0;
             }
@@ -950,11 +953,31 @@
     /// what has gone out of date is forgotten.
     fn sweep(&mut self) {
         let (now, done) = (self.now, self.s.purge_done);
+        // A router that slept itself heard nobody: silence is counted anew.
+        if now - self.sweep_due > ASLEEP {
+            self.peers.values_mut().for_each(|p| p.unanswered_since = now);
+        }
         self.purged_objects.retain(|_, at| now <= *at + done);
         self.purged_groups.retain(|_, at| now <= *at + done);
         if self.objects.len() * 2 > OBJECTS_MOST {
             self.objects.retain(|_, o| now - o.asked.1 < OBJECT_SPAN);
         }
+        // Stalled fills make room: guards against a source that hangs, whose fills would keep the links that
+        // they do not use from others; on a crowded link it lets a few more on than fit.
+        for a in self.open.values_mut().flat_map(|o| &mut o.out) {
+            if a.kind == Kind::LookUp || a.stalled || now < a.stalls_at {
+                continue;
+            }
+            if a.linked {
+                self.link_usual.hold(self.link_out, now);
+                self.link_out -= 1.0;
+            }
+            if let Some(p) = self.peers.get_mut(&a.member) {
+                p.usual.hold(p.out + p.fills, now);
+                p.out = (p.out - 1.0).max(0.0);
+            }
+            (a.linked, a.stalled) = (false, true);
+        }
         let silent = |p: &&Peer| {
             let sends = if p.trial.is_some() { 1 } else { SILENT_SENDS };
             p.unanswered >= sends && now - p.unanswered_since > SILENT_FOR && !self.is_origin(&p.m)
--- a/crates/deckproxy-control/tests/common/mod.rs
+++ b/crates/deckproxy-control/tests/common/mod.rs
@@ -127,6 +127,17 @@
         self.event(Event::Outcome { request, attempt, member, ending, elapsed, finished, note, load });
     }
 
+    /// Fires the router's timers in step until then; what all of them brought is in `acts`.
+    pub fn sweep_until(&mut self, end: Millis) {
+        let mut all = vec![];
+        while self.now < end {
+            self.now = (self.now + 20.0).min(end);
+            all.extend(self.event(Event::Timer(0)).to_vec());
+        }
+        self.acts = all;
+    }
+
+    /// Fires one timer at that time.
     pub fn sweep_at(&mut self, now: Millis) {
         self.now = now;
         self.event(Event::Timer(0));
--- a/crates/deckproxy-control/tests/ordinary_path.rs
+++ b/crates/deckproxy-control/tests/ordinary_path.rs
@@ -93,9 +93,9 @@
     rig.ask_and_miss(SMALL, 5);
     let (waiter, cache) = rig.ask_and_miss(SMALL, 5);
     let start = rig.now;
-    rig.sweep_at(start + 2990.0);
+    rig.sweep_until(start + 2990.0);
     assert!(rig.sends().is_empty());
-    rig.sweep_at(start + 3001.0);
+    rig.sweep_until(start + 3001.0);
     assert_eq!(rig.sends().len(), 1);
     assert_eq!((rig.sends()[0].0, rig.sends()[0].1), (waiter, cache));
     assert!(rig.sends()[0].2.is_some(), "a fill of its own");
@@ -112,9 +112,9 @@
     let cache = rig.sends()[0].1;
     rig.end(id, 0, cache, Ending::Miss);
     let start = rig.now;
-    rig.sweep_at(start + 500.0);
+    rig.sweep_until(start + 500.0);
     assert!(rig.sends().is_empty());
-    rig.sweep_at(start + 900.0);
+    rig.sweep_until(start + 900.0);
     assert_eq!(rig.sends().first().map(|s| s.0), Some(id));
 }
 
--- a/crates/deckproxy-control/tests/trouble.rs
+++ b/crates/deckproxy-control/tests/trouble.rs
@@ -38,9 +38,9 @@
     let silent = home(&mut rig, 5);
     let held: Vec<RequestId> = (0..5).map(|_| rig.ask(SMALL, 5, 0)).collect();
     let start = rig.now;
-    rig.sweep_at(start + 600.0);
+    rig.sweep_until(start + 600.0);
     assert!(!rig.acts.iter().any(|a| matches!(a, Action::Cancel { .. })), "not yet");
-    rig.sweep_at(start + 1000.0);
+    rig.sweep_until(start + 1000.0);
     let cancelled = rig.acts.iter().filter(|a| matches!(a, Action::Cancel { .. })).count();
     assert_eq!(cancelled, held.len());
     rig.end(held[0], 0, silent, Ending::Cancelled);
@@ -67,7 +67,7 @@
     let id = rig.ask(SMALL, 5, 0);
     rig.end(id, 0, member, Ending::Ok);
     let now = rig.now;
-    rig.sweep_at(now + 600.0);
+    rig.sweep_until(now + 600.0);
     assert!(!rig.acts.iter().any(|a| matches!(a, Action::Cancel { .. })));
 }
 
@@ -79,7 +79,7 @@
         rig.ask(SMALL, object, 0);
     }
     let start = rig.now;
-    rig.sweep_at(start + 1000.0);
+    rig.sweep_until(start + 1000.0);
     rig.ask(SMALL, 5, 0);
     assert!(PARENTS.contains(&rig.sends()[0].1));
 }
@@ -215,7 +215,7 @@
         rig.ask(SMALL, *object, 0);
     }
     let start = rig.now;
-    rig.sweep_at(start + 1000.0);
+    rig.sweep_until(start + 1000.0);
     rig.now += 1001.0;
     let trial = rig.ask(SMALL, 5, 0);
     assert_eq!(rig.sends()[0].1, member);
@@ -333,3 +333,44 @@
     assert!(at[..5].iter().all(|m| *m == 101), "{at:?}");
     assert!(at.iter().any(|m| *m != 101));
 }
+
+/// The origin hung behind the parents: fills that waited for it kept the link from those whose parents held
+/// a copy, though they drew nothing.
+#[test]
+fn stalled_fills_make_room_on_the_link() {
+    let mut s = settings();
+    s.zone_link = vec![0.0, 0.0, 8000.0, 0.0];
+    let mut rig = Rig::with(s, everyone());
+    for object in 0..60 {
+        rig.ask_and_miss(LARGE, object);
+    }
+    let (id, _) = rig.ask_and_miss(LARGE, 900);
+    assert!(refused(&rig.acts, id), "the link is full");
+    for _ in 0..200 {
+        rig.now += 20.0;
+        let now = rig.now;
+        rig.sweep_at(now);
+    }
+    let (id, _) = rig.ask_and_miss(LARGE, 901);
+    assert!(!refused(&rig.acts, id) && rig.sends().len() == 1);
+}
+
+/// A router that had stood still took all its members for silent at its first sweep.
+#[test]
+fn a_router_that_slept_itself_leaves_nobody_out() {
+    for (asleep, out) in [(true, false), (false, true)] {
+        let mut rig = Rig::new();
+        for object in 0..40 {
+            rig.ask(SMALL, object, 0);
+        }
+        let mut cancelled = false;
+        let end = rig.now + 1000.0;
+        while rig.now < end {
+            rig.now += if asleep { 1000.0 } else { 20.0 };
+            let now = rig.now;
+            rig.sweep_at(now);
+            cancelled |= rig.acts.iter().any(|a| matches!(a, Action::Cancel { .. }));
+        }
+        assert_eq!(cancelled, out);
+    }
+}
