--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -63,17 +63,9 @@
 const RETRY_EARN: f64 = 0.1;
 const RETRY_MOST: f64 = 20.0;
 const RETRY_LIGHT: f64 = 0.2;
-/// Times the aim that an answer may be expected to take, by the cache's load and by the link's, before the
-/// request is shed.
-const SHED_AT: f64 = 1.0;
-const LINK_SHED_AT: f64 = 1.5;
-/// Weight of one transfer in what they take lately, and times what they would take alone that tells of a
-/// crowded link; then the link sheds as early as the caches do.
-const TOOK_STEP: f64 = 0.05;
-const CROWDED_FROM: f64 = 1.5;
 /// Times a client's pace at which a fill is taken to run on an idle link, where reports do not tell; weight
 /// of one report where they do, and the least fullness that tells anything.
-const FILL_PACE: f64 = 2.0;
+const FILL_PACE: f64 = 1.5;
 const FIT_STEP: f64 = 0.02;
 const FIT_FROM: f64 = 0.3;
 /// ms over which an object's share of the work is counted, the share of one cache's part from which its
@@ -284,8 +276,6 @@
     link_out: f64,
     link_usual: Mean,
     link_fit: Option<f64>,
-    /// What they took lately, and what they would have taken alone.
-    link_took: (f64, f64),
     retries: f64,
     sweeping: bool,
     sweep_due: Millis,
@@ -311,7 +301,6 @@
             link_out: 0.0,
             link_usual: Mean::default(),
             link_fit: None,
-            link_took: (0.0, 0.0),
             retries: RETRY_MOST,
             sweeping: false,
             sweep_due: 0.0,
@@ -649,18 +638,18 @@
 
     /// Whether an answer after that time comes too long after its aim to be worth its work. Large answers
     /// of little worth go first, as their aims leave the least room.
-    fn too_late(&self, o: &Open, takes: Millis, times: f64) -> bool {
+    fn too_late(&self, o: &Open, takes: Millis) -> bool {
         let class = &self.s.classes[o.r.class];
         let aim = (class.aim + class.aim_stretch * self.work(&o.r)).min(class.deadline);
         let left = (aim - (self.now - o.arrived)).max(aim * 0.5);
-        takes + WAY > times * left
+        takes + WAY > left
     }
 
     /// Whether even the best cache is too crowded.
     fn caches_full(&self, o: &Open, order: &[MemberId]) -> bool {
         let usable = |c: &MemberId| self.peers.get(c).filter(|p| p.usable(self.now));
         let load = order.iter().find_map(usable).map_or(0.0, |p| self.load(p));
-        o.sends == 0 && self.too_late(o, self.work(&o.r) * load.max(1.0), SHED_AT)
+        o.sends == 0 && self.too_late(o, self.work(&o.r) * load.max(1.0))
     }
 
     /// Transfers on the location's link, with one more, over those that fit; 0 where its room is not known.
@@ -678,9 +667,7 @@
     fn link_full(&self, id: RequestId) -> bool {
         let Some(o) = self.open.get(&id) else { return false };
         let crowd = self.crowd();
-        let crowded = self.link_took.0 > CROWDED_FROM * self.link_took.1;
-        let times = if crowded { SHED_AT } else { LINK_SHED_AT };
-        crowd > 0.0 && self.too_late(o, self.work(&o.r) * crowd.max(1.0), times)
+        crowd > 0.0 && self.too_late(o, self.work(&o.r) * crowd.max(1.0))
     }
 
     // ---- Dispatch ----------------------------------------------------------------------------------------
@@ -903,10 +890,6 @@
         }
         self.link_usual.hold(self.link_out, self.now);
         self.link_out -= f64::from(u8::from(a.linked));
-        if a.linked && end.ending == Ending::Ok {
-            self.link_took.0 += TOOK_STEP * (end.elapsed - self.link_took.0);
-            self.link_took.1 += TOOK_STEP * (a.expected + WAY - self.link_took.1);
-        }
         for m in [Some(a.member), source].into_iter().flatten() {
             let Some(p) = self.peers.get_mut(&m) else { continue };
             p.trial_out &= !a.trial;
