--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -416,6 +416,11 @@
     /// Books a sign of health or trouble that the member itself caused.
     fn judge(&mut self, id: MemberId, good: bool) {
         let Some(m) = self.peers.get(&id).map(|p| p.m) else { return };
+        // While the origin fails as well, it is that which fails behind the parents; they still hold copies.
+        let behind = self.peers.values().any(|p| self.is_origin(&p.m) && p.err > ERR_LIMIT);
+        if !good && behind && self.is_parent(&m) {
+            return;
+        }
         let (sum, n) = self.pool(&m).fold((0.0, 0.0), |(sum, n), p| (sum + p.err, n + 1.0));
         let usual = if n > 0.0 { sum / n } else { 0.0 };
         let Some(p) = self.peers.get_mut(&id) else { return };
--- a/crates/deckproxy-control/tests/trouble.rs
+++ b/crates/deckproxy-control/tests/trouble.rs
@@ -374,3 +374,25 @@
         assert_eq!(cancelled, out);
     }
 }
+
+/// The origin failed behind the parents, which were left out for it and their copies with them.
+#[test]
+fn parents_are_not_blamed_while_the_origin_fails_too() {
+    for (origin_fails, source_is_parent) in [(true, true), (false, false)] {
+        let mut rig = Rig::new();
+        for object in 0..80 {
+            let write = rig.ask(KEYED, object, 0);
+            rig.end(write, 0, THE_ORIGIN, if origin_fails { Ending::Full } else { Ending::Ok });
+            rig.event(Event::Gone(write));
+            let (id, cache) = rig.ask_and_miss(SMALL, object);
+            let mut attempt = 1;
+            while let Some((_, _, Some(source))) = rig.sends().first().copied() {
+                let ok = source == THE_ORIGIN && !origin_fails;
+                rig.end(id, attempt, cache, if ok { Ending::Ok } else { Ending::Error });
+                attempt += 1;
+            }
+        }
+        rig.ask_and_miss(SMALL, 999);
+        assert_eq!(rig.sends()[0].2.is_some_and(|s| PARENTS.contains(&s)), source_is_parent);
+    }
+}
