--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -38,11 +38,11 @@
 const COLD_SHARE: f64 = 0.8;
 const COLD_COST: f64 = 1.1;
 /// Weight of one outcome in a member's error share; the share over so many times its peers' mean that leaves
-/// it out; the share that does so whatever its peers do.
+/// it out; the failures in a row that do so whatever its peers do.
 const ERR_STEP: f64 = 0.07;
 const ERR_LIMIT: f64 = 0.3;
 const ERR_USUAL: f64 = 2.0;
-const ERR_CERTAIN: f64 = 0.75;
+const FAILS_CERTAIN: u32 = 6;
 /// Weight of one answer in a member's pace, answers before it counts, and times its peers' that are slow.
 const PACE_STEP: f64 = 0.08;
 const PACE_FROM: u32 = 8;
@@ -97,7 +97,8 @@
     out: f64,
     fills: f64,
     usual: Mean,
-    /// Share of errors lately; pace as a multiple of what is expected, from so many answers.
+    /// Failures in a row; share of errors lately; pace as a multiple of what is expected, and its answers.
+    fails: u32,
     err: f64,
     pace: f64,
     answers: u32,
@@ -403,7 +404,7 @@
         }
         p.out_span = (p.out_span * 2.0).clamp(OUT_FIRST, OUT_MOST);
         p.out_until = self.now + p.out_span;
-        (p.trial, p.trial_out, p.err, p.unanswered) = (Some(0), false, 0.0, 0);
+        (p.trial, p.trial_out, p.err, p.fails, p.unanswered) = (Some(0), false, 0.0, 0, 0);
         p.lost |= certain;
         if self.logs < LOGS {
             self.logs += 1;
@@ -417,7 +418,8 @@
     fn judge(&mut self, id: MemberId, good: bool) {
         let Some(m) = self.peers.get(&id).map(|p| p.m) else { return };
         // While the origin fails as well, it is that which fails behind the parents; they still hold copies.
-        let behind = self.peers.values().any(|p| self.is_origin(&p.m) && p.err > ERR_LIMIT);
+        let failing = |p: &Peer| p.fails > 0 || p.err > ERR_LIMIT || p.trial.is_some();
+        let behind = self.peers.values().any(|p| self.is_origin(&p.m) && failing(p));
         if !good && behind && self.is_parent(&m) {
             return;
         }
@@ -427,6 +429,7 @@
         if good && p.lost {
             (p.lost, p.back, p.tokens) = (false, Some(self.now), 0.0);
         }
+        p.fails = if good { 0 } else { p.fails + 1 };
         p.err += ERR_STEP * (if good { 0.0 } else { 1.0 } - p.err);
         match p.trial {
             Some(_) if !good => {
@@ -438,7 +441,7 @@
                 p.out_span *= 0.25;
             }
             Some(n) => p.trial = Some(n + 1),
-            None if p.err > ERR_CERTAIN => self.leave_out(id, true, "failing"),
+            None if p.fails >= FAILS_CERTAIN => self.leave_out(id, true, "failing"),
             None if p.err > ERR_LIMIT + ERR_USUAL * usual => self.leave_out(id, false, "errors"),
             None => {}
         }
@@ -908,6 +911,7 @@
                 p.unanswered = 0;
             }
         }
+        let origin = self.peers.get(&a.member).is_some_and(|p| self.is_origin(&p.m));
         match end.ending {
             Ending::Ok => {
                 let pace = end.elapsed / a.expected;
@@ -926,7 +930,7 @@
             Ending::Miss => self.judge(a.member, true),
             Ending::Moot | Ending::Cancelled => {}
             // Crowding and the client's own deadline tell nothing of a member's health.
-            Ending::Timeout if !a.trial && end.note == Note::None => {}
+            Ending::Timeout if !a.trial && end.note == Note::None && !origin => {}
             Ending::Full if !a.trial && source.is_none() => {}
             Ending::ConnectFailed | Ending::Reset => self.judge(a.member, false),
             _ if matches!(end.note, Note::NoPlace | Note::SourceLacks | Note::OriginFailed) => {}
