--- a/crates/deckproxy-control/tests/properties.rs
+++ b/crates/deckproxy-control/tests/properties.rs
@@ -12,6 +12,7 @@
     Ask { class: u8, object: u8, patience: u16 },
     End { which: u16, how: u8 },
     Brink { which: u16, left: u8, how: u8 },
+    Rush(u8),
     Leave(u16),
     Member { which: u8, what: u8 },
     Purge { object: u8, whole: bool, age: u16 },
@@ -23,8 +24,9 @@
         6 => (0u8..4, 0u8..6, 300u16..5000).prop_map(|(class, object, patience)| Op::Ask { class, object, patience }),
         9 => (any::<u16>(), 0u8..12).prop_map(|(which, how)| Op::End { which, how }),
         2 => (any::<u16>(), 0u8..30, 4u8..12).prop_map(|(which, left, how)| Op::Brink { which, left, how }),
+        1 => any::<u8>().prop_map(Op::Rush),
         1 => any::<u16>().prop_map(Op::Leave),
-        1 => (0u8..6, 0u8..4).prop_map(|(which, what)| Op::Member { which, what }),
+        2 => (0u8..6, 0u8..4).prop_map(|(which, what)| Op::Member { which, what }),
         1 => (0u8..6, any::<bool>(), 0u16..3000).prop_map(|(object, whole, age)| Op::Purge { object, whole, age }),
     ]
 }
@@ -52,7 +54,7 @@
     members: BTreeMap<MemberId, Member>,
     purged: Vec<(Option<u64>, u32, Millis)>,
     timers: Vec<(Millis, u64)>,
-    /// Sends that reached each cold member: when, and their mean sending time.
+    /// Sends that reached each cold member since we were told of its start: when, and their sending time.
     cold: Vec<(MemberId, Millis, f64)>,
 }
 
@@ -234,6 +236,17 @@
                 };
                 self.end(out[usize::from(which) % out.len()], ending);
             }
+            // Many large requests at once, most of them misses.
+            Op::Rush(seed) => {
+                for n in 0..24u8 {
+                    self.step(Op::Ask {
+                        class: 1,
+                        object: seed.wrapping_mul(31).wrapping_add(n),
+                        patience: 4000,
+                    });
+                    self.step(Op::End { which: u16::from(n), how: 4 + n % 2 * 4 });
+                }
+            }
             // An attempt that ends just before its client gives up.
             Op::Brink { which, left, how } => {
                 let out: Vec<Millis> =
@@ -275,6 +288,7 @@
                     2 => Member { started: Some(self.rig.now - 500.0), ..member(id) },
                     _ => member(id),
                 };
+                self.cold.retain(|c| c.0 != id);
                 if new.lifecycle == Lifecycle::Gone {
                     self.members.remove(&id);
                 } else {
--- a/crates/deckproxy-control/tests/rules.rs
+++ b/crates/deckproxy-control/tests/rules.rs
@@ -141,6 +141,21 @@
     }
 }
 
+#[test]
+fn waiters_are_not_released_to_a_cache_that_drains_meanwhile() {
+    let mut rig = Rig::new();
+    let (leader, cache) = rig.ask_and_miss(SMALL, 5);
+    rig.ask_and_miss(SMALL, 5);
+    let draining = Member { lifecycle: Lifecycle::Draining, ..member(cache) };
+    rig.event(Event::Members(ListKind::Delta, vec![draining]));
+    let late = rig.ask(SMALL, 5, 0);
+    assert!(rig.sends().iter().all(|s| s.1 != cache), "nor is a new request looked up where the fill runs");
+    rig.event(Event::Gone(late));
+    rig.end(leader, 1, cache, Ending::Ok);
+    assert_eq!(rig.sends().len(), 1);
+    assert_ne!(rig.sends()[0].1, cache);
+}
+
 #[test]
 fn a_member_missing_from_a_full_list_is_gone_and_its_fills_move_on() {
     let mut rig = Rig::new();
