A cold member that leaves the list and returns keeps its spent budget

Found by widening the property test: every return to the list as the same process filled its cold budget again, so a flapping list could have pushed it over. Members that leave while cold are kept out of use until they would be warm.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -357,13 +357,13 @@
 
     fn members(&mut self, kind: ListKind, list: Vec<Member>) {
         if kind != ListKind::Delta {
-            self.peers.retain(|id, _| list.iter().any(|m| m.id == *id));
+            let left = self.peers.values_mut().filter(|p| !list.iter().any(|m| m.id == p.m.id));
+            left.for_each(|p| p.m.lifecycle = Lifecycle::Gone);
         }
         for m in list {
             match self.peers.get_mut(&m.id) {
-                _ if m.lifecycle == Lifecycle::Gone => {
-                    self.peers.remove(&m.id);
-                }
+                Some(p) if m.lifecycle == Lifecycle::Gone => p.m.lifecycle = Lifecycle::Gone,
+                None if m.lifecycle == Lifecycle::Gone => {}
                 Some(p) if p.m.started == m.started => p.m = m,
                 // Also a new process: it knows nothing of the old one's troubles, its budget starts anew.
                 _ => {
@@ -371,6 +371,10 @@
                 }
             }
         }
+        // One that left while cold is kept: should the list take it back, its budget is spent as before.
+        let (now, ramp) = (self.now, self.s.cold_cache.ramp.max(self.s.cold_parent.ramp));
+        let cold = |p: &Peer| p.m.started.is_some_and(|s| now - s < ramp);
+        self.peers.retain(|_, p| p.m.lifecycle != Lifecycle::Gone || cold(p));
     }
 
     fn is_parent(&self, m: &Member) -> bool {
@@ -389,7 +393,8 @@
     fn pool(&self, m: &Member) -> impl Iterator<Item = &Peer> {
         let (id, kind, zone, cache) = (m.id, m.kind, m.zone, self.is_cache(m));
         let like = move |p: &Member| if cache { self.is_cache(p) && p.zone == zone } else { p.kind == kind };
-        self.peers.values().filter(move |p| p.m.id != id && like(&p.m))
+        let ready = self.peers.values().filter(|p| p.m.lifecycle == Lifecycle::Ready);
+        ready.filter(move |p| p.m.id != id && like(&p.m))
     }
 
     /// Leaves a member out for a while. On doubtful signs at most half of a pool is out; silence and
@@ -509,7 +514,8 @@
 
     fn hot(&self, r: &Request) -> bool {
         let own = self.objects.get(&r.object).map_or(0.0, |o| faded(o.asked, self.now));
-        let caches = self.peers.values().filter(|p| self.is_cache(&p.m) && p.m.zone == self.s.zone).count();
+        let ready = self.peers.values().filter(|p| p.m.lifecycle == Lifecycle::Ready);
+        let caches = ready.filter(|p| self.is_cache(&p.m) && p.m.zone == self.s.zone).count();
         let all = faded(self.asked, self.now);
         all > HOT_FROM && own * caches as f64 > HOT_SHARE * all
     }
--- a/crates/deckproxy-control/tests/properties.rs
+++ b/crates/deckproxy-control/tests/properties.rs
@@ -26,7 +26,7 @@
         2 => (any::<u16>(), 0u8..30, 4u8..12).prop_map(|(which, left, how)| Op::Brink { which, left, how }),
         1 => any::<u8>().prop_map(Op::Rush),
         1 => any::<u16>().prop_map(Op::Leave),
-        2 => (0u8..6, 0u8..4).prop_map(|(which, what)| Op::Member { which, what }),
+        2 => (0u8..6, 0u8..5).prop_map(|(which, what)| Op::Member { which, what }),
         1 => (0u8..6, any::<bool>(), 0u16..3000).prop_map(|(object, whole, age)| Op::Purge { object, whole, age }),
     ]
 }
@@ -282,6 +282,14 @@
             }
             Op::Member { which, what } => {
                 let id = everyone()[usize::from(which)].id;
+                if what == 4 {
+                    // It leaves the list and comes back to it as the same process.
+                    let Some(same) = self.members.get(&id).copied() else { return };
+                    let gone = Member { lifecycle: Lifecycle::Gone, ..same };
+                    self.event(Event::Members(ListKind::Delta, vec![gone]));
+                    self.event(Event::Members(ListKind::Delta, vec![same]));
+                    return;
+                }
                 let new = match what {
                     0 => Member { lifecycle: Lifecycle::Draining, ..member(id) },
                     1 => Member { lifecycle: Lifecycle::Gone, ..member(id) },
--- a/crates/deckproxy-control/tests/rules.rs
+++ b/crates/deckproxy-control/tests/rules.rs
@@ -230,6 +230,33 @@
     assert!(pressure(&mut rig, 101, SMALL).len() < before / 2);
 }
 
+/// Each time it came back to the list its budget was full again.
+#[test]
+fn a_cold_member_that_leaves_the_list_and_returns_keeps_its_spent_budget() {
+    let cold = |m: Member| Member { started: (m.id == 101).then_some(900.0), ..m };
+    for whole in [false, true] {
+        let mut rig = Rig::with(settings(), everyone().into_iter().map(cold).collect());
+        let mut sent = 0;
+        for object in 0..400 {
+            let id = rig.ask(SMALL, object, 0);
+            let at = rig.sends()[0].1;
+            sent += u32::from(at == 101);
+            rig.end(id, 0, at, Ending::Ok);
+            if whole {
+                let others = everyone().into_iter().filter(|m| m.id != 101).collect();
+                rig.event(Event::Members(ListKind::Full, others));
+            } else {
+                let gone = Member { lifecycle: Lifecycle::Gone, ..cold(member(101)) };
+                rig.event(Event::Members(ListKind::Delta, vec![gone]));
+            }
+            rig.event(Event::Members(ListKind::Delta, vec![cold(member(101))]));
+        }
+        let rule = settings().cold_cache;
+        let most = rule.multiple * rule.from * 1.1 * member(101).weight * rule.window;
+        assert!(f64::from(sent) * SIZES[SMALL] <= most, "{sent}");
+    }
+}
+
 // ---- Purges -----------------------------------------------------------------------------------------------
 
 #[test]
