A cold member's budget in whole sends by turns of the routers

Cause: split evenly among 200 routers, a cold parent's budget is under the cost of one send until it is warm. Now each window's budget goes evenly only while a part holds a whole send; else half of it in whole sends to a run of router positions that all find alike. Sum over all routers stays under the rule by construction.

--- a/crates/deckproxy-adapter/src/settings.rs
+++ b/crates/deckproxy-adapter/src/settings.rs
@@ -108,6 +108,7 @@
         zone_routers: text.list("familyInfo.zoneBalancers")?,
         zone_link: text.list("familyInfo.inletKbPerS")?,
         routers: text.parse("groupSize")?.unwrap_or(1),
+        position: text.position("position")?.unwrap_or(0),
         parent_kind: text.position("familyInfo.shieldKind")?,
         origin_kind: text.position("familyInfo.sourceKind")?,
         direct: text.flag("familyInfo.bypassAllowed")?,
--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -37,6 +37,8 @@
 /// send weighs: room for misjudged times.
 const COLD_SHARE: f64 = 0.8;
 const COLD_COST: f64 = 1.1;
+/// Share of the longest deadline that a whole send to a cold member may weigh: more than a class's mean.
+const WHOLE: f64 = 0.125;
 /// Weight of one outcome in a member's error share; the share over so many times its peers' mean that leaves
 /// it out; the failures in a row that do so whatever its peers do.
 const ERR_STEP: f64 = 0.07;
@@ -90,9 +92,11 @@
 #[derive(Default)]
 struct Peer {
     m: Member,
-    /// Cold budget in ms of sending, and when it was last filled up.
-    tokens: f64,
-    filled_at: Millis,
+    /// The window in which it was last sent to while cold, and the ms of sending spent on it then.
+    turn: f64,
+    spent: f64,
+    /// When this router first heard of it; what it sent in that window before its own restart is not known.
+    known: Millis,
     /// Our attempts out that draw on its link, and fills out that name it as the source; their mean of late.
     out: f64,
     fills: f64,
@@ -118,7 +122,7 @@
 impl Peer {
     fn new(m: Member, now: Millis) -> Self {
         let out_until = f64::MIN;
-        Peer { m, tokens: f64::MAX, filled_at: now, pace: 1.0, out_until, ..Peer::default() }
+        Peer { m, known: now, turn: f64::MIN, pace: 1.0, out_until, ..Peer::default() }
     }
 
     fn usable(&self, now: Millis) -> bool {
@@ -127,24 +131,36 @@
             && !(self.trial.is_some() && self.trial_out)
     }
 
-    /// Fills the cold budget up and tells whether it has `cost`, in ms of sending. Any window of the rule's
-    /// length then holds at most burst + rate x window: COLD_SHARE of what the rule allows at the present
-    /// capacity on the slowest ramp, split evenly among the routers that may send.
+    /// What is left for one router in this window to send to a cold member, in ms of sending.
+    /// Time is cut into windows of the rule's length on the common clock. In each all routers together may
+    /// send half of COLD_SHARE of what the rule allows on the slowest ramp, so that any span of that length,
+    /// which touches two windows, stays under it, whoever knows of the start and whoever does not. It is
+    /// split evenly while every part holds a whole send; else half of it goes in whole sends to those whose
+    /// turn it is, a run of positions that all routers find alike and that grows as the member warms.
     /// A member back from out of reach counts as cold too: it may have died and come back before the list
     /// tells, and all routers at once would push it over. It costs a hung one some seconds of little work.
-    fn cold_room(&mut self, rule: &ColdRule, routers: f64, cost: f64, now: Millis) -> bool {
+    fn cold_room(&mut self, s: &Settings, rule: &ColdRule, sharers: f64, now: Millis) -> f64 {
         let untold = self.back.filter(|b| now - b < UNTOLD);
         let started = self.m.started.into_iter().chain(untold).fold(f64::MIN, f64::max);
-        let age = (now - started).max(0.0);
-        if age >= rule.ramp {
-            return true;
-        }
-        let capacity = (rule.from + (1.0 - rule.from) * age / rule.ramp) * self.m.weight / routers;
-        let rate = (COLD_SHARE * rule.multiple * 0.5).min(1.0);
-        let burst = (COLD_SHARE * rule.multiple - rate) * capacity * rule.window;
-        self.tokens = (self.tokens + rate * capacity * (now - self.filled_at)).min(burst);
-        self.filled_at = now;
-        self.tokens >= cost
+        let (window, turn) = (rule.window.max(1.0), (now / rule.window.max(1.0)).floor());
+        if now - started >= rule.ramp {
+            return f64::MAX;
+        }
+        if self.turn != turn {
+            (self.turn, self.spent) = (turn, if turn * window < self.known { f64::MAX } else { 0.0 });
+        }
+        let age = (turn * window - started).max(0.0);
+        let capacity = (rule.from + (1.0 - rule.from) * age / rule.ramp) * self.m.weight;
+        let quota = COLD_SHARE * rule.multiple * capacity * window * 0.5;
+        let whole = s.classes.iter().map(|c| c.deadline * WHOLE).fold(1.0, f64::max);
+        if quota / sharers >= whole {
+            return quota / sharers - self.spent;
+        }
+        let all = u64::from(s.routers.max(1));
+        let first = mix(u64::from(self.m.id) ^ mix(turn as u64)) % all;
+        let place = (u64::from(s.position) + first) % all;
+        let extra = if (place as f64) < (quota * 0.5 / whole).floor() { whole } else { 0.0 };
+        quota * 0.5 / sharers + extra - self.spent
     }
 }
 
@@ -432,7 +448,7 @@
         let usual = if n > 0.0 { sum / n } else { 0.0 };
         let Some(p) = self.peers.get_mut(&id) else { return };
         if good && p.lost {
-            (p.lost, p.back, p.tokens) = (false, Some(self.now), 0.0);
+            (p.lost, p.back) = (false, Some(self.now));
         }
         p.fails = if good { 0 } else { p.fails + 1 };
         p.err += ERR_STEP * (if good { 0.0 } else { 1.0 } - p.err);
@@ -593,7 +609,8 @@
             let member = self.peers[m].m;
             let (sharers, warm) = (self.sharers(&member), self.is_origin(&member));
             let rule = if self.is_cache(&member) { self.s.cold_cache } else { self.s.cold_parent };
-            if !warm && !self.peers.get_mut(m).is_some_and(|p| p.cold_room(&rule, sharers, cost, now)) {
+            let Some(p) = self.peers.get_mut(m) else { return false };
+            if !warm && p.cold_room(&self.s, &rule, sharers, now) < cost {
                 return false;
             }
         }
@@ -618,7 +635,7 @@
         let expected = work * load.max(1.0) + WAY;
         for m in &ends {
             let Some(p) = self.peers.get_mut(m) else { continue };
-            p.tokens -= cost;
+            p.spent += cost;
             p.trial_out |= p.trial.is_some();
             p.usual.hold(p.out + p.fills, now);
             if *m != to {
--- a/crates/deckproxy-control/src/interface.rs
+++ b/crates/deckproxy-control/src/interface.rs
@@ -97,6 +97,8 @@
     pub zone_link: Vec<f64>,
     /// Routers in all.
     pub routers: u32,
+    /// This router's number among them, from 0.
+    pub position: u32,
     /// Kind of the parents, if there are any.
     pub parent_kind: Option<u32>,
     /// Kind of the origin.
--- a/crates/deckproxy-control/tests/common/mod.rs
+++ b/crates/deckproxy-control/tests/common/mod.rs
@@ -50,6 +50,7 @@
         zone_routers: vec![0, 0, 1, 1],
         zone_link: vec![0.0; 4],
         routers: 2,
+        position: 0,
         parent_kind: Some(PARENT),
         origin_kind: Some(ORIGIN),
         direct: true,
