Others' load from reports beside the guess; overdue answers doubled where allowed

Cause: with 10 to 30 routers in a location one router's mean of a second, times their number, is noise: homes spill and fills are refused by chance. Reports (in answers, or one probe a second where only probes report) now weigh half beside that guess, smoothed. Where two attempts of a request may be out, an answer of told or learned size that takes 2.5 times what it should is asked for again, so that lost answers do not wait for the deadline.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -31,6 +31,13 @@
 const PASS_AT: f64 = 3.0;
 /// ms over which our part of a load is averaged to guess the other routers'.
 const MEAN_SPAN: Millis = 1000.0;
+/// ms over which a report loses its weight against that guess; and between probes where only they report.
+const TOLD_SPAN: Millis = 2000.0;
+const PROBE_EVERY: Millis = 1000.0;
+const TRUST: f64 = 0.5;
+const TOLD_STEP: f64 = 0.3;
+/// Fullness reported of the location's link, of which full pace is the unit, for one at a client's pace.
+const TOLD_PACE: f64 = 1.0;
 /// Times the mean load of its pool that a member may hold (bounded loads).
 const BOUND: f64 = 1.3;
 /// Share of the cold rule that all routers together use, and times a class's mean sending time that one
@@ -78,6 +85,9 @@
 const HOT_FROM: Millis = 2000.0;
 const OBJECTS_MOST: usize = 8192;
 const OBJECT_SPAN: Millis = 30_000.0;
+/// Times what it was expected to take after which an attempt is overdue.
+const OVERDUE: f64 = 2.5;
+const OVERDUE_UNSURE: f64 = 500.0;
 /// Times what it should take at most after which a fill or direct send counts as stalled.
 const STALL: f64 = 2.0;
 /// Requests that wait for one fill, at most; later ones go alone.
@@ -100,7 +110,8 @@
     /// Our attempts out that draw on its link, and fills out that name it as the source; their mean of late.
     out: f64,
     fills: f64,
-    usual: Mean,
+    usual: Shared,
+    probed: Millis,
     /// Failures in a row; share of errors lately; pace as a multiple of what is expected, and its answers.
     fails: u32,
     err: f64,
@@ -197,6 +208,8 @@
     /// Load of the member when it was sent, and what the answer was expected to take.
     load: f64,
     expected: Millis,
+    /// Whether the request's sending time was told or learned of its object.
+    sure: bool,
     trial: bool,
     /// It draws on the location's link by itself.
     linked: bool,
@@ -246,25 +259,37 @@
     load: Option<Load>,
 }
 
-/// A mean over time of an amount that changes by steps: what the other routers are guessed to hold. Our own
-/// few attempts of the moment, times the routers, would be noise where many routers share little traffic.
+/// What the routers that share a member or link hold of it. The others' part is what a report told, while it
+/// is new; else it is guessed from the mean of ours, as a few attempts of the moment times the routers would
+/// be noise.
 #[derive(Clone, Copy, Default)]
-struct Mean {
-    value: f64,
+struct Shared {
+    mean: f64,
     at: Millis,
+    /// The others' amount by the last report, and when that came.
+    told: Option<(f64, Millis)>,
 }
 
-impl Mean {
-    /// Brings the mean up to date, the amount having held since the last time.
+impl Shared {
+    /// Brings the mean up to date, our amount having held since the last time.
     fn hold(&mut self, amount: f64, now: Millis) {
-        self.value = amount + (self.value - amount) * (-(now - self.at) / MEAN_SPAN).exp();
+        self.mean = amount + (self.mean - amount) * (-(now - self.at) / MEAN_SPAN).exp();
         self.at = now;
     }
 
-    /// All routers' amount, guessed from ours.
+    /// Takes what a report tells of the others. Reports are one moment each, and all routers that took them
+    /// for more would turn the same way at once.
+    fn tell(&mut self, others: f64, now: Millis) {
+        self.told = Some((self.told.map_or(others, |(x, _)| x + TOLD_STEP * (others - x)), now));
+    }
+
+    /// All routers' amount.
     fn all(mut self, amount: f64, routers: f64, now: Millis) -> f64 {
         self.hold(amount, now);
-        amount + (routers - 1.0) * self.value
+        let others = (routers - 1.0) * self.mean;
+        let told = self.told.filter(|_| routers > 1.0);
+        amount
+            + told.map_or(others, |(x, at)| others + (x - others) * TRUST * (-(now - at) / TOLD_SPAN).exp())
     }
 }
 
@@ -291,9 +316,10 @@
     objects: BTreeMap<u64, Known>,
     /// Our attempts that draw on the location's link, and the transfers that fit it as learned.
     link_out: f64,
-    link_usual: Mean,
+    link_usual: Shared,
     link_fit: Option<f64>,
     retries: f64,
+    probed: Millis,
     sweeping: bool,
     sweep_due: Millis,
     logs: u32,
@@ -316,9 +342,10 @@
             asked: (0.0, 0.0),
             objects: BTreeMap::new(),
             link_out: 0.0,
-            link_usual: Mean::default(),
+            link_usual: Shared::default(),
             link_fit: None,
             retries: RETRY_MOST,
+            probed: 0.0,
             sweeping: false,
             sweep_due: 0.0,
             logs: 0,
@@ -347,7 +374,7 @@
             Event::Gone(id) => {
                 if let Some(o) = self.open.get_mut(&id) {
                     o.ended = true;
-                    self.close(id, None);
+                    self.close(id);
                 }
             }
             Event::Timer(_) => {
@@ -362,6 +389,7 @@
                 };
                 *last = last.max(at);
             }
+            Event::Probed { member, load: Some(load), .. } => self.told(member, load),
             Event::Probed { .. } | Event::Peer(..) | Event::Started => {}
         }
         if !self.sweeping && !self.open.is_empty() {
@@ -575,8 +603,9 @@
         let now = self.now;
         let Some(o) = self.open.get(&id) else { return false };
         let class = &self.s.classes[o.r.class];
-        // One at a time, attempt count, deadline, a stream that has begun.
-        let spent = o.ended || o.streaming || !o.out.is_empty();
+        // One at a time or, where allowed, two; attempt count, deadline, a stream that has begun.
+        let most = if self.s.second_copies && class.effect == Effect::Safe { 2 } else { 1 };
+        let spent = o.ended || o.streaming || o.out.len() >= most;
         if spent || o.sends >= self.s.max_attempts || o.r.expires - now < LEAST_LEFT {
             return false;
         }
@@ -653,8 +682,22 @@
         self.link_out += f64::from(u8::from(linked));
         let Some(o) = self.open.get_mut(&id) else { return false };
         let stalls_at = now + STALL * (work * load.max(crowd).max(1.0) + 2.0 * WAY);
+        let sure = o.r.size.is_some() || self.objects.get(&o.r.object).is_some_and(|k| k.sending.is_some());
         let (no, member, sent, stalled) = (o.sends, to, now, false);
-        let a = Attempt { no, member, source, kind, sent, load, expected, trial, linked, stalls_at, stalled };
+        let a = Attempt {
+            no,
+            member,
+            source,
+            kind,
+            sent,
+            load,
+            expected,
+            sure,
+            trial,
+            linked,
+            stalls_at,
+            stalled,
+        };
         o.out.push(a);
         o.sends += 1;
         true
@@ -685,11 +728,35 @@
 
     /// Transfers on the location's link, with one more, over those that fit; 0 where its room is not known.
     fn crowd(&self) -> f64 {
+        let all = self.link_usual.all(self.link_out, self.routers_in(self.s.zone), self.now);
+        self.link_fit().map_or(0.0, |fit| (all + 1.0) / fit)
+    }
+
+    /// Transfers that fit the location's link, where that is known: told, or learned from reports.
+    fn link_fit(&self) -> Option<f64> {
         let told = self.s.zone_link.get(self.s.zone as usize).copied();
         let told = told.filter(|kb| *kb > 0.0 && self.s.flow > 0.0);
-        let fit = told.map(|kb| kb / self.s.flow / FILL_PACE).or(self.link_fit);
-        let all = self.link_usual.all(self.link_out, self.routers_in(self.s.zone), self.now);
-        fit.map_or(0.0, |fit| (all + 1.0) / fit.max(1.0))
+        told.map(|kb| kb / self.s.flow / FILL_PACE).or(self.link_fit).map(|fit| fit.max(1.0))
+    }
+
+    /// Takes a member's report of its load.
+    fn told(&mut self, id: MemberId, load: Load) {
+        let (now, here, routers) = (self.now, self.s.zone, self.routers_in(self.s.zone));
+        let Some(m) = self.peers.get(&id).map(|p| p.m) else { return };
+        let cache = self.is_cache(&m) && m.zone == here;
+        if let Some(p) = self.peers.get_mut(&id) {
+            let others = load.held.map(|held| (held - p.out - p.fills).max(0.0));
+            others.into_iter().for_each(|x| p.usual.tell(x, now));
+        }
+        let Some(full) = load.link.filter(|_| cache).map(|x| x / TOLD_PACE) else { return };
+        if full > FIT_FROM {
+            let fit = self.link_usual.all(self.link_out, routers, now) / full;
+            self.link_fit = Some(self.link_fit.map_or(fit, |old| old + FIT_STEP * (fit - old)));
+        }
+        if let Some(fit) = self.link_fit() {
+            let others = (full * fit - self.link_out).max(0.0);
+            self.link_usual.tell(others, now);
+        }
     }
 
     /// Whether the location's link is so crowded that one more transfer would not be through anywhere near
@@ -825,15 +892,15 @@
                 false => Action::Fail { request: id },
             });
         }
-        self.close(id, None);
+        self.close(id);
     }
 
     /// Forgets an ended request that has nothing out.
-    fn close(&mut self, id: RequestId, filled: Option<MemberId>) {
+    fn close(&mut self, id: RequestId) {
         if let Some(o) = self.open.get(&id).filter(|o| o.out.is_empty()) {
             let (key, bad) = ((o.r.object, o.r.part), o.bad.clone());
             self.open.remove(&id);
-            self.pass_on(id, key, filled, bad);
+            self.pass_on(id, key, None, bad);
         }
     }
 
@@ -885,7 +952,16 @@
         let (r, ended) = (o.r, o.ended);
         self.book(&a, &r, end);
         if ended {
-            return self.close(id, (ok && a.kind == Kind::Fill).then_some(a.member));
+            // What is out beside it is called off; its waiters need not wait for that.
+            let out: Vec<u32> =
+                self.open.get(&id).map(|o| o.out.iter().map(|a| a.no).collect()).unwrap_or_default();
+            if self.s.cancel {
+                self.acts.extend(out.into_iter().map(|attempt| Action::Cancel { request: id, attempt }));
+            }
+            if ok && a.kind != Kind::Direct {
+                self.pass_on(id, (r.object, r.part), Some(a.member), Vec::new());
+            }
+            return self.close(id);
         }
         if end.ending == Ending::Miss && a.kind == Kind::LookUp {
             return self.missed(id, a.member);
@@ -895,6 +971,9 @@
         let at_source = a.kind == Kind::Fill && !at_cache && end.note != Note::NoPlace;
         let guilty = a.source.filter(|_| at_source).unwrap_or(a.member);
         let Some(o) = self.open.get_mut(&id) else { return };
+        if !o.out.is_empty() {
+            return;
+        }
         o.bad.push(guilty);
         let (key, bad) = ((r.object, r.part), o.bad.clone());
         let price = if matches!(end.ending, Ending::Full | Ending::Timeout) { 1.0 } else { RETRY_LIGHT };
@@ -914,11 +993,6 @@
     /// Books an outcome: loads, learned times, health.
     fn book(&mut self, a: &Attempt, r: &Request, end: Ended) {
         let source = a.source.filter(|s| *s != a.member);
-        let cache = self.peers.get(&a.member).is_some_and(|p| self.is_cache(&p.m));
-        if let Some(full) = end.load.and_then(|l| l.link).filter(|x| cache && *x > FIT_FROM) {
-            let fit = self.link_usual.all(self.link_out, self.routers_in(self.s.zone), self.now) / full;
-            self.link_fit = Some(self.link_fit.map_or(fit, |old| old + FIT_STEP * (fit - old)));
-        }
         self.link_usual.hold(self.link_out, self.now);
         self.link_out -= f64::from(u8::from(a.linked));
         for m in [Some(a.member), source].into_iter().flatten() {
@@ -934,6 +1008,7 @@
                 p.unanswered = 0;
             }
         }
+        end.load.into_iter().for_each(|load| self.told(a.member, load));
         let origin = self.peers.get(&a.member).is_some_and(|p| self.is_origin(&p.m));
         match end.ending {
             Ending::Ok => {
@@ -993,6 +1068,32 @@
             }
             (a.linked, a.stalled) = (false, true);
         }
+        // Where only probes report: the cache of the location heard of longest ago.
+        if self.s.probe_reports && now - self.probed > PROBE_EVERY && self.routers_in(self.s.zone) > 1.0 {
+            let here = |p: &&Peer| self.is_cache(&p.m) && p.m.zone == self.s.zone && p.usable(now);
+            let next = self.peers.values().filter(here).min_by(|a, b| a.probed.total_cmp(&b.probed));
+            if let Some(p) = next.map(|p| p.m.id).and_then(|id| self.peers.get_mut(&id)) {
+                (p.probed, self.probed) = (now, now);
+                self.acts.push(Action::Probe(p.m.id));
+            }
+        }
+        // Overdue attempts are doubled where that is allowed, the older of two making room.
+        let late = |a: &Attempt| now - a.sent > a.expected * if a.sure { OVERDUE } else { OVERDUE_UNSURE };
+        let overdue =
+            |o: &&Open| !o.ended && o.waiting.is_none() && !o.out.is_empty() && o.out.iter().all(late);
+        let overdue: Vec<RequestId> = match self.s.second_copies {
+            true => self.open.values().filter(overdue).map(|o| o.r.id).collect(),
+            false => vec![],
+        };
+        for id in overdue {
+            let Some(o) = self.open.get(&id) else { continue };
+            let (a, two) = (o.out[0], o.out.len() > 1);
+            if two && self.s.cancel {
+                self.acts.push(Action::Cancel { request: id, attempt: a.no });
+            } else if self.retries >= RETRY_LIGHT && self.emit(id, a.member, a.source, a.kind) {
+                self.retries -= RETRY_LIGHT;
+            }
+        }
         let silent = |p: &&Peer| {
             let sends = if p.trial.is_some() { 1 } else { SILENT_SENDS };
             p.unanswered >= sends && now - p.unanswered_since > SILENT_FOR && !self.is_origin(&p.m)
--- a/crates/deckproxy-control/src/interface.rs
+++ b/crates/deckproxy-control/src/interface.rs
@@ -125,6 +125,8 @@
     pub max_attempts: u32,
     /// Two attempts of one request may be out together.
     pub second_copies: bool,
+    /// Members report their load only when probed, and may be probed.
+    pub probe_reports: bool,
     /// Attempts may be cancelled.
     pub cancel: bool,
     /// Refusals may name a time to come back.
