One notion of pace and lateness; retries, trials and probes cut to what size bears

Causes: error shares, eight answers, three good trials and twenty saved retries assume few routers. Pace is now what was seen in the last 4 s of fills by source and hits by cache; a source that is too slow for the request is passed, the origin last. Late attempts and stalled fills are one notion. Saved retries 20 to 5 (200 routers hold 1000 at most).

--- a/crates/deckproxy-adapter/src/settings.rs
+++ b/crates/deckproxy-adapter/src/settings.rs
@@ -131,7 +131,6 @@
         list_on_request: text.get("discovery") == Some("on_request"),
         max_attempts: text.parse("limits.sendCap")?.unwrap_or(1),
         second_copies: text.flag("limits.secondCopies")?,
-        probe_reports: text.get("report.via") == Some("probe") && text.flag("limits.probes")?,
         cancel: text.flag("limits.cancel")?,
         retry_after: text.flag("limits.retryAfter")?,
         max_retry_after: text.number("limits.maxRetryAfterMs", 0.0)?,
--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -15,46 +15,37 @@
 const ASLEEP: Millis = 100.0;
 /// ms until a broken subscription to the list is asked for again.
 const REWATCH: Millis = 500.0;
-/// ms: the design's lock time-out; nobody waits longer for a leader.
+/// ms: the design's lock time-out; and own sending time from which joining the leader's fill beats waiting.
 const WAIT: Millis = 3000.0;
-/// ms of own sending time from which waiting for the leader costs more than joining its fill at once.
 const LARGE: Millis = 100.0;
 /// ms that a client must still have for another attempt.
 const LEAST_LEFT: Millis = 5.0;
 /// Rank of ordinary copies, the middle one.
 const RANK: u8 = 2;
-/// ms: allowance for ways and queues that adds to every sending time; and what a hit never spends less.
+/// ms: allowance for ways and queues that adds to every sending time.
 const WAY: Millis = 60.0;
-const LEAST_WAY: Millis = 5.0;
-/// Answers out over a member's link from which its objects may spill; and from which a parent is passed.
+/// Answers out over a member's link from which a cache's objects may spill and a parent is passed, if that is
+/// over so many times its pool's mean (bounded loads).
 const SPILL_AT: f64 = 1.5;
 const PASS_AT: f64 = 3.0;
+const BOUND: f64 = 1.3;
 /// ms over which our part of a load is averaged to guess the other routers'.
-const MEAN_SPAN: Millis = 1000.0;
-/// ms over which a report loses its weight against that guess; and between probes where only they report.
-const TOLD_SPAN: Millis = 2000.0;
-const PROBE_EVERY: Millis = 1000.0;
+const MEAN_SPAN: Millis = 2000.0;
+/// Weight of new reports against that guess, ms over which they lose it, and of one report in their mean.
 const TRUST: f64 = 0.5;
+const TOLD_SPAN: Millis = 2000.0;
 const TOLD_STEP: f64 = 0.3;
-/// Fullness reported of the location's link, of which full pace is the unit, for one at a client's pace.
-const TOLD_PACE: f64 = 1.0;
-/// Times the mean load of its pool that a member may hold (bounded loads).
-const BOUND: f64 = 1.3;
+/// ms over which what was seen of a member's pace loses its weight.
+const SEEN_SPAN: Millis = 4000.0;
 /// Share of the cold rule that all routers together use, and times a class's mean sending time that one
 /// send weighs: room for misjudged times.
 const COLD_SHARE: f64 = 0.8;
 const COLD_COST: f64 = 1.1;
 /// Share of the longest deadline that a whole send to a cold member may weigh: more than a class's mean.
 const WHOLE: f64 = 0.125;
-/// Weight of one outcome in a member's error share; the share over so many times its peers' mean that leaves
-/// it out; the failures in a row that do so whatever its peers do.
-const ERR_STEP: f64 = 0.07;
-const ERR_LIMIT: f64 = 0.3;
-const ERR_USUAL: f64 = 2.0;
+/// Failures in a row that leave a member out whatever its peers do.
 const FAILS_CERTAIN: u32 = 6;
-/// Weight of one answer in a member's pace, answers before it counts, and times its peers' that are slow.
-const PACE_STEP: f64 = 0.08;
-const PACE_FROM: u32 = 8;
+/// Times its peers' pace from which a member is slow.
 const SLOW_FROM: f64 = 1.6;
 /// Sends without any answer, and ms since the first of them, that make a member silent.
 const SILENT_SENDS: u32 = 4;
@@ -62,40 +53,25 @@
 /// ms that a member is left out at first and at most; doubled from one to the next.
 const OUT_FIRST: Millis = 1000.0;
 const OUT_MOST: Millis = 8000.0;
-/// Good answers in a row that end a member's trial.
-const TRIAL_GOOD: u32 = 3;
-/// ms for which a member that was out of reach and is back may have started anew without the list telling;
-/// longer than lists take to tell of a start.
-const UNTOLD: Millis = 5000.0;
-/// Further attempts after failures: earned by each request, saved up at most, and the price of one after a
-/// failure that cost the member little.
-const RETRY_EARN: f64 = 0.1;
-const RETRY_MOST: f64 = 20.0;
-const RETRY_LIGHT: f64 = 0.2;
-/// Times a client's pace at which a fill is taken to run on an idle link, where reports do not tell; weight
-/// of one report where they do, and the least fullness that tells anything.
+/// Further attempts and second ones: earned by each request, and saved up at most.
+const RETRY_EARN: f64 = 0.3;
+const RETRY_MOST: f64 = 5.0;
+/// Times a client's pace at which a fill is taken to run on an idle link.
 const FILL_PACE: f64 = 1.5;
-const FIT_STEP: f64 = 0.02;
-const FIT_FROM: f64 = 0.3;
 /// ms over which an object's share of the work is counted, the share of one cache's part from which its
-/// parts are spread, once so much work is counted; the objects known at most, and ms after which an idle
-/// one is forgotten.
+/// parts are spread, once so much work is counted; the objects known at most (until ten spans idle).
 const HOT_SPAN: Millis = 3000.0;
 const HOT_SHARE: f64 = 0.2;
 const HOT_FROM: Millis = 2000.0;
 const OBJECTS_MOST: usize = 8192;
-const OBJECT_SPAN: Millis = 30_000.0;
-/// Times what it was expected to take after which an attempt is overdue.
-const OVERDUE: f64 = 2.5;
-const OVERDUE_UNSURE: f64 = 500.0;
-/// Times what it should take at most after which a fill or direct send counts as stalled.
-const STALL: f64 = 2.0;
-/// Requests that wait for one fill, at most; later ones go alone.
+/// Times what it should take after which an attempt is late; the slowdown that a late or failed one shows.
+const LATE: f64 = 2.0;
+const LATE_DRAG: f64 = 8.0;
+/// Requests that wait for one fill, at most (later ones go alone), and log lines of one router.
 const WAITERS_MOST: usize = 512;
+const LOGS: u32 = 60;
 /// Share of its aim that a refused client is asked to stay away: there is time to be served within it.
 const COME_BACK: f64 = 0.2;
-/// Log lines of one router, at most.
-const LOGS: u32 = 60;
 
 // ---- Members: list, drain, cold, health -----------------------------------------------------------------
 
@@ -107,39 +83,42 @@
     spent: f64,
     /// When this router first heard of it; what it sent in that window before its own restart is not known.
     known: Millis,
-    /// Our attempts out that draw on its link, and fills out that name it as the source; their mean of late.
-    out: f64,
-    fills: f64,
-    usual: Shared,
-    probed: Millis,
-    /// Failures in a row; share of errors lately; pace as a multiple of what is expected, and its answers.
+    /// Attempts out that draw on its link, and fills out that name it as the source.
+    held: Shared,
+    /// Its pace: slowdowns seen of late, their weight, and when that was brought up to date.
+    seen: (f64, f64, Millis),
+    /// Failures in a row.
     fails: u32,
-    err: f64,
-    pace: f64,
-    answers: u32,
     /// Sends since its last sign of life, and when the first of them went.
     unanswered: u32,
     unanswered_since: Millis,
-    /// Left out until then, and for how long; afterwards on trial until enough good answers.
+    /// Left out until then, and for how long; afterwards on trial, a send at a time, until a good answer.
     out_until: Millis,
     out_span: Millis,
-    trial: Option<u32>,
+    trial: bool,
     trial_out: bool,
-    /// Out of reach; and the first sign of life after that.
-    lost: bool,
-    back: Option<Millis>,
 }
 
 impl Peer {
     fn new(m: Member, now: Millis) -> Self {
         let out_until = f64::MIN;
-        Peer { m, known: now, turn: f64::MIN, pace: 1.0, out_until, ..Peer::default() }
+        Peer { m, known: now, turn: f64::MIN, out_until, ..Peer::default() }
     }
 
     fn usable(&self, now: Millis) -> bool {
-        self.m.lifecycle == Lifecycle::Ready
-            && now >= self.out_until
-            && !(self.trial.is_some() && self.trial_out)
+        self.m.lifecycle == Lifecycle::Ready && now >= self.out_until && !(self.trial && self.trial_out)
+    }
+
+    /// Takes one answer's slowdown against what it should take.
+    fn see(&mut self, slowdown: f64, now: Millis) {
+        let keep = (-(now - self.seen.2) / SEEN_SPAN).exp();
+        self.seen = (self.seen.0 * keep + slowdown, self.seen.1 * keep + 1.0, now);
+    }
+
+    /// The slowdown to be expected, by what was seen; without news it turns to none.
+    fn drag(&self, now: Millis) -> f64 {
+        let keep = (-(now - self.seen.2) / SEEN_SPAN).exp();
+        (1.0 + self.seen.0 * keep) / (1.0 + self.seen.1 * keep)
     }
 
     /// What is left for one router in this window to send to a cold member, in ms of sending.
@@ -148,11 +127,8 @@
     /// which touches two windows, stays under it, whoever knows of the start and whoever does not. It is
     /// split evenly while every part holds a whole send; else half of it goes in whole sends to those whose
     /// turn it is, a run of positions that all routers find alike and that grows as the member warms.
-    /// A member back from out of reach counts as cold too: it may have died and come back before the list
-    /// tells, and all routers at once would push it over. It costs a hung one some seconds of little work.
     fn cold_room(&mut self, s: &Settings, rule: &ColdRule, sharers: f64, now: Millis) -> f64 {
-        let untold = self.back.filter(|b| now - b < UNTOLD);
-        let started = self.m.started.into_iter().chain(untold).fold(f64::MIN, f64::max);
+        let started = self.m.started.unwrap_or(f64::MIN);
         let (window, turn) = (rule.window.max(1.0), (now / rule.window.max(1.0)).floor());
         if now - started >= rule.ramp {
             return f64::MAX;
@@ -205,17 +181,17 @@
     source: Option<MemberId>,
     kind: Kind,
     sent: Millis,
-    /// Load of the member when it was sent, and what the answer was expected to take.
+    /// Load of the member when it was sent, and the request's sending time.
     load: f64,
-    expected: Millis,
-    /// Whether the request's sending time was told or learned of its object.
+    work: Millis,
+    /// Whether that was told or learned of its object.
     sure: bool,
     trial: bool,
     /// It draws on the location's link by itself.
     linked: bool,
-    /// When it counts as stalled: waiting for a source that does not send, it draws on no link; and whether.
-    stalls_at: Millis,
-    stalled: bool,
+    /// When it counts as late, and whether: a fill then waits for a source that does not send.
+    late_at: Millis,
+    late: bool,
 }
 
 #[derive(Default)]
@@ -234,6 +210,18 @@
     waiting: Option<Millis>,
 }
 
+impl Attempt {
+    /// Whose pace it shows, a fill's source or the cache looked up at, and what that should take. A direct
+    /// answer shows most of all how crowded the link is.
+    fn shows(&self) -> Option<(MemberId, Millis)> {
+        match self.kind {
+            Kind::LookUp => Some((self.member, self.work * self.load.max(1.0) + WAY)),
+            Kind::Fill => self.source.map(|s| (s, self.work + 2.0 * WAY)),
+            Kind::Direct => None,
+        }
+    }
+}
+
 type Key = (u64, u32);
 
 struct Collapse {
@@ -259,37 +247,40 @@
     load: Option<Load>,
 }
 
-/// What the routers that share a member or link hold of it. The others' part is what a report told, while it
-/// is new; else it is guessed from the mean of ours, as a few attempts of the moment times the routers would
-/// be noise.
+/// What the routers that share a member or link hold of it: our part, its mean of late, and the others' by
+/// their last reports. A few attempts of the moment times the routers would be noise, so the others' part is
+/// guessed from the mean; reports weigh beside that while they are new.
 #[derive(Clone, Copy, Default)]
 struct Shared {
+    own: f64,
     mean: f64,
     at: Millis,
-    /// The others' amount by the last report, and when that came.
     told: Option<(f64, Millis)>,
 }
 
 impl Shared {
-    /// Brings the mean up to date, our amount having held since the last time.
-    fn hold(&mut self, amount: f64, now: Millis) {
-        self.mean = amount + (self.mean - amount) * (-(now - self.at) / MEAN_SPAN).exp();
-        self.at = now;
+    fn mean(&self, now: Millis) -> f64 {
+        self.own + (self.mean - self.own) * (-(now - self.at) / MEAN_SPAN).exp()
+    }
+
+    fn add(&mut self, change: f64, now: Millis) {
+        (self.mean, self.at) = (self.mean(now), now);
+        self.own = (self.own + change).max(0.0);
     }
 
-    /// Takes what a report tells of the others. Reports are one moment each, and all routers that took them
-    /// for more would turn the same way at once.
-    fn tell(&mut self, others: f64, now: Millis) {
+    /// Takes a report of what all hold. It tells of one moment, and all routers that took it for more would
+    /// turn the same way at once.
+    fn tell(&mut self, all: f64, now: Millis) {
+        let others = (all - self.own).max(0.0);
         self.told = Some((self.told.map_or(others, |(x, _)| x + TOLD_STEP * (others - x)), now));
     }
 
     /// All routers' amount.
-    fn all(mut self, amount: f64, routers: f64, now: Millis) -> f64 {
-        self.hold(amount, now);
-        let others = (routers - 1.0) * self.mean;
+    fn all(&self, routers: f64, now: Millis) -> f64 {
+        let others = (routers - 1.0) * self.mean(now);
         let told = self.told.filter(|_| routers > 1.0);
-        amount
-            + told.map_or(others, |(x, at)| others + (x - others) * TRUST * (-(now - at) / TOLD_SPAN).exp())
+        let trust = |at: Millis| TRUST * (-(now - at) / TOLD_SPAN).exp();
+        self.own + told.map_or(others, |(x, at)| others + (x - others) * trust(at))
     }
 }
 
@@ -299,27 +290,24 @@
 }
 
 /// One router.
+#[derive(Default)]
 pub struct Control {
     s: Settings,
     now: Millis,
     acts: Vec<Action>,
     peers: BTreeMap<MemberId, Peer>,
-    /// By class: mean sending time in ms, the answers it comes from, and the pace of fills.
-    means: Vec<(f64, f64, f64)>,
+    /// By class: mean sending time in ms, and the answers it comes from.
+    means: Vec<(f64, f64)>,
     open: BTreeMap<RequestId, Open>,
     table: BTreeMap<Key, Collapse>,
-    /// Instant of the last purge, by object and by group.
-    purged_objects: BTreeMap<u64, Millis>,
-    purged_groups: BTreeMap<u32, Millis>,
+    /// Instant of the last purge, by object, or by group where no object is named.
+    purged: BTreeMap<(Option<u64>, u32), Millis>,
     /// Work asked for lately in all, and when that was brought up to date; what is known by object.
     asked: (f64, Millis),
     objects: BTreeMap<u64, Known>,
-    /// Our attempts that draw on the location's link, and the transfers that fit it as learned.
-    link_out: f64,
-    link_usual: Shared,
-    link_fit: Option<f64>,
+    /// Attempts that draw on the location's link.
+    link: Shared,
     retries: f64,
-    probed: Millis,
     sweeping: bool,
     sweep_due: Millis,
     logs: u32,
@@ -329,27 +317,8 @@
     /// A router that has just started and knows nothing but its settings. The seed is for decisions by
     /// chance; there are none so far.
     pub fn new(settings: Settings, _seed: u64) -> Self {
-        Control {
-            means: settings.classes.iter().map(|c| (c.deadline / 10.0, 0.0, 2.0)).collect(),
-            s: settings,
-            now: 0.0,
-            acts: Vec::new(),
-            peers: BTreeMap::new(),
-            open: BTreeMap::new(),
-            table: BTreeMap::new(),
-            purged_objects: BTreeMap::new(),
-            purged_groups: BTreeMap::new(),
-            asked: (0.0, 0.0),
-            objects: BTreeMap::new(),
-            link_out: 0.0,
-            link_usual: Shared::default(),
-            link_fit: None,
-            retries: RETRY_MOST,
-            probed: 0.0,
-            sweeping: false,
-            sweep_due: 0.0,
-            logs: 0,
-        }
+        let means = settings.classes.iter().map(|c| (c.deadline / 10.0, 0.0)).collect();
+        Control { means, s: settings, retries: RETRY_MOST, ..Control::default() }
     }
 
     /// Takes one event and appends what is to be done.
@@ -364,32 +333,23 @@
             Event::Members(kind, list) => self.members(kind, list),
             Event::Request(r) => self.request(r),
             Event::First { request, attempt } => {
-                if let Some(o) = self.open.get_mut(&request) {
-                    o.streaming |= o.out.iter().any(|a| a.no == attempt);
-                }
+                let o = self.open.get_mut(&request).into_iter();
+                o.for_each(|o| o.streaming |= o.out.iter().any(|a| a.no == attempt));
             }
             Event::Outcome { request, attempt, member, ending, elapsed, finished, note, load } => {
                 self.outcome(request, attempt, Ended { member, ending, elapsed, note, load }, finished);
             }
             Event::Gone(id) => {
-                if let Some(o) = self.open.get_mut(&id) {
-                    o.ended = true;
-                    self.close(id);
-                }
-            }
-            Event::Timer(_) => {
-                self.sweeping = false;
-                self.sweep();
+                self.open.get_mut(&id).into_iter().for_each(|o| o.ended = true);
+                self.close(id);
             }
+            Event::Timer(_) => self.sweep(),
             Event::Purged { object, group, age } => {
                 let at = now - age.max(0.0);
-                let last = match object {
-                    Some(o) => self.purged_objects.entry(o).or_insert(at),
-                    None => self.purged_groups.entry(group).or_insert(at),
-                };
+                let last =
+                    self.purged.entry((object, if object.is_some() { 0 } else { group })).or_insert(at);
                 *last = last.max(at);
             }
-            Event::Probed { member, load: Some(load), .. } => self.told(member, load),
             Event::Probed { .. } | Event::Peer(..) | Event::Started => {}
         }
         if !self.sweeping && !self.open.is_empty() {
@@ -441,72 +401,47 @@
         ready.filter(move |p| p.m.id != id && like(&p.m))
     }
 
-    /// Leaves a member out for a while. On doubtful signs at most half of a pool is out; silence and
-    /// constant failure are certain enough for all of it: a location whose caches all died is passed by.
-    fn leave_out(&mut self, id: MemberId, certain: bool, why: &str) {
-        let Some(m) = self.peers.get(&id).map(|p| p.m) else { return };
-        let (others, out) =
-            self.pool(&m).fold((0, 0), |(n, out), p| (n + 1, out + usize::from(self.now < p.out_until)));
+    /// Leaves a member out for a while. Silence and constant failure are certain enough for a whole pool.
+    fn leave_out(&mut self, id: MemberId, why: &str) {
         let Some(p) = self.peers.get_mut(&id) else { return };
-        if self.now < p.out_until || !certain && (out + 1) * 2 > others + 1 {
+        if self.now < p.out_until {
             return;
         }
         p.out_span = (p.out_span * 2.0).clamp(OUT_FIRST, OUT_MOST);
         p.out_until = self.now + p.out_span;
-        (p.trial, p.trial_out, p.err, p.fails, p.unanswered) = (Some(0), false, 0.0, 0, 0);
-        p.lost |= certain;
+        (p.trial, p.trial_out, p.fails, p.unanswered) = (true, false, 0, 0);
         if self.logs < LOGS {
             self.logs += 1;
-            let (zone, kind, span) = (m.zone, m.kind, p.out_span);
-            let text = format!("member {id} (kind {kind}, zone {zone}) out for {span:.0} ms: {why}");
-            self.acts.push(Action::Log(text));
+            let (zone, kind, span) = (p.m.zone, p.m.kind, p.out_span);
+            self.acts.push(Action::Log(format!(
+                "member {id} (kind {kind}, zone {zone}) out for {span:.0} ms: {why}"
+            )));
         }
     }
 
     /// Books a sign of health or trouble that the member itself caused.
     fn judge(&mut self, id: MemberId, good: bool) {
-        let Some(m) = self.peers.get(&id).map(|p| p.m) else { return };
-        // While the origin fails as well, it is that which fails behind the parents; they still hold copies.
-        let failing = |p: &Peer| p.fails > 0 || p.err > ERR_LIMIT || p.trial.is_some();
-        let behind = self.peers.values().any(|p| self.is_origin(&p.m) && failing(p));
-        if !good && behind && self.is_parent(&m) {
-            return;
-        }
-        let (sum, n) = self.pool(&m).fold((0.0, 0.0), |(sum, n), p| (sum + p.err, n + 1.0));
-        let usual = if n > 0.0 { sum / n } else { 0.0 };
         let Some(p) = self.peers.get_mut(&id) else { return };
-        if good && p.lost {
-            (p.lost, p.back) = (false, Some(self.now));
-        }
         p.fails = if good { 0 } else { p.fails + 1 };
-        p.err += ERR_STEP * (if good { 0.0 } else { 1.0 } - p.err);
-        match p.trial {
-            Some(_) if !good => {
-                let certain = p.lost;
-                self.leave_out(id, certain, "failed its trial");
-            }
-            Some(n) if n + 1 >= TRIAL_GOOD => {
-                p.trial = None;
-                p.out_span *= 0.25;
-            }
-            Some(n) => p.trial = Some(n + 1),
-            None if p.fails >= FAILS_CERTAIN => self.leave_out(id, true, "failing"),
-            None if p.err > ERR_LIMIT + ERR_USUAL * usual => self.leave_out(id, false, "errors"),
-            None => {}
+        if good && p.trial {
+            p.trial = false;
+            p.out_span *= 0.25;
+        } else if p.trial || p.fails >= FAILS_CERTAIN {
+            let why = if p.trial { "failed its trial" } else { "failing" };
+            self.leave_out(id, why);
         }
     }
 
-    /// How many times slower than its peers a member answers, from 1. A slow one counts as a smaller one:
-    /// its objects spill sooner, whatever slows it (a busy disk, pauses, a lame core). It can hurt where a
-    /// member only got the harder requests; then some of its objects are kept twice.
+    /// How many times slower than its peers a member answers, from 1. A slow one counts as a smaller one, and
+    /// its objects spill sooner, whatever slows it (pauses, a lame core, age). It can hurt where a member only
+    /// got the harder requests; then some of its objects are kept twice.
     fn slowness(&self, p: &Peer) -> f64 {
-        let mut paces: Vec<f64> =
-            self.pool(&p.m).filter(|q| q.answers >= PACE_FROM).map(|q| q.pace).collect();
-        if p.answers < PACE_FROM || paces.is_empty() {
+        let mut drags: Vec<f64> = self.pool(&p.m).map(|q| q.drag(self.now)).collect();
+        if drags.is_empty() {
             return 1.0;
         }
-        paces.sort_by(f64::total_cmp);
-        let ratio = p.pace / paces[(paces.len() - 1) / 2].max(0.5);
+        drags.sort_by(f64::total_cmp);
+        let ratio = p.drag(self.now) / drags[(drags.len() - 1) / 2].max(0.5);
         if ratio > SLOW_FROM { ratio } else { 1.0 }
     }
 
@@ -523,7 +458,7 @@
 
     /// Answers out over the member's link, all routers' guessed from ours.
     fn load(&self, p: &Peer) -> f64 {
-        let all = p.usual.all(p.out + p.fills, self.sharers(&p.m), self.now);
+        let all = p.held.all(self.sharers(&p.m), self.now);
         all * self.slowness(p) / p.m.weight.max(0.1)
     }
 
@@ -552,14 +487,25 @@
         all
     }
 
+    /// Those of them whose fills were not seen to take too long of late.
+    fn brisk(&self, o: &Open) -> Vec<MemberId> {
+        let drag = |s: &MemberId| self.peers.get(s).map_or(1.0, |p| p.drag(self.now));
+        let mut all = self.sources(&o.r);
+        all.retain(|s| drag(s) <= 1.0 || !self.too_late(o, self.work(&o.r) * drag(s)));
+        all
+    }
+
     fn origin(&self) -> Option<MemberId> {
-        self.order(0, f64::MAX, |m| self.is_origin(m)).first().copied()
+        self.peers
+            .values()
+            .map(|p| p.m)
+            .find(|m| m.lifecycle == Lifecycle::Ready && self.is_origin(m))
+            .map(|m| m.id)
     }
 
     fn hot(&self, r: &Request) -> bool {
         let own = self.objects.get(&r.object).map_or(0.0, |o| faded(o.asked, self.now));
-        let ready = self.peers.values().filter(|p| p.m.lifecycle == Lifecycle::Ready);
-        let caches = ready.filter(|p| self.is_cache(&p.m) && p.m.zone == self.s.zone).count();
+        let caches = self.peers.values().filter(|p| self.is_cache(&p.m) && p.m.zone == self.s.zone).count();
         let all = faded(self.asked, self.now);
         all > HOT_FROM && own * caches as f64 > HOT_SHARE * all
     }
@@ -574,7 +520,7 @@
 
     /// Learns from a hit how long an object takes to send, crowding taken out; a quicker hit counts more.
     fn learn_sending(&mut self, r: &Request, a: &Attempt, elapsed: Millis) {
-        let took = (elapsed - LEAST_WAY).max(1.0) / a.load.max(1.0);
+        let took = elapsed.max(1.0) / a.load.max(1.0);
         self.learn_mean(r.class, took);
         if let Some(o) = self.objects.get_mut(&r.object) {
             let old = o.sending.unwrap_or(took);
@@ -584,14 +530,14 @@
 
     fn learn_mean(&mut self, class: usize, work: f64) {
         // The first guess weighs as five answers.
-        let (mean, count, _) = &mut self.means[class];
+        let (mean, count) = &mut self.means[class];
         *count = (*count + 1.0).min(300.0);
         *mean += (work - *mean) / (*count + 5.0);
     }
 
     /// The oldest copy that will do, in ms, where a purge binds; judged at each send.
     fn purge_bound(&self, r: &Request) -> Option<f64> {
-        let last = [self.purged_objects.get(&r.object), self.purged_groups.get(&r.group)];
+        let last = [(Some(r.object), 0), (None, r.group)].map(|key| self.purged.get(&key));
         let last = last.into_iter().flatten().copied().fold(f64::MIN, f64::max);
         (self.now <= last + self.s.purge_done).then(|| (self.now - last - 0.002).max(0.001))
     }
@@ -643,13 +589,9 @@
                 return false;
             }
         }
-        // Time. An answer is given up early only where that costs little (a write) or trouble is likely (a
-        // trial): elsewhere a long wait means a crowded link, and a second try would crowd it more.
-        let trial = ends.iter().any(|m| self.peers[m].trial.is_some());
-        let o = &self.open[&id];
-        let left = o.r.expires - now;
-        let early = (trial || class.write) && o.sends + 1 < self.s.max_attempts;
-        let until = if early { now + (left / 2.0).max(SILENT_FOR.min(left)) } else { o.r.expires };
+        // No answer is given up early: a long wait means a crowded link, which a second try would crowd more.
+        let trial = ends.iter().any(|m| self.peers[m].trial);
+        let until = o.r.expires;
         let bound = self.purge_bound(&o.r);
         let age = bound.map_or(0.0, |b| if class.fresh > 0.0 { b.min(class.fresh) } else { b });
         let how = How { join: self.s.joins && kind != Kind::LookUp, ..How::default() };
@@ -661,45 +603,27 @@
         });
         // Books.
         let (load, crowd) = (self.load(&self.peers[&to]), self.crowd());
-        let expected = work * load.max(1.0) + WAY;
         for m in &ends {
             let Some(p) = self.peers.get_mut(m) else { continue };
             p.spent += cost;
-            p.trial_out |= p.trial.is_some();
-            p.usual.hold(p.out + p.fills, now);
-            if *m != to {
-                p.fills += 1.0;
-                continue;
-            }
-            p.out += 1.0;
-            if p.unanswered == 0 {
-                p.unanswered_since = now;
+            p.trial_out |= p.trial;
+            p.held.add(1.0, now);
+            if *m == to {
+                p.unanswered_since = if p.unanswered == 0 { now } else { p.unanswered_since };
+                p.unanswered += 1;
             }
-            p.unanswered += 1;
         }
         let linked = kind == Kind::Direct || kind == Kind::Fill && self.leads(id);
-        self.link_usual.hold(self.link_out, now);
-        self.link_out += f64::from(u8::from(linked));
-        let Some(o) = self.open.get_mut(&id) else { return false };
-        let stalls_at = now + STALL * (work * load.max(crowd).max(1.0) + 2.0 * WAY);
+        self.link.add(f64::from(u8::from(linked)), now);
+        let crowd = if kind == Kind::LookUp { 1.0 } else { crowd };
+        let late_at = now + LATE * (work * load.max(crowd).max(1.0) + 2.0 * WAY);
         let sure = o.r.size.is_some() || self.objects.get(&o.r.object).is_some_and(|k| k.sending.is_some());
-        let (no, member, sent, stalled) = (o.sends, to, now, false);
-        let a = Attempt {
-            no,
-            member,
-            source,
-            kind,
-            sent,
-            load,
-            expected,
-            sure,
-            trial,
-            linked,
-            stalls_at,
-            stalled,
-        };
-        o.out.push(a);
-        o.sends += 1;
+        let (no, member, sent, late) = (o.sends, to, now, false);
+        let a = Attempt { no, member, source, kind, sent, load, work, sure, trial, linked, late_at, late };
+        if let Some(o) = self.open.get_mut(&id) {
+            o.out.push(a);
+            o.sends += 1;
+        }
         true
     }
 
@@ -719,51 +643,39 @@
         takes + WAY > left
     }
 
-    /// Whether even the best cache is too crowded.
-    fn caches_full(&self, o: &Open, order: &[MemberId]) -> bool {
-        let usable = |c: &MemberId| self.peers.get(c).filter(|p| p.usable(self.now));
-        let load = order.iter().find_map(usable).map_or(0.0, |p| self.load(p));
-        o.sends == 0 && self.too_late(o, self.work(&o.r) * load.max(1.0))
-    }
-
-    /// Transfers on the location's link, with one more, over those that fit; 0 where its room is not known.
+    /// How crowded the location's link is with one more transfer: over those that fit where its room is told,
+    /// else as the caches report it; 0 where neither is known.
     fn crowd(&self) -> f64 {
-        let all = self.link_usual.all(self.link_out, self.routers_in(self.s.zone), self.now);
-        self.link_fit().map_or(0.0, |fit| (all + 1.0) / fit)
+        let (now, told) = (self.now, self.link.told.filter(|_| self.link_fit().is_none()));
+        let all = self.link.all(self.routers_in(self.s.zone), now) + 1.0;
+        let told = told.map_or(0.0, |(x, at)| x * (-(now - at) / TOLD_SPAN).exp());
+        self.link_fit().map_or(told, |fit| all / fit)
     }
 
-    /// Transfers that fit the location's link, where that is known: told, or learned from reports.
+    /// Transfers that fit the location's link, where its room is told.
     fn link_fit(&self) -> Option<f64> {
         let told = self.s.zone_link.get(self.s.zone as usize).copied();
         let told = told.filter(|kb| *kb > 0.0 && self.s.flow > 0.0);
-        told.map(|kb| kb / self.s.flow / FILL_PACE).or(self.link_fit).map(|fit| fit.max(1.0))
+        told.map(|kb| (kb / self.s.flow / FILL_PACE).max(1.0))
     }
 
     /// Takes a member's report of its load.
     fn told(&mut self, id: MemberId, load: Load) {
-        let (now, here, routers) = (self.now, self.s.zone, self.routers_in(self.s.zone));
+        let (now, here) = (self.now, self.s.zone);
         let Some(m) = self.peers.get(&id).map(|p| p.m) else { return };
         let cache = self.is_cache(&m) && m.zone == here;
-        if let Some(p) = self.peers.get_mut(&id) {
-            let others = load.held.map(|held| (held - p.out - p.fills).max(0.0));
-            others.into_iter().for_each(|x| p.usual.tell(x, now));
-        }
-        let Some(full) = load.link.filter(|_| cache).map(|x| x / TOLD_PACE) else { return };
-        if full > FIT_FROM {
-            let fit = self.link_usual.all(self.link_out, routers, now) / full;
-            self.link_fit = Some(self.link_fit.map_or(fit, |old| old + FIT_STEP * (fit - old)));
-        }
-        if let Some(fit) = self.link_fit() {
-            let others = (full * fit - self.link_out).max(0.0);
-            self.link_usual.tell(others, now);
+        if let Some((p, held)) = self.peers.get_mut(&id).zip(load.held) {
+            p.held.tell(held, now);
         }
+        let Some(full) = load.link.filter(|_| cache) else { return };
+        let all = self.link_fit().map_or(full + self.link.own, |fit| full * fit);
+        self.link.tell(all, now);
     }
 
     /// Whether the location's link is so crowded that one more transfer would not be through anywhere near
     /// the aim. Guards against a link that everyone fills and nobody gets through (a mass purge, dead
     /// caches, a cut link); it could hurt where the link's room is told or learned too low.
-    fn link_full(&self, id: RequestId) -> bool {
-        let Some(o) = self.open.get(&id) else { return false };
+    fn link_full(&self, o: &Open) -> bool {
         let crowd = self.crowd();
         crowd > 0.0 && self.too_late(o, self.work(&o.r) * crowd.max(1.0))
     }
@@ -793,12 +705,15 @@
     fn route(&mut self, id: RequestId) {
         let Some(o) = self.open.get(&id) else { return };
         if self.s.classes[o.r.class].write {
-            return self.write(id);
+            return self.direct(id);
         }
         // Where a fill of ours runs, the object is looked up there.
         let filling = self.table.get(&(o.r.object, o.r.part)).map(|e| e.cache);
         let order: Vec<MemberId> = filling.into_iter().chain(self.caches(&o.r)).collect();
-        if self.caches_full(o, &order) {
+        // Even the best cache too crowded: refused before it is sent anywhere.
+        let usable = |c: &MemberId| self.peers.get(c).filter(|p| p.usable(self.now));
+        let load = order.iter().find_map(usable).map_or(0.0, |p| self.load(p));
+        if o.sends == 0 && self.too_late(o, self.work(&o.r) * load.max(1.0)) {
             return self.give_up(id);
         }
         let bad = o.bad.clone();
@@ -807,24 +722,19 @@
         }
     }
 
-    /// No cache will do: straight to the parents, in their order, then to the origin.
+    /// No cache will do: straight to the parents, in their order, then to the origin. A write runs at the
+    /// origin: straight, else through a parent or, where neither is open, a cache.
     fn direct(&mut self, id: RequestId) {
         let Some(o) = self.open.get(&id) else { return };
-        let (bad, origin, ways) = (o.bad.clone(), self.origin(), self.sources(&o.r));
-        let full = self.link_full(id);
-        if full || !ways.into_iter().any(|w| !bad.contains(&w) && self.emit(id, w, origin, Kind::Direct)) {
-            self.give_up(id);
-        }
-    }
-
-    /// A write runs at the origin: straight, else through a parent or, where neither is open, a cache.
-    fn write(&mut self, id: RequestId) {
-        let Some(o) = self.open.get(&id) else { return };
-        let origin = self.origin();
-        let mut ways = self.sources(&o.r);
-        ways.rotate_right(usize::from(origin.is_some()));
-        ways.extend(self.caches(&o.r));
-        if origin.is_none() || !ways.into_iter().any(|w| self.emit(id, w, origin, Kind::Direct)) {
+        let (bad, origin, write) = (o.bad.clone(), self.origin(), self.s.classes[o.r.class].write);
+        let mut ways = if write { self.sources(&o.r) } else { self.brisk(o) };
+        if write {
+            ways.rotate_right(usize::from(origin.is_some()));
+            ways.extend(self.caches(&o.r));
+        }
+        let closed = if write { origin.is_none() } else { self.link_full(o) };
+        let open = |w: &MemberId| write || !bad.contains(w);
+        if closed || !ways.into_iter().filter(open).any(|w| self.emit(id, w, origin, Kind::Direct)) {
             self.give_up(id);
         }
     }
@@ -851,18 +761,17 @@
 
     /// Only one attempt's time is left.
     fn last_call(&self, o: &Open) -> bool {
-        let need = (self.work(&o.r) + WAY) * self.means[o.r.class].2;
-        o.r.expires - self.now <= need.max(WAY) + SWEEP
+        o.r.expires - self.now <= LATE * (self.work(&o.r) + WAY) + SWEEP
     }
 
     /// A fill at a cache, from the first source that will do; else at the next cache; else past them.
     fn fill(&mut self, id: RequestId, cache: MemberId) {
         let Some(o) = self.open.get(&id) else { return };
         let (r, bad) = (o.r, o.bad.clone());
-        if self.leads(id) && self.link_full(id) {
+        if self.leads(id) && self.link_full(o) {
             return self.give_up(id);
         }
-        let (sources, others) = (self.sources(&r), self.caches(&r).into_iter().filter(|c| *c != cache));
+        let (sources, others) = (self.brisk(o), self.caches(&r).into_iter().filter(|c| *c != cache));
         for at in std::iter::once(cache).chain(others.collect::<Vec<_>>()).filter(|c| !bad.contains(c)) {
             if sources.iter().any(|s| !bad.contains(s) && self.emit(id, at, Some(*s), Kind::Fill)) {
                 if let Some(e) = self.table.get_mut(&(r.object, r.part)).filter(|e| e.leader == id) {
@@ -953,10 +862,8 @@
         self.book(&a, &r, end);
         if ended {
             // What is out beside it is called off; its waiters need not wait for that.
-            let out: Vec<u32> =
-                self.open.get(&id).map(|o| o.out.iter().map(|a| a.no).collect()).unwrap_or_default();
-            if self.s.cancel {
-                self.acts.extend(out.into_iter().map(|attempt| Action::Cancel { request: id, attempt }));
+            for a in self.open.get(&id).filter(|_| self.s.cancel).iter().flat_map(|o| &o.out) {
+                self.acts.push(Action::Cancel { request: id, attempt: a.no });
             }
             if ok && a.kind != Kind::Direct {
                 self.pass_on(id, (r.object, r.part), Some(a.member), Vec::new());
@@ -976,11 +883,10 @@
         }
         o.bad.push(guilty);
         let (key, bad) = ((r.object, r.part), o.bad.clone());
-        let price = if matches!(end.ending, Ending::Full | Ending::Timeout) { 1.0 } else { RETRY_LIGHT };
-        if self.retries < price || self.now >= r.expires {
+        if self.retries < 1.0 || self.now >= r.expires {
             return self.give_up(id);
         }
-        self.retries -= price;
+        self.retries -= 1.0;
         if a.kind != Kind::Fill {
             return self.route(id);
         }
@@ -990,21 +896,23 @@
         self.missed(id, a.member);
     }
 
+    fn see(&mut self, a: &Attempt, slowdown: impl Fn(Millis) -> f64) {
+        let Some((m, expected)) = a.shows() else { return };
+        self.peers.get_mut(&m).into_iter().for_each(|p| p.see(slowdown(expected), self.now));
+    }
+
     /// Books an outcome: loads, learned times, health.
     fn book(&mut self, a: &Attempt, r: &Request, end: Ended) {
         let source = a.source.filter(|s| *s != a.member);
-        self.link_usual.hold(self.link_out, self.now);
-        self.link_out -= f64::from(u8::from(a.linked));
+        self.link.add(-f64::from(u8::from(a.linked)), self.now);
         for m in [Some(a.member), source].into_iter().flatten() {
             let Some(p) = self.peers.get_mut(&m) else { continue };
             p.trial_out &= !a.trial;
-            p.usual.hold(p.out + p.fills, self.now);
-            if m != a.member {
-                p.fills = (p.fills - 1.0).max(0.0);
-                continue;
+            if m != a.member || a.kind == Kind::LookUp || !a.late {
+                p.held.add(-1.0, self.now);
             }
-            p.out = (p.out - f64::from(u8::from(!a.stalled))).max(0.0);
-            if !matches!(end.ending, Ending::Timeout | Ending::Cancelled | Ending::Moot) {
+            let silent = matches!(end.ending, Ending::Timeout | Ending::Cancelled | Ending::Moot);
+            if m == a.member && !silent {
                 p.unanswered = 0;
             }
         }
@@ -1012,13 +920,7 @@
         let origin = self.peers.get(&a.member).is_some_and(|p| self.is_origin(&p.m));
         match end.ending {
             Ending::Ok => {
-                let pace = end.elapsed / a.expected;
-                if a.kind == Kind::Fill {
-                    self.means[r.class].2 += 0.05 * (pace - self.means[r.class].2);
-                } else if let Some(p) = self.peers.get_mut(&a.member) {
-                    p.answers += 1;
-                    p.pace += PACE_STEP * (pace - p.pace);
-                }
+                self.see(a, |expected| end.elapsed / expected);
                 if r.size.is_none() && a.kind == Kind::LookUp {
                     self.learn_sending(r, a, end.elapsed);
                 }
@@ -1026,6 +928,12 @@
                 source.into_iter().for_each(|s| self.judge(s, true));
             }
             Ending::Miss => self.judge(a.member, true),
+            Ending::Timeout | Ending::Full if a.kind == Kind::Fill && !a.late => {
+                self.see(a, |_| LATE_DRAG);
+                if end.ending == Ending::Full {
+                    self.judge(source.unwrap_or(a.member), false);
+                }
+            }
             Ending::Moot | Ending::Cancelled => {}
             // Crowding and the client's own deadline tell nothing of a member's health.
             Ending::Timeout if !a.trial && end.note == Note::None && !origin => {}
@@ -1042,65 +950,49 @@
     /// Waiters whose time has come go alone; silent members are left out and what they hold called back;
     /// what has gone out of date is forgotten.
     fn sweep(&mut self) {
+        self.sweeping = false;
         let (now, done) = (self.now, self.s.purge_done);
         // A router that slept itself heard nobody: silence is counted anew.
         if now - self.sweep_due > ASLEEP {
             self.peers.values_mut().for_each(|p| p.unanswered_since = now);
         }
-        self.purged_objects.retain(|_, at| now <= *at + done);
-        self.purged_groups.retain(|_, at| now <= *at + done);
+        self.purged.retain(|_, at| now <= *at + done);
         if self.objects.len() * 2 > OBJECTS_MOST {
-            self.objects.retain(|_, o| now - o.asked.1 < OBJECT_SPAN);
-        }
-        // Stalled fills make room: guards against a source that hangs, whose fills would keep the links that
-        // they do not use from others; on a crowded link it lets a few more on than fit.
-        for a in self.open.values_mut().flat_map(|o| &mut o.out) {
-            if a.kind == Kind::LookUp || a.stalled || now < a.stalls_at {
-                continue;
-            }
-            if a.linked {
-                self.link_usual.hold(self.link_out, now);
-                self.link_out -= 1.0;
-            }
-            if let Some(p) = self.peers.get_mut(&a.member) {
-                p.usual.hold(p.out + p.fills, now);
-                p.out = (p.out - 1.0).max(0.0);
-            }
-            (a.linked, a.stalled) = (false, true);
-        }
-        // Where only probes report: the cache of the location heard of longest ago.
-        if self.s.probe_reports && now - self.probed > PROBE_EVERY && self.routers_in(self.s.zone) > 1.0 {
-            let here = |p: &&Peer| self.is_cache(&p.m) && p.m.zone == self.s.zone && p.usable(now);
-            let next = self.peers.values().filter(here).min_by(|a, b| a.probed.total_cmp(&b.probed));
-            if let Some(p) = next.map(|p| p.m.id).and_then(|id| self.peers.get_mut(&id)) {
-                (p.probed, self.probed) = (now, now);
-                self.acts.push(Action::Probe(p.m.id));
+            self.objects.retain(|_, o| now - o.asked.1 < 10.0 * HOT_SPAN);
+        }
+        // Late attempts: a fill makes room, as it waits for a source that hangs and does not use the links it
+        // would keep from others, and its source counts as slow. On a crowded link this lets a few more on.
+        let mut again = vec![];
+        for (id, o) in &mut self.open {
+            let many = o.out.len() > 1 || o.ended;
+            for a in o.out.iter_mut().filter(|a| !a.late && now >= a.late_at) {
+                a.late = true;
+                if let Some((m, _)) = a.shows().filter(|_| a.kind == Kind::Fill) {
+                    self.peers.get_mut(&m).into_iter().for_each(|p| p.see(LATE_DRAG, now));
+                }
+                if !many && a.sure {
+                    again.push((*id, *a));
+                }
+                self.link.add(-f64::from(u8::from(a.linked)), now);
+                a.linked = false;
+                if let Some(p) = self.peers.get_mut(&a.member).filter(|_| a.kind != Kind::LookUp) {
+                    p.held.add(-1.0, now);
+                }
             }
         }
-        // Overdue attempts are doubled where that is allowed, the older of two making room.
-        let late = |a: &Attempt| now - a.sent > a.expected * if a.sure { OVERDUE } else { OVERDUE_UNSURE };
-        let overdue =
-            |o: &&Open| !o.ended && o.waiting.is_none() && !o.out.is_empty() && o.out.iter().all(late);
-        let overdue: Vec<RequestId> = match self.s.second_copies {
-            true => self.open.values().filter(overdue).map(|o| o.r.id).collect(),
-            false => vec![],
-        };
-        for id in overdue {
-            let Some(o) = self.open.get(&id) else { continue };
-            let (a, two) = (o.out[0], o.out.len() > 1);
-            if two && self.s.cancel {
-                self.acts.push(Action::Cancel { request: id, attempt: a.no });
-            } else if self.retries >= RETRY_LIGHT && self.emit(id, a.member, a.source, a.kind) {
-                self.retries -= RETRY_LIGHT;
+        // Where two attempts may be out, a second one makes up for an answer that got lost.
+        for (id, a) in again {
+            if self.s.second_copies && self.retries >= 1.0 && self.emit(id, a.member, a.source, a.kind) {
+                self.retries -= 1.0;
             }
         }
         let silent = |p: &&Peer| {
-            let sends = if p.trial.is_some() { 1 } else { SILENT_SENDS };
+            let sends = if p.trial { 1 } else { SILENT_SENDS };
             p.unanswered >= sends && now - p.unanswered_since > SILENT_FOR && !self.is_origin(&p.m)
         };
         let silent: Vec<MemberId> = self.peers.values().filter(silent).map(|p| p.m.id).collect();
         for id in silent {
-            self.leave_out(id, true, "silent");
+            self.leave_out(id, "silent");
             for (request, o) in self.open.iter().filter(|(_, o)| self.s.cancel && !o.ended && !o.streaming) {
                 let held = o.out.iter().filter(|a| a.member == id);
                 self.acts.extend(held.map(|a| Action::Cancel { request: *request, attempt: a.no }));
--- a/crates/deckproxy-control/src/interface.rs
+++ b/crates/deckproxy-control/src/interface.rs
@@ -30,9 +30,10 @@
 }
 
 /// Which caches may supply a fill to another cache.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Siblings {
     /// None.
+    #[default]
     None,
     /// Those of the same location.
     Location,
@@ -72,7 +73,7 @@
 }
 
 /// How a member that started lately may be loaded.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ColdRule {
     /// Share of its capacity that it has at its start, at least.
     pub from: f64,
@@ -85,7 +86,7 @@
 }
 
 /// What a router is told at its start.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     /// The classes, by position.
     pub classes: Vec<Class>,
@@ -125,8 +126,6 @@
     pub max_attempts: u32,
     /// Two attempts of one request may be out together.
     pub second_copies: bool,
-    /// Members report their load only when probed, and may be probed.
-    pub probe_reports: bool,
     /// Attempts may be cancelled.
     pub cancel: bool,
     /// Refusals may name a time to come back.
