--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -433,8 +433,8 @@
     }
 
     /// How many times slower than its peers a member answers, from 1. A slow one counts as a smaller one, and
-    /// its objects spill sooner, whatever slows it (pauses, a lame core, age). It can hurt where a member only
-    /// got the harder requests; then some of its objects are kept twice.
+    /// its objects spill sooner, whatever slows it (pauses, a lame core, age). It can hurt where one only got
+    /// the harder requests; then some of its objects are kept twice.
     fn slowness(&self, p: &Peer) -> f64 {
         let mut drags: Vec<f64> = self.pool(&p.m).map(|q| q.drag(self.now)).collect();
         if drags.is_empty() {
