Slow sources stand behind the others, the origin included; lateness from known sizes only

Cause: with a hub's caches dead the fills of all locations hover on the others just under the limit at which they are refused, three times slower, while the origin has room. A source seen over twice too slow now goes behind the brisk ones. A late answer of unknown size does not tell of its source (it may be lost on the way, or large).

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -29,6 +29,7 @@
 const SPILL_AT: f64 = 1.5;
 const PASS_AT: f64 = 3.0;
 const BOUND: f64 = 1.3;
+const PASS_DRAG: f64 = 2.0;
 /// ms over which our part of a load is averaged to guess the other routers'.
 const MEAN_SPAN: Millis = 2000.0;
 /// Weight of new reports against that guess, ms over which they lose it, and of one report in their mean.
@@ -487,10 +488,12 @@
         all
     }
 
-    /// Those of them whose fills were not seen to take too long of late.
+    /// Those of them whose fills were not seen to take too long of late, the slow ones last.
     fn brisk(&self, o: &Open) -> Vec<MemberId> {
         let drag = |s: &MemberId| self.peers.get(s).map_or(1.0, |p| p.drag(self.now));
         let mut all = self.sources(&o.r);
+        let slow = |s: &MemberId| drag(s).max(PASS_DRAG);
+        all.sort_by(|a, b| slow(a).total_cmp(&slow(b)));
         all.retain(|s| drag(s) <= 1.0 || !self.too_late(o, self.work(&o.r) * drag(s)));
         all
     }
@@ -967,7 +970,7 @@
             let many = o.out.len() > 1 || o.ended;
             for a in o.out.iter_mut().filter(|a| !a.late && now >= a.late_at) {
                 a.late = true;
-                if let Some((m, _)) = a.shows().filter(|_| a.kind == Kind::Fill) {
+                if let Some((m, _)) = a.shows().filter(|_| a.sure && a.kind == Kind::Fill) {
                     self.peers.get_mut(&m).into_iter().for_each(|p| p.see(LATE_DRAG, now));
                 }
                 if !many && a.sure {
