The time of fills tells how full the link is where nothing is reported

A fill that ended shows the link's crowding at the pace that the settings' room stands for; it weighs as a report does.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -657,20 +657,17 @@
 
     /// Transfers that fit the location's link, where its room is told.
     fn link_fit(&self) -> Option<f64> {
-        let told = self.s.zone_link.get(self.s.zone as usize).copied();
-        let told = told.filter(|kb| *kb > 0.0 && self.s.flow > 0.0);
+        let told = self.s.zone_link.get(self.s.zone as usize).filter(|kb| **kb > 0.0 && self.s.flow > 0.0);
         told.map(|kb| (kb / self.s.flow / FILL_PACE).max(1.0))
     }
 
     /// Takes a member's report of its load.
     fn told(&mut self, id: MemberId, load: Load) {
         let (now, here) = (self.now, self.s.zone);
-        let Some(m) = self.peers.get(&id).map(|p| p.m) else { return };
-        let cache = self.is_cache(&m) && m.zone == here;
-        if let Some((p, held)) = self.peers.get_mut(&id).zip(load.held) {
-            p.held.tell(held, now);
-        }
-        let Some(full) = load.link.filter(|_| cache) else { return };
+        let Some(p) = self.peers.get_mut(&id) else { return };
+        load.held.into_iter().for_each(|held| p.held.tell(held, now));
+        let m = p.m;
+        let Some(full) = load.link.filter(|_| self.is_cache(&m) && m.zone == here) else { return };
         let all = self.link_fit().map_or(full + self.link.own, |fit| full * fit);
         self.link.tell(all, now);
     }
@@ -747,11 +744,8 @@
         let Some(o) = self.open.get(&id) else { return };
         // Too little time to wait for the next sweep counts like a large object.
         let alone = self.s.joins && self.work(&o.r) >= LARGE || self.last_call(o);
-        let Some(entry) = self.table.get_mut(&(o.r.object, o.r.part)) else {
-            let entry = Collapse { leader: id, cache, waiters: VecDeque::new() };
-            self.table.insert((o.r.object, o.r.part), entry);
-            return self.fill(id, cache);
-        };
+        let new = Collapse { leader: id, cache, waiters: VecDeque::new() };
+        let entry = self.table.entry((o.r.object, o.r.part)).or_insert(new);
         if entry.leader == id || alone || entry.waiters.len() >= WAITERS_MOST {
             let cache = entry.cache;
             return self.fill(id, cache);
@@ -899,6 +893,7 @@
         self.missed(id, a.member);
     }
 
+    /// Takes what an attempt shows of a member's pace.
     fn see(&mut self, a: &Attempt, slowdown: impl Fn(Millis) -> f64) {
         let Some((m, expected)) = a.shows() else { return };
         self.peers.get_mut(&m).into_iter().for_each(|p| p.see(slowdown(expected), self.now));
@@ -924,6 +919,10 @@
         match end.ending {
             Ending::Ok => {
                 self.see(a, |expected| end.elapsed / expected);
+                // Where nothing is reported, the time of a fill tells how full the link is.
+                if let Some(fit) = self.link_fit().filter(|_| a.kind == Kind::Fill && end.load.is_none()) {
+                    self.link.tell(FILL_PACE * fit * end.elapsed / (a.work + 2.0 * WAY), self.now);
+                }
                 if r.size.is_none() && a.kind == Kind::LookUp {
                     self.learn_sending(r, a, end.elapsed);
                 }
