--- a/crates/deckproxy-control/tests/rules.rs
+++ b/crates/deckproxy-control/tests/rules.rs
@@ -210,6 +210,56 @@
     }
 }
 
+/// Split evenly, a cold member's budget was under the cost of one send, and it got nothing until it was warm.
+#[test]
+fn all_routers_together_keep_a_cold_members_budget_and_use_it() {
+    let rule = settings().cold_parent;
+    for (routers, weight) in [(1, 12.0), (4, 12.0), (40, 40.0), (200, 100.0), (1000, 400.0)] {
+        let told = Settings { routers, zone_routers: vec![0, 0, routers], ..settings() };
+        let parent = Member { started: Some(900.0), weight, ..member(201) };
+        let list: Vec<Member> = [member(101), parent].into();
+        let mut rigs: Vec<Rig> = (0..routers)
+            .map(|position| Rig::with(Settings { position, ..told.clone() }, list[..1].to_vec()))
+            .collect();
+        let mut sent: Vec<(Millis, f64)> = vec![];
+        for step in 0..36_u32 {
+            for (i, rig) in rigs.iter_mut().enumerate() {
+                rig.now = 1000.0 + 250.0 * f64::from(step);
+                // Some hear of it late.
+                if step == 12 * (i as u32 % 3) {
+                    rig.event(Event::Members(ListKind::Delta, vec![parent]));
+                }
+                let class = if step % 2 == 0 { SMALL } else { LARGE };
+                let (id, cache) = rig.ask_and_miss(class, 5000 + 100 * i as u64 + u64::from(step));
+                if let Some((_, _, Some(201))) = rig.sends().first() {
+                    sent.push((rig.now, SIZES[class]));
+                }
+                rig.end(id, 1, cache, Ending::Ok);
+            }
+        }
+        assert!(sent.len() > 4, "{routers}: it gets work, {}", sent.len());
+        for (end, _) in &sent {
+            let load: f64 = sent.iter().filter(|s| s.0 <= *end && s.0 > end - rule.window).map(|s| s.1).sum();
+            let capacity = rule.from + (1.0 - rule.from) * (end - 900.0) / rule.ramp;
+            let most = rule.multiple * capacity * weight * rule.window;
+            assert!(load <= most, "{routers}: {load} by {end} of {most}");
+        }
+    }
+}
+
+/// A router that comes back within a window does not know what it sent in it before.
+#[test]
+fn a_router_that_started_in_this_window_leaves_cold_members_alone() {
+    let cold = Member { started: Some(900.0), ..member(201) };
+    let mut rig = Rig::with(settings(), vec![member(101), cold]);
+    let (id, cache) = rig.ask_and_miss(SMALL, 1);
+    assert!(rig.sends().iter().all(|s| s.2 != Some(201)));
+    rig.end(id, 1, cache, Ending::Ok);
+    rig.now = 2.0 * settings().cold_parent.window;
+    rig.ask_and_miss(SMALL, 2);
+    assert_eq!(rig.sends()[0].2, Some(201));
+}
+
 #[test]
 fn a_member_past_its_ramp_has_no_budget() {
     let rule = settings().cold_cache;
