Parents are not blamed while the origin fails; the origin's own failures show its pace

Told apart from failing parents by the writes that fail at the origin itself. What fails at a parent while the origin does is not booked; refusals and late writes at the origin slow it for fills.

Of two attempts of one request that both miss, one waits or leads; tests for both.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -44,9 +44,8 @@
 const COLD_COST: f64 = 1.1;
 /// Share of the longest deadline that a whole send to a cold member may weigh: more than a class's mean.
 const WHOLE: f64 = 0.125;
-/// Failures in a row that leave a member out whatever its peers do.
+/// Failures in a row that leave a member out; and times its peers' pace from which it is slow.
 const FAILS_CERTAIN: u32 = 6;
-/// Times its peers' pace from which a member is slow.
 const SLOW_FROM: f64 = 1.6;
 /// Sends without any answer, and ms since the first of them, that make a member silent.
 const SILENT_SENDS: u32 = 4;
@@ -101,9 +100,8 @@
 }
 
 impl Peer {
-    fn new(m: Member, now: Millis) -> Self {
-        let out_until = f64::MIN;
-        Peer { m, known: now, turn: f64::MIN, out_until, ..Peer::default() }
+    fn new(m: Member, known: Millis) -> Self {
+        Peer { m, known, turn: f64::MIN, out_until: f64::MIN, ..Peer::default() }
     }
 
     fn usable(&self, now: Millis) -> bool {
@@ -212,13 +210,13 @@
 }
 
 impl Attempt {
-    /// Whose pace it shows, a fill's source or the cache looked up at, and what that should take. A direct
-    /// answer shows most of all how crowded the link is.
+    /// Whose pace it shows, a fill's source, the cache looked up at or the origin, and what that should take.
+    /// An answer straight from a parent shows most of all how crowded the link is.
     fn shows(&self) -> Option<(MemberId, Millis)> {
         match self.kind {
             Kind::LookUp => Some((self.member, self.work * self.load.max(1.0) + WAY)),
             Kind::Fill => self.source.map(|s| (s, self.work + 2.0 * WAY)),
-            Kind::Direct => None,
+            Kind::Direct => self.source.filter(|s| *s == self.member).map(|s| (s, self.work + 2.0 * WAY)),
         }
     }
 }
@@ -425,8 +423,7 @@
         let Some(p) = self.peers.get_mut(&id) else { return };
         p.fails = if good { 0 } else { p.fails + 1 };
         if good && p.trial {
-            p.trial = false;
-            p.out_span *= 0.25;
+            (p.trial, p.out_span) = (false, p.out_span * 0.25);
         } else if p.trial || p.fails >= FAILS_CERTAIN {
             let why = if p.trial { "failed its trial" } else { "failing" };
             self.leave_out(id, why);
@@ -859,15 +856,19 @@
         self.book(&a, &r, end);
         if ended {
             // What is out beside it is called off; its waiters need not wait for that.
-            for a in self.open.get(&id).filter(|_| self.s.cancel).iter().flat_map(|o| &o.out) {
-                self.acts.push(Action::Cancel { request: id, attempt: a.no });
-            }
+            let out = self.open.get(&id).filter(|_| self.s.cancel).into_iter().flat_map(|o| &o.out);
+            self.acts.extend(out.map(|a| Action::Cancel { request: id, attempt: a.no }));
             if ok && a.kind != Kind::Direct {
                 self.pass_on(id, (r.object, r.part), Some(a.member), Vec::new());
             }
             return self.close(id);
         }
-        if end.ending == Ending::Miss && a.kind == Kind::LookUp {
+        // Of two attempts the other one decides, where it waits or fills already.
+        let Some(o) = self.open.get(&id) else { return };
+        let missed = end.ending == Ending::Miss && a.kind == Kind::LookUp;
+        if o.waiting.is_some() || o.out.iter().any(|other| !missed || other.kind == Kind::Fill) {
+            return;
+        } else if missed {
             return self.missed(id, a.member);
         }
         // A failure: whom the request avoids from now on.
@@ -875,9 +876,6 @@
         let at_source = a.kind == Kind::Fill && !at_cache && end.note != Note::NoPlace;
         let guilty = a.source.filter(|_| at_source).unwrap_or(a.member);
         let Some(o) = self.open.get_mut(&id) else { return };
-        if !o.out.is_empty() {
-            return;
-        }
         o.bad.push(guilty);
         let (key, bad) = ((r.object, r.part), o.bad.clone());
         if self.retries < 1.0 || self.now >= r.expires {
@@ -915,7 +913,9 @@
             }
         }
         end.load.into_iter().for_each(|load| self.told(a.member, load));
-        let origin = self.peers.get(&a.member).is_some_and(|p| self.is_origin(&p.m));
+        let origin = self.origin().and_then(|id| self.peers.get(&id));
+        let failing = origin.is_some_and(|p| p.trial || p.drag(self.now) > PASS_DRAG);
+        let origin = origin.is_some_and(|p| a.member == p.m.id || a.source == Some(p.m.id));
         match end.ending {
             Ending::Ok => {
                 self.see(a, |expected| end.elapsed / expected);
@@ -930,9 +930,11 @@
                 source.into_iter().for_each(|s| self.judge(s, true));
             }
             Ending::Miss => self.judge(a.member, true),
-            Ending::Timeout | Ending::Full if a.kind == Kind::Fill && !a.late => {
+            // What fails at a parent while the origin does is not held against it: it still has its copies.
+            _ if a.kind == Kind::Fill && !origin && failing => {}
+            Ending::Timeout | Ending::Full if a.kind != Kind::LookUp && !a.late => {
                 self.see(a, |_| LATE_DRAG);
-                if end.ending == Ending::Full {
+                if end.ending == Ending::Full && a.kind == Kind::Fill {
                     self.judge(source.unwrap_or(a.member), false);
                 }
             }
@@ -1000,11 +1002,8 @@
                 self.acts.extend(held.map(|a| Action::Cancel { request: *request, attempt: a.no }));
             }
         }
-        let due = self
-            .open
-            .iter()
-            .filter(|(_, o)| o.waiting.is_some_and(|since| now - since >= WAIT || self.last_call(o)));
-        for id in due.map(|(id, _)| *id).collect::<Vec<_>>() {
+        let due = |o: &&Open| o.waiting.is_some_and(|since| now - since >= WAIT || self.last_call(o));
+        for id in self.open.values().filter(due).map(|o| o.r.id).collect::<Vec<_>>() {
             // One that came to lead meanwhile waits no more.
             let Some(o) = self.open.get_mut(&id).filter(|o| o.waiting.is_some()) else { continue };
             o.waiting = None;
--- a/crates/deckproxy-control/tests/trouble.rs
+++ b/crates/deckproxy-control/tests/trouble.rs
@@ -441,3 +441,54 @@
     }
     assert!((5..=5 + 12).contains(&further), "{further}");
 }
+
+/// Two look-ups of one request that both missed made it wait twice.
+#[test]
+fn of_two_attempts_that_miss_one_waits_or_leads() {
+    let mut rig = Rig::with(Settings { second_copies: true, ..settings() }, everyone());
+    let twice = rig.ask(SMALL, 5, 0);
+    let cache = rig.sends()[0].1;
+    let start = rig.now;
+    rig.sweep_until(start + 400.0);
+    assert_eq!(rig.sends().len(), 1);
+    let (leader, _) = rig.ask_and_miss(SMALL, 5);
+    rig.end(twice, 1, cache, Ending::Miss);
+    rig.end(twice, 0, cache, Ending::Miss);
+    assert!(rig.sends().is_empty(), "it waits");
+    rig.end(leader, 1, cache, Ending::Ok);
+    assert_eq!(rig.sends().len(), 1, "and goes once");
+    rig.end(twice, 2, cache, Ending::Ok);
+    let alone = rig.ask(SMALL, 6, 0);
+    let cache = rig.sends()[0].1;
+    let start = rig.now;
+    rig.sweep_until(start + 400.0);
+    rig.end(alone, 1, cache, Ending::Miss);
+    assert_eq!(rig.sends().len(), 1, "it leads");
+    rig.end(alone, 0, cache, Ending::Miss);
+    assert!(rig.sends().is_empty(), "once");
+}
+
+/// The origin turned away what parents asked of it: they were left out for it, and their copies with them.
+#[test]
+fn parents_are_not_blamed_while_the_origin_fails_too() {
+    for (origin_fails, source_is_parent) in [(true, true), (false, false)] {
+        let mut rig = Rig::new();
+        for object in 0..80 {
+            let write = rig.ask(KEYED, object, 0);
+            rig.end(write, 0, THE_ORIGIN, if origin_fails { Ending::Full } else { Ending::Ok });
+            rig.event(Event::Gone(write));
+            let (id, cache) = rig.ask_and_miss(SMALL, object);
+            let mut attempt = 1;
+            while let Some((_, _, Some(source))) = rig.sends().first().copied() {
+                let ok = source == THE_ORIGIN && !origin_fails;
+                rig.end(id, attempt, cache, if ok { Ending::Ok } else { Ending::Full });
+                attempt += 1;
+            }
+        }
+        rig.ask_and_miss(SMALL, 999);
+        assert_eq!(
+            rig.sends().first().is_some_and(|s| s.2.is_some_and(|s| PARENTS.contains(&s))),
+            source_is_parent
+        );
+    }
+}
