--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -9,23 +9,21 @@
 
 // ---- Constants: unit and reason -------------------------------------------------------------------------
 
-/// ms between sweeps over waiters and silent members: fine enough for aims of some hundred ms.
+/// ms between sweeps, fine enough for aims of some hundred ms; and lateness of one that slept itself.
 const SWEEP: Millis = 20.0;
-/// ms by which a sweep that late tells that the router itself stood still.
 const ASLEEP: Millis = 100.0;
 /// ms until a broken subscription to the list is asked for again.
 const REWATCH: Millis = 500.0;
 /// ms: the design's lock time-out; and own sending time from which joining the leader's fill beats waiting.
 const WAIT: Millis = 3000.0;
 const LARGE: Millis = 100.0;
-/// ms that a client must still have for another attempt.
+/// ms that a client must still have for another attempt; and the middle rank, of all copies.
 const LEAST_LEFT: Millis = 5.0;
-/// Rank of ordinary copies, the middle one.
 const RANK: u8 = 2;
 /// ms: allowance for ways and queues that adds to every sending time.
 const WAY: Millis = 60.0;
 /// Answers out over a member's link from which a cache's objects may spill and a parent is passed, if that is
-/// over so many times its pool's mean (bounded loads).
+/// over so many times its pool's mean (bounded loads); and slowness of a parent for which the origin fills.
 const SPILL_AT: f64 = 1.5;
 const PASS_AT: f64 = 3.0;
 const BOUND: f64 = 1.3;
@@ -485,12 +483,14 @@
         all
     }
 
-    /// Those of them whose fills were not seen to take too long of late, the slow ones last.
+    /// Those of them whose fills were not seen to take too long of late, the origin first where the home is slow.
     fn brisk(&self, o: &Open) -> Vec<MemberId> {
         let drag = |s: &MemberId| self.peers.get(s).map_or(1.0, |p| p.drag(self.now));
         let mut all = self.sources(&o.r);
-        let slow = |s: &MemberId| drag(s).max(PASS_DRAG);
-        all.sort_by(|a, b| slow(a).total_cmp(&slow(b)));
+        let slow = |s: Option<&MemberId>| s.is_some_and(|s| drag(s) > PASS_DRAG);
+        if slow(all.first()) && !slow(all.last()) {
+            all.rotate_right(1);
+        }
         all.retain(|s| drag(s) <= 1.0 || !self.too_late(o, self.work(&o.r) * drag(s)));
         all
     }
@@ -891,7 +891,6 @@
         self.missed(id, a.member);
     }
 
-    /// Takes what an attempt shows of a member's pace.
     fn see(&mut self, a: &Attempt, slowdown: impl Fn(Millis) -> f64) {
         let Some((m, expected)) = a.shows() else { return };
         self.peers.get_mut(&m).into_iter().for_each(|p| p.see(slowdown(expected), self.now));
@@ -956,7 +955,7 @@
     fn sweep(&mut self) {
         self.sweeping = false;
         let (now, done) = (self.now, self.s.purge_done);
-        // A router that slept itself heard nobody: silence is counted anew.
+        // A router that slept heard nobody: silence is counted anew.
         if now - self.sweep_due > ASLEEP {
             self.peers.values_mut().for_each(|p| p.unanswered_since = now);
         }
--- a/crates/deckproxy-control/tests/trouble.rs
+++ b/crates/deckproxy-control/tests/trouble.rs
@@ -375,9 +375,9 @@
     assert_eq!(rig.sends()[0].0, waiter);
 }
 
-/// Fills hovered at a parent that answered three times too slowly, while the others had room.
+/// Fills hovered at a parent that answered three times too slowly, while the origin had room.
 #[test]
-fn a_source_seen_to_be_slow_stands_behind_the_others_until_that_is_old() {
+fn a_source_seen_to_be_slow_gives_way_to_the_origin_until_that_is_old() {
     let mut rig = Rig::new();
     let slow = PARENTS[0];
     let mut sources = vec![];
@@ -391,7 +391,8 @@
         rig.event(Event::Outcome { request, attempt, member, ending, elapsed, finished, note, load });
     }
     assert!(sources.contains(&slow));
-    assert!(!sources[20..].contains(&slow) && sources[20..].contains(&PARENTS[1]));
+    let late = &sources[20..];
+    assert!(!late.contains(&slow) && late.contains(&PARENTS[1]) && late.contains(&THE_ORIGIN));
     rig.now += 30_000.0;
     let later: Vec<_> = (100..130)
         .map(|object| {
