--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -1,5 +1,4 @@
 //! Every decision of the router. Types, events and actions are in `interface.rs`; read that file first.
-//!
 //! The ordinary path: a request is looked up at the cache that a shared hash of its object picks in the
 //! location; after a miss one request per (object, part) leads a fill from the parent that the same hash
 //! picks over all listed parents, and the others wait for it. Everything else here treats trouble.
@@ -30,17 +29,16 @@
 const PASS_DRAG: f64 = 2.0;
 /// ms over which our part of a load is averaged to guess the other routers'.
 const MEAN_SPAN: Millis = 2000.0;
-/// Weight of new reports against that guess, ms over which they lose it, and of one report in their mean.
+/// Weight of new reports against that guess, ms over which they lose it, and of one report in their mean; ms
+/// over which what was seen of a member's pace loses its weight.
 const TRUST: f64 = 0.5;
 const TOLD_SPAN: Millis = 2000.0;
 const TOLD_STEP: f64 = 0.3;
-/// ms over which what was seen of a member's pace loses its weight.
 const SEEN_SPAN: Millis = 4000.0;
-/// Share of the cold rule that all routers together use, and times a class's mean sending time that one
-/// send weighs: room for misjudged times.
+/// Share of the cold rule that all routers use, times a class's mean sending time that one send weighs, and
+/// share of the longest deadline that a whole send may weigh: room for misjudged times.
 const COLD_SHARE: f64 = 0.8;
 const COLD_COST: f64 = 1.1;
-/// Share of the longest deadline that a whole send to a cold member may weigh: more than a class's mean.
 const WHOLE: f64 = 0.125;
 /// Failures in a row that leave a member out; and times its peers' pace from which it is slow.
 const FAILS_CERTAIN: u32 = 6;
@@ -48,7 +46,7 @@
 /// Sends without any answer, and ms since the first of them, that make a member silent.
 const SILENT_SENDS: u32 = 4;
 const SILENT_FOR: Millis = 900.0;
-/// ms that a member is left out at first and at most; doubled from one to the next.
+/// ms that a member is left out at first and at most, doubling.
 const OUT_FIRST: Millis = 1000.0;
 const OUT_MOST: Millis = 8000.0;
 /// Further attempts and second ones: earned by each request, and saved up at most.
@@ -65,11 +63,11 @@
 /// Times what it should take after which an attempt is late; the slowdown that a late or failed one shows.
 const LATE: f64 = 2.0;
 const LATE_DRAG: f64 = 8.0;
+/// Share of its aim that a refused client is asked to stay away: there is time to be served within it.
+const COME_BACK: f64 = 0.2;
 /// Requests that wait for one fill, at most (later ones go alone), and log lines of one router.
 const WAITERS_MOST: usize = 512;
 const LOGS: u32 = 60;
-/// Share of its aim that a refused client is asked to stay away: there is time to be served within it.
-const COME_BACK: f64 = 0.2;
 
 // ---- Members: list, drain, cold, health -----------------------------------------------------------------
 
@@ -311,8 +309,7 @@
 }
 
 impl Control {
-    /// A router that has just started and knows nothing but its settings. The seed is for decisions by
-    /// chance; there are none so far.
+    /// A router that has just started. The seed is for decisions by chance; there are none so far.
     pub fn new(settings: Settings, _seed: u64) -> Self {
         let means = settings.classes.iter().map(|c| (c.deadline / 10.0, 0.0)).collect();
         Control { means, s: settings, retries: RETRY_MOST, ..Control::default() }
@@ -483,7 +480,7 @@
         all
     }
 
-    /// Those of them whose fills were not seen to take too long of late, the origin first where the home is slow.
+    /// Those whose fills were not seen to take too long of late, the origin first where the home is slow.
     fn brisk(&self, o: &Open) -> Vec<MemberId> {
         let drag = |s: &MemberId| self.peers.get(s).map_or(1.0, |p| p.drag(self.now));
         let mut all = self.sources(&o.r);
@@ -591,8 +588,7 @@
         }
         // No answer is given up early: a long wait means a crowded link, which a second try would crowd more.
         let trial = ends.iter().any(|m| self.peers[m].trial);
-        let until = o.r.expires;
-        let bound = self.purge_bound(&o.r);
+        let (until, bound) = (o.r.expires, self.purge_bound(&o.r));
         let age = bound.map_or(0.0, |b| if class.fresh > 0.0 { b.min(class.fresh) } else { b });
         let how = How { join: self.s.joins && kind != Kind::LookUp, ..How::default() };
         let keep = if class.write || !local { 0 } else { RANK };
@@ -601,7 +597,6 @@
         } else {
             Action::Get { request: id, member: to, until, source: source.unwrap_or(to), keep, age, how }
         });
-        // Books.
         let (load, crowd) = (self.load(&self.peers[&to]), self.crowd());
         for m in &ends {
             let Some(p) = self.peers.get_mut(m) else { continue };
