--- a/crates/deckproxy-adapter/src/host.rs
+++ b/crates/deckproxy-adapter/src/host.rs
@@ -1,9 +1,9 @@
 //! Hosts the instances of the decision module, fully separate from each other.
 
-use crate::settings;
-use crate::wire::{self, Batch, Reply, WireError, WireEvent};
+use crate::wire::{Batch, Reply, WireError, WireEvent};
 use deckproxy_control::Control;
-use deckproxy_control::interface::{Action, Event};
+use deckproxy_control::interface::{Action, Event, Load};
+use deckproxy_settings as settings;
 use std::collections::BTreeMap;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
@@ -12,6 +12,12 @@
     report: Vec<String>,
 }
 
+impl Instance {
+    fn load(&self, values: &[f32]) -> Option<Load> {
+        settings::load(self.report.iter().map(String::as_str).zip(values.iter().map(|v| f64::from(*v))))
+    }
+}
+
 /// All instances of one process.
 #[derive(Default)]
 pub struct Host {
@@ -61,13 +67,13 @@
             WireEvent::Request(r) => Event::Request(r),
             WireEvent::First { request, attempt } => Event::First { request, attempt },
             WireEvent::Outcome { request, attempt, member, ending, elapsed, finished, note, load } => {
-                let load = self.instances.get(&id).and_then(|i| wire::load(&i.report, &load));
+                let load = self.instances.get(&id).and_then(|i| i.load(&load));
                 Event::Outcome { request, attempt, member, ending, elapsed, finished, note, load }
             }
             WireEvent::Gone(request) => Event::Gone(request),
             WireEvent::Timer(token) => Event::Timer(token),
             WireEvent::Probed { member, ok, load } => {
-                let load = self.instances.get(&id).and_then(|i| wire::load(&i.report, &load));
+                let load = self.instances.get(&id).and_then(|i| i.load(&load));
                 Event::Probed { member, ok, load }
             }
             WireEvent::Peer(from, text) => Event::Peer(from, text),
--- a/crates/deckproxy-adapter/src/lib.rs
+++ b/crates/deckproxy-adapter/src/lib.rs
@@ -2,5 +2,4 @@
 #![forbid(unsafe_code)]
 
 pub mod host;
-pub mod settings;
 pub mod wire;
--- a/crates/deckproxy-adapter/src/wire.rs
+++ b/crates/deckproxy-adapter/src/wire.rs
@@ -3,7 +3,7 @@
 //! Fields are little-endian and unpadded; event records have 56 bytes, action records 40, and data without a
 //! fixed size lies in the frame's tail. Times are milliseconds on both sides.
 
-use deckproxy_control::interface::{Action, Ending, How, Lifecycle, ListKind, Load, Member, Note, Request};
+use deckproxy_control::interface::{Action, Ending, How, Lifecycle, ListKind, Member, Note, Request};
 use std::fmt;
 use std::io::{self, Read};
 
@@ -358,24 +358,6 @@
     }
 }
 
-/// Names the values of a load report, which come in the order of the settings' field names.
-pub fn load(fields: &[String], values: &[f32]) -> Option<Load> {
-    if values.is_empty() {
-        return None;
-    }
-    let mut load = Load::default();
-    for (name, value) in fields.iter().zip(values) {
-        let value = Some(f64::from(*value));
-        match name.as_str() {
-            "busy_reqs" => load.held = value,
-            "x1" => load.link = value,
-            "cpu_share" => load.cpu = value,
-            _ => {}
-        }
-    }
-    Some(load)
-}
-
 /// A reply under construction.
 #[derive(Default)]
 pub struct Reply {
--- a/crates/deckproxy-adapter/tests/wire.rs
+++ b/crates/deckproxy-adapter/tests/wire.rs
@@ -1,9 +1,9 @@
 //! The wire, on frames encoded by hand.
 
 use deckproxy_adapter::host::Host;
-use deckproxy_adapter::settings;
 use deckproxy_adapter::wire::{self, Reply, WireError, WireEvent};
 use deckproxy_control::interface::*;
+use deckproxy_settings as settings;
 
 /// Bytes from hex text; spaces and new lines mean nothing, `+N` stands for N zero bytes.
 fn hex(text: &str) -> Vec<u8> {
@@ -271,9 +271,9 @@
     assert_eq!(conf.settings.classes[1].effect, Effect::Unsafe, "the careful reading of what is not told");
     assert_eq!((conf.settings.cold_cache.from, conf.settings.cold_parent.from), (0.2, 0.1));
     assert_eq!(conf.settings.cold_parent.window, 1500.0);
-    let load = wire::load(&conf.report, &[3.0, 0.5]).unwrap();
+    let load = settings::load([("busy_reqs", 3.0), ("x1", 0.5)]).unwrap();
     assert_eq!((load.held, load.link, load.cpu), (Some(3.0), Some(0.5), None));
-    assert_eq!(wire::load(&conf.report, &[]), None);
+    assert_eq!(settings::load([]), None);
     for bad in [
         "groupSize=many",
         "services.count=900",
--- a/crates/deckproxy-adapter/src/settings.rs
+++ b/crates/deckproxy-settings/src/lib.rs
@@ -1,8 +1,11 @@
-//! The settings text (`path=value` lines) to the module's settings. Unknown keys are ignored.
+//! The one reader of settings: `path=value` pairs to the module's settings and what a gateway needs beside
+//! them. The simulator sends the pairs as text; a gateway's configuration holds the same object as JSON, which
+//! its decoder flattens to the same pairs. Unknown keys are ignored.
 //!
-//! Where the wire lets a key be absent, a neutral value stands in; a value that does not parse is an error.
+//! Where a key may be absent, a neutral value stands in; a value that does not parse is an error.
+#![forbid(unsafe_code)]
 
-use deckproxy_control::interface::{Class, ColdRule, Effect, Group, Settings, Siblings};
+use deckproxy_control::interface::{Class, ColdRule, Effect, Group, Load, Settings, Siblings};
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
@@ -13,6 +16,46 @@
     pub settings: Settings,
     /// Names of the values of a load report, in order.
     pub report: Vec<String>,
+    /// Names of the classes, by position.
+    pub classes: Vec<String>,
+    /// Names of the zones, by position.
+    pub zones: Vec<String>,
+    /// Names of the kinds of members, by position.
+    pub kinds: Vec<String>,
+    /// Limits on connections and requests.
+    pub limits: Limits,
+}
+
+/// Limits that whoever holds the connections keeps.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// Members close connections that have been idle for so long, ms; 0: never.
+    pub idle: f64,
+    /// A connection that is not up by then failed, ms.
+    pub connect: f64,
+    /// Attempts that one connection carries together.
+    pub streams: usize,
+    /// Requests that may be open.
+    pub open: usize,
+    /// Span after a deadline within which a final answer still counts, ms.
+    pub slack: f64,
+    /// Members may be probed.
+    pub probes: bool,
+}
+
+/// Names the values of a load report, which come in the order of the settings' field names.
+pub fn load<'a>(values: impl IntoIterator<Item = (&'a str, f64)>) -> Option<Load> {
+    let mut load = None::<Load>;
+    for (name, value) in values {
+        let load = load.get_or_insert_default();
+        match name {
+            "busy_reqs" => load.held = Some(value),
+            "x1" => load.link = Some(value),
+            "cpu_share" => load.cpu = Some(value),
+            _ => {}
+        }
+    }
+    load
 }
 
 struct Text<'a>(BTreeMap<&'a str, &'a str>);
@@ -46,9 +89,14 @@
     }
 }
 
-/// Reads the settings of one instance.
+/// Reads the settings from their text, one `path=value` a line.
 pub fn read(conf: &str) -> Result<Conf, String> {
-    let text = Text(conf.lines().filter_map(|line| line.trim_end_matches('\r').split_once('=')).collect());
+    read_pairs(conf.lines().filter_map(|line| line.trim_end_matches('\r').split_once('=')))
+}
+
+/// Reads the settings from pairs of path and value.
+pub fn read_pairs<'a>(pairs: impl IntoIterator<Item = (&'a str, &'a str)>) -> Result<Conf, String> {
+    let text = Text(pairs.into_iter().collect());
     let count: usize = text.parse("services.count")?.unwrap_or(0);
     if count > 256 {
         return Err(format!("setting services.count: {count} classes are more than a request can name"));
@@ -58,9 +106,11 @@
     let stale: Vec<f64> = text.list("familyInfo.agedWorth")?;
     let write: Vec<bool> = text.list("familyInfo.goesThrough")?;
     let mut classes = Vec::new();
+    let mut names = Vec::new();
     for i in 0..count {
         let key = |name: &str| format!("services.{i}.{name}");
         let aim = text.number(&key("aimMs"), 0.0)?;
+        names.push(text.get(&key("name")).unwrap_or_default().to_string());
         classes.push(Class {
             aim,
             aim_stretch: text.number(&key("aimStretch"), 0.0)?,
@@ -135,5 +185,20 @@
         retry_after: text.flag("limits.retryAfter")?,
         max_retry_after: text.number("limits.maxRetryAfterMs", 0.0)?,
     };
-    Ok(Conf { settings, report: text.list("report.fields")? })
+    let limits = Limits {
+        idle: text.number("limits.connIdleMs", 0.0)?,
+        connect: text.number("limits.connectTimeoutMs", 1000.0)?,
+        streams: text.parse("limits.maxStreams")?.unwrap_or(1),
+        open: text.parse("limits.maxOpen")?.unwrap_or(usize::MAX),
+        slack: text.number("rules.answerSlackMs", 0.0)?,
+        probes: text.flag("limits.probes")?,
+    };
+    Ok(Conf {
+        settings,
+        report: text.list("report.fields")?,
+        classes: names,
+        zones: text.list("zones")?,
+        kinds: text.list("machineTypes")?,
+        limits,
+    })
 }
--- /dev/null
+++ b/crates/deckproxy/src/program/logging.rs
@@ -0,0 +1,24 @@
+//! The log: lines with a level and fields on standard error, written by a thread of their own so that a slow
+//! reader of the log never holds the event loop up.
+
+use slog::{Drain, Logger, o};
+use slog_async::OverflowStrategy;
+
+/// Lines that wait to be written, at most; later ones are dropped and counted.
+const WAITING: usize = 1024;
+
+/// The log of the process, and what writes out its last lines when dropped.
+pub fn start() -> (Logger, slog_async::AsyncGuard) {
+    let plain = slog_term::PlainSyncDecorator::new(std::io::stderr());
+    let format = slog_term::FullFormat::new(plain).use_utc_timestamp().build().fuse();
+    let (drain, guard) = slog_async::Async::new(format)
+        .chan_size(WAITING)
+        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .build_with_guard();
+    let level = match std::env::var("DECKPROXY_LOG").as_deref() {
+        Ok("debug") => slog::Level::Debug,
+        Ok("warning") => slog::Level::Warning,
+        _ => slog::Level::Info,
+    };
+    (Logger::root(drain.filter_level(level).fuse(), o!()), guard)
+}
--- /dev/null
+++ b/crates/deckproxy/src/protocol/limits.rs
@@ -0,0 +1,53 @@
+//! Limits that the protocol sets, and bounds on what a peer may make a gateway hold. None is a decision about
+//! where a request goes.
+
+/// Requests that may be open on one client connection.
+pub const CLIENT_OPEN: usize = 32;
+/// Largest body of a client's request.
+pub const CLIENT_BODY: usize = 48_000;
+/// Largest message of a client: a body and its fields.
+pub const CLIENT_MESSAGE: usize = 64 * 1024;
+/// Values that one message of a client may hold, whatever their nesting.
+pub const CLIENT_VALUES: u64 = 1024;
+/// Longest text of one field that is passed on.
+pub const FIELD: usize = 128;
+/// Most bytes of an object.
+pub const OBJECT: usize = 240_000;
+/// Strings in one answer of a member.
+pub const MEMBER_STRINGS: usize = 8;
+/// Longest string of a member's answer other than its body.
+pub const MEMBER_TEXT: usize = 4096;
+/// Longest line of the feed.
+pub const FEED_LINE: usize = 4 * 1024 * 1024;
+/// Share of the descriptors that clients may hold, as one in so many.
+pub const CLIENT_SHARE: usize = 3;
+/// Descriptors kept back for the loop, the listener, the feed, the log and what is accepted to be closed.
+pub const RESERVE: usize = 40;
+
+/// Milliseconds by which every time limit is longer on sockets.
+pub const SOCKET_SLACK: f64 = 50.0;
+/// Milliseconds after SIGTERM in which new connections and requests may still come.
+pub const STRAGGLERS: f64 = 700.0;
+/// Milliseconds that a longest deadline counts at most when a planned restart is timed.
+pub const LONGEST_COUNTED: f64 = 3000.0;
+/// Milliseconds before the kill that ends a planned restart at which all that is open is ended.
+pub const LAST_CALL: f64 = 150.0;
+/// Milliseconds without a line after which the feed's connection is taken for dead; it sends one each second.
+pub const FEED_SILENCE: f64 = 3000.0;
+/// Milliseconds from one try to connect to the feed until the next, at first and at most.
+pub const FEED_BACKOFF: (f64, f64) = (50.0, 1000.0);
+/// Milliseconds that a client may leave its answers unread before its connection is closed.
+pub const CLIENT_STALL: f64 = 10_000.0;
+/// Milliseconds that a client's connection may be idle, well over the four seconds after which clients close.
+pub const CLIENT_IDLE: f64 = 30_000.0;
+/// Milliseconds before a member's idle close at which a connection is not used any more.
+pub const IDLE_MARGIN: f64 = 500.0;
+/// Milliseconds for a probe.
+pub const PROBE: f64 = 1000.0;
+/// Bytes waiting for clients from which no more is read; one client's share of that.
+pub const OUTGOING: usize = 48 * 1024 * 1024;
+/// Bytes waiting for one client from which its requests are not read.
+pub const CLIENT_OUTGOING: usize = 1024 * 1024;
+/// Bytes waiting for one member's connection from which another connection is opened, and from which
+/// attempts fail as never sent.
+pub const MEMBER_OUTGOING: usize = 4 * 1024 * 1024;
--- /dev/null
+++ b/crates/deckproxy/src/routing/members.rs
@@ -0,0 +1,85 @@
+//! The list of members as the feed tells it, and the numbers by which the module knows them.
+
+use crate::protocol::feed::{Entry, Phase};
+use deckproxy_control::interface::{Lifecycle, Member, MemberId};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// Where a member is reached: a new process or address makes it another place.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Place {
+    /// Its address.
+    pub address: SocketAddr,
+    /// When its process started, if told.
+    pub started: Option<f64>,
+}
+
+struct Known {
+    name: Box<str>,
+    place: Option<Place>,
+}
+
+/// All members that were ever listed, by number.
+#[derive(Default)]
+pub struct Members {
+    known: HashMap<MemberId, Known>,
+    numbers: HashMap<Box<str>, MemberId>,
+}
+
+/// FNV-1a: the same number at every gateway, whatever it heard before, as the shared hash needs.
+fn number(name: &str) -> MemberId {
+    name.bytes().fold(0x811c_9dc5, |h: u32, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193))
+}
+
+fn position(names: &[String], name: &str) -> Option<u32> {
+    // Lists of names reach the settings with blanks and commas replaced.
+    let name = name.replace([' ', ','], "_");
+    names.iter().position(|n| *n == name).and_then(|i| u32::try_from(i).ok())
+}
+
+impl Members {
+    /// Takes one entry; none if its zone or kind is not in the settings.
+    pub fn take(&mut self, entry: &Entry, zones: &[String], kinds: &[String]) -> Option<Member> {
+        let (zone, kind) = (position(zones, &entry.zone)?, position(kinds, &entry.kind)?);
+        let id = match self.numbers.get(&entry.id) {
+            Some(id) => *id,
+            None => {
+                let mut id = number(&entry.id);
+                while self.known.contains_key(&id) {
+                    id = id.wrapping_add(1);
+                }
+                self.numbers.insert(entry.id.clone(), id);
+                self.known.insert(id, Known { name: entry.id.clone(), place: None });
+                id
+            }
+        };
+        let place = entry.address.map(|address| Place { address, started: entry.started });
+        if let Some(known) = self.known.get_mut(&id).filter(|_| entry.phase != Phase::Gone || place.is_some())
+        {
+            known.place = place;
+        }
+        Some(Member {
+            id,
+            lifecycle: match entry.phase {
+                Phase::Ready => Lifecycle::Ready,
+                Phase::Terminating => Lifecycle::Draining,
+                Phase::Gone => Lifecycle::Gone,
+            },
+            started: entry.started,
+            weight: entry.size,
+            kind,
+            zone,
+            cell: entry.cell,
+        })
+    }
+
+    /// Where a member is reached.
+    pub fn place(&self, id: MemberId) -> Option<Place> {
+        self.known.get(&id).and_then(|k| k.place)
+    }
+
+    /// Its name on the wire.
+    pub fn name(&self, id: MemberId) -> Option<&str> {
+        self.known.get(&id).map(|k| &*k.name)
+    }
+}
--- /dev/null
+++ b/crates/deckproxy/src/transport/client.rs
@@ -0,0 +1,100 @@
+//! A client's connection.
+
+use crate::protocol::front::{self, Answer, Broken, Decoder, Message};
+use crate::protocol::limits;
+use crate::transport::outbox::Outgoing;
+use crate::transport::stream::{Progress, Stream};
+use bytes::Bytes;
+use std::io;
+
+/// Keys of what goes out: the answer to a request that counts as open until it is written, or anything else.
+const COUNTED: u64 = 1;
+const OTHER: u64 = 0;
+
+/// A client's connection with its requests.
+pub struct Client {
+    /// The socket and its buffers.
+    pub stream: Stream,
+    decoder: Decoder,
+    /// Requests whose answer is not with the kernel yet.
+    open: usize,
+    /// When something last came or went.
+    moved: f64,
+    /// Nothing more is read; it closes once what waits is written.
+    pub closing: bool,
+    written: Vec<u64>,
+}
+
+impl Client {
+    /// A connection just accepted.
+    pub fn new(stream: Stream, now: f64) -> Self {
+        let (decoder, written) = (Decoder::default(), Vec::new());
+        Client { stream, decoder, open: 0, moved: now, closing: false, written }
+    }
+
+    /// Reads what has come.
+    pub fn read(&mut self, now: f64) -> Progress {
+        self.moved = now;
+        self.stream.read()
+    }
+
+    /// Whether its requests are to be read: not while it leaves many answers unread.
+    pub fn wants_reading(&self) -> bool {
+        !self.closing && self.stream.is_readable() && self.stream.queued() < limits::CLIENT_OUTGOING
+    }
+
+    /// The next message that has come whole.
+    pub fn take_message(&mut self) -> Result<Option<Message>, Broken> {
+        let message = self.decoder.next(&mut self.stream.input);
+        if message == Ok(None) {
+            self.stream.lacks = self.decoder.lacks(self.stream.input.len());
+            self.stream.trim();
+        }
+        message
+    }
+
+    /// Counts a request as open. Tells whether there was room for it.
+    pub fn admit(&mut self) -> bool {
+        let room = self.open < limits::CLIENT_OPEN;
+        self.open += usize::from(room);
+        room
+    }
+
+    /// Whether no request is open.
+    pub fn is_idle(&self) -> bool {
+        self.open == 0 && self.stream.queued() == 0
+    }
+
+    /// Since when nothing came or went.
+    pub fn idle_since(&self) -> f64 {
+        self.moved
+    }
+
+    /// Appends the answer to an admitted request, or to one that was not.
+    pub fn answer(&mut self, id: u32, answer: &Answer, admitted: bool) {
+        let key = if admitted { COUNTED } else { OTHER };
+        self.stream.push(Outgoing { key, parts: front::answer(id, answer) });
+    }
+
+    /// Appends bytes that answer no request.
+    pub fn push(&mut self, bytes: Bytes) {
+        self.stream.push(Outgoing::whole(OTHER, bytes));
+    }
+
+    /// A request left without an answer.
+    pub fn release(&mut self) {
+        self.open = self.open.saturating_sub(1);
+    }
+
+    /// Writes what the kernel takes.
+    pub fn flush(&mut self, now: f64) -> io::Result<()> {
+        let before = self.stream.queued();
+        self.stream.flush(&mut self.written)?;
+        if self.stream.queued() < before {
+            self.moved = now;
+        }
+        let counted = self.written.drain(..).filter(|key| *key == COUNTED).count();
+        self.open = self.open.saturating_sub(counted);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/deckproxy/src/transport/feed.rs
@@ -0,0 +1,47 @@
+//! The connection to the control feed.
+
+use crate::protocol::feed::{self, Decoder, Line};
+use crate::transport::outbox::Outgoing;
+use crate::transport::stream::{Progress, Stream};
+use std::io;
+
+/// The feed's connection, or one that is being made.
+pub struct Feed {
+    /// The socket and its buffers.
+    pub stream: Stream,
+    decoder: Decoder,
+    /// When the last line came.
+    pub heard: f64,
+    written: Vec<u64>,
+}
+
+impl Feed {
+    /// A connection that is being made; it subscribes to what follows an event.
+    pub fn new(mut stream: Stream, last: u64, now: f64) -> Self {
+        stream.push(Outgoing::whole(0, feed::subscribe(last)));
+        Feed { stream, decoder: Decoder::default(), heard: now, written: Vec::new() }
+    }
+
+    /// Reads what has come.
+    pub fn read(&mut self) -> Progress {
+        self.stream.read()
+    }
+
+    /// The next line, as the decoder gives it.
+    #[allow(clippy::type_complexity)]
+    pub fn take_line(&mut self, now: f64) -> Result<Option<Result<Line, String>>, &'static str> {
+        let line = self.decoder.next(&mut self.stream.input)?;
+        match line {
+            Some(_) => self.heard = now,
+            None => self.stream.trim(),
+        }
+        Ok(line)
+    }
+
+    /// Writes what the kernel takes.
+    pub fn flush(&mut self) -> io::Result<()> {
+        self.stream.flush(&mut self.written)?;
+        self.written.clear();
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/deckproxy/src/transport/member.rs
@@ -0,0 +1,136 @@
+//! A connection to a member. It carries many attempts, and knows of each whether it was written whole.
+
+use crate::protocol::back::{self, Decoder, Reply};
+use crate::transport::outbox::Outgoing;
+use crate::transport::stream::{Progress, Stream};
+use bytes::Bytes;
+use std::collections::{HashMap, HashSet};
+use std::io;
+
+/// Key of what goes out and is no attempt.
+const OTHER: u64 = u64::MAX;
+
+struct Ask {
+    name: Box<str>,
+    /// When it was written whole, if it was.
+    written: Option<f64>,
+}
+
+/// A connection to a member, or one that is being made.
+pub struct Link {
+    /// The socket and its buffers.
+    pub stream: Stream,
+    decoder: Decoder,
+    asks: HashMap<u64, Ask>,
+    names: HashMap<Box<str>, u64>,
+    /// Names given up here: an answer to one may still be on its way.
+    given_up: HashSet<Box<str>>,
+    /// When something last came, and when it last had something to do.
+    heard: f64,
+    used: f64,
+    /// Takes nothing new; closes once nothing is out.
+    pub retired: bool,
+    written: Vec<u64>,
+}
+
+/// Names given up on one connection, from which it is retired.
+const GIVEN_UP: usize = 4096;
+
+impl Link {
+    /// A connection that is being made.
+    pub fn new(stream: Stream, now: f64) -> Self {
+        Link {
+            stream,
+            decoder: Decoder::default(),
+            asks: HashMap::new(),
+            names: HashMap::new(),
+            given_up: HashSet::new(),
+            heard: now,
+            used: now,
+            retired: false,
+            written: Vec::new(),
+        }
+    }
+
+    /// Attempts and probes out on it.
+    pub fn load(&self) -> usize {
+        self.asks.len()
+    }
+
+    /// Since when it has had nothing to do.
+    pub fn idle_since(&self) -> f64 {
+        self.used
+    }
+
+    /// Whether an attempt of that name can go out here: an answer under it must have but one meaning.
+    pub fn takes(&self, name: &str) -> bool {
+        !self.retired && !self.names.contains_key(name) && !self.given_up.contains(name)
+    }
+
+    /// Appends an attempt or a probe.
+    pub fn ask(&mut self, key: u64, name: Box<str>, parts: [Bytes; 3], now: f64) {
+        self.used = now;
+        self.names.insert(name.clone(), key);
+        self.asks.insert(key, Ask { name, written: None });
+        self.stream.push(Outgoing { key, parts });
+    }
+
+    /// Gives an attempt up; none if it is not here. Tells whether some of it was written. A connection on which
+    /// nothing came for `patience` ms since it was written whole may be dead without a word: it is retired.
+    pub fn withdraw(&mut self, key: u64, now: f64, patience: f64) -> Option<bool> {
+        let ask = self.asks.remove(&key)?;
+        self.names.remove(&ask.name);
+        self.used = now;
+        if self.stream.withdraw(key) {
+            return Some(false);
+        }
+        self.stream.push(Outgoing::whole(OTHER, back::quit(&ask.name)));
+        self.given_up.insert(ask.name);
+        let silent = ask.written.is_some_and(|at| self.heard < at && now - at > patience);
+        self.retired |= silent || self.given_up.len() > GIVEN_UP;
+        Some(true)
+    }
+
+    /// Reads what has come.
+    pub fn read(&mut self, now: f64) -> Progress {
+        self.heard = now;
+        self.stream.read()
+    }
+
+    /// The next answer that has come whole, and the key of what it answers; none for what was given up.
+    pub fn take_reply(&mut self, now: f64) -> Result<Option<(Option<u64>, Reply)>, &'static str> {
+        let Some(reply) = self.decoder.next(&mut self.stream.input)? else {
+            self.stream.lacks = self.decoder.lacks(self.stream.input.len());
+            self.stream.trim();
+            return Ok(None);
+        };
+        // An answer to what was not written yet answers something else.
+        let key = self.names.get(&reply.id).copied();
+        let key = key.filter(|key| self.asks.get(key).is_some_and(|a| a.written.is_some()));
+        if let Some(ask) = key.and_then(|key| self.asks.remove(&key)) {
+            self.names.remove(&ask.name);
+            self.used = now;
+        } else {
+            self.given_up.remove(&reply.id);
+        }
+        Ok(Some((key, reply)))
+    }
+
+    /// Writes what the kernel takes.
+    pub fn flush(&mut self, now: f64) -> io::Result<()> {
+        let done = self.stream.flush(&mut self.written);
+        for key in self.written.drain(..) {
+            self.asks.get_mut(&key).into_iter().for_each(|a| a.written = Some(now));
+        }
+        done
+    }
+
+    /// What was out when the connection ended: its key, and whether it had been written whole.
+    pub fn lost(&mut self) -> Vec<(u64, bool)> {
+        self.names.clear();
+        let mut lost: Vec<(u64, bool)> =
+            self.asks.drain().map(|(key, a)| (key, a.written.is_some())).collect();
+        lost.sort_unstable();
+        lost
+    }
+}
--- /dev/null
+++ b/crates/deckproxy/src/transport/mod.rs
@@ -0,0 +1,10 @@
+//! Sockets, connections, buffers, the alarm and the clock. This layer moves bytes and knows no rule.
+
+pub mod alarm;
+pub mod client;
+pub mod clock;
+pub mod feed;
+pub mod listener;
+pub mod member;
+pub mod outbox;
+pub mod stream;
--- /dev/null
+++ b/crates/deckproxy/src/transport/stream.rs
@@ -0,0 +1,192 @@
+//! One TCP connection: its socket, what came in and is not decoded, what waits to go out.
+//!
+//! It is registered once, edge-triggered, and remembers what the kernel said: so a connection that is not read
+//! for a while, to be fair or to hold back, costs no wake-ups.
+
+use crate::transport::outbox::{Outbox, Outgoing};
+use bytes::BytesMut;
+use calloop::generic::Generic;
+use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io::{self, Read};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+/// Bytes read in one call where no longer message is awaited, and in all before others have their turn.
+const CHUNK: usize = 16 * 1024;
+const TURN: usize = 256 * 1024;
+/// An empty input buffer above this size is given back.
+const KEEP: usize = 64 * 1024;
+
+/// What a turn of reading found.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// Nothing more for now.
+    Drained,
+    /// There may be more; others have their turn first.
+    More,
+    /// The other side has closed, or the connection broke.
+    Ended,
+}
+
+/// A connection, or one that is being made.
+pub struct Stream {
+    socket: Rc<TcpStream>,
+    token: Option<RegistrationToken>,
+    /// What came and is not decoded yet.
+    pub input: BytesMut,
+    /// Bytes that the decoder still lacks for its next message, at least.
+    pub lacks: usize,
+    output: Outbox,
+    readable: bool,
+    writable: bool,
+    connecting: bool,
+}
+
+impl Stream {
+    /// Takes over an accepted connection. `ready` is called when the kernel has news of it.
+    pub fn accepted<D: 'static>(
+        handle: &LoopHandle<'static, D>,
+        socket: TcpStream,
+        ready: impl FnMut(&mut D, Readiness) + 'static,
+    ) -> io::Result<Self> {
+        socket.set_nonblocking(true)?;
+        Self::register(handle, socket, false, ready)
+    }
+
+    /// Starts to connect; an error tells that nothing was sent.
+    pub fn connect<D: 'static>(
+        handle: &LoopHandle<'static, D>,
+        to: SocketAddr,
+        ready: impl FnMut(&mut D, Readiness) + 'static,
+    ) -> io::Result<Self> {
+        let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        match socket.connect(&to.into()) {
+            Ok(()) => {}
+            // EINPROGRESS has no stable kind of its own.
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock || e.raw_os_error() == Some(115) => {}
+            Err(e) => return Err(e),
+        }
+        Self::register(handle, socket.into(), true, ready)
+    }
+
+    fn register<D: 'static>(
+        handle: &LoopHandle<'static, D>,
+        socket: TcpStream,
+        connecting: bool,
+        mut ready: impl FnMut(&mut D, Readiness) + 'static,
+    ) -> io::Result<Self> {
+        socket.set_nodelay(true)?;
+        let socket = Rc::new(socket);
+        let source = Generic::new(Rc::clone(&socket), Interest::BOTH, Mode::Edge);
+        let token = handle
+            .insert_source(source, move |readiness, _, data| {
+                ready(data, readiness);
+                Ok(PostAction::Continue)
+            })
+            .map_err(|e| io::Error::other(e.error))?;
+        Ok(Stream {
+            socket,
+            token: Some(token),
+            input: BytesMut::new(),
+            lacks: 0,
+            output: Outbox::default(),
+            readable: false,
+            writable: !connecting,
+            connecting,
+        })
+    }
+
+    /// Takes news from the kernel.
+    pub fn note(&mut self, readiness: Readiness) {
+        self.readable |= readiness.readable || readiness.error;
+        self.writable |= readiness.writable || readiness.error;
+    }
+
+    /// Whether it is still being made; looks whether that has come to an end.
+    pub fn is_connecting(&mut self) -> io::Result<bool> {
+        if self.connecting && self.writable {
+            if let Some(e) = self.socket.take_error()? {
+                return Err(e);
+            }
+            // Woken by something else than the end of the handshake.
+            match self.socket.peer_addr() {
+                Ok(_) => self.connecting = false,
+                Err(e) if e.kind() == io::ErrorKind::NotConnected => self.writable = false,
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(self.connecting)
+    }
+
+    /// Whether reading may bring something.
+    pub fn is_readable(&self) -> bool {
+        self.readable && !self.connecting
+    }
+
+    /// Reads what there is, up to a turn's amount.
+    pub fn read(&mut self) -> Progress {
+        let mut left = TURN;
+        while left > 0 {
+            let chunk = self.lacks.max(CHUNK).min(left.max(CHUNK));
+            let have = self.input.len();
+            self.input.resize(have + chunk, 0);
+            let got = (&*self.socket).read(&mut self.input[have..]);
+            self.input.truncate(have + *got.as_ref().unwrap_or(&0));
+            match got {
+                Ok(0) => return Progress::Ended,
+                Ok(n) => {
+                    self.lacks = self.lacks.saturating_sub(n);
+                    left = left.saturating_sub(n);
+                    // Read on also after a short read: an end that came with the bytes brings no edge of its own.
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    self.readable = false;
+                    return Progress::Drained;
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return Progress::Ended,
+            }
+        }
+        Progress::More
+    }
+
+    /// Gives back a large buffer that holds nothing.
+    pub fn trim(&mut self) {
+        if self.input.is_empty() && self.input.capacity() > KEEP {
+            self.input = BytesMut::new();
+        }
+    }
+
+    /// Appends a message to what waits to go out.
+    pub fn push(&mut self, message: Outgoing) {
+        self.output.push(message);
+    }
+
+    /// Takes a message back of which no byte was written.
+    pub fn withdraw(&mut self, key: u64) -> bool {
+        self.output.withdraw(key)
+    }
+
+    /// Bytes that wait to go out.
+    pub fn queued(&self) -> usize {
+        self.output.bytes()
+    }
+
+    /// Writes what the kernel takes; appends the keys of messages written whole.
+    pub fn flush(&mut self, written: &mut Vec<u64>) -> io::Result<()> {
+        if self.connecting || !self.writable || self.output.is_empty() {
+            return Ok(());
+        }
+        self.writable = self.output.flush(&mut &*self.socket, written)?;
+        Ok(())
+    }
+
+    /// Ends the connection.
+    pub fn close<D: 'static>(mut self, handle: &LoopHandle<'static, D>) {
+        if let Some(token) = self.token.take() {
+            handle.remove(token);
+        }
+    }
+}
