--- a/crates/deckproxy/src/program/gateway.rs
+++ b/crates/deckproxy/src/program/gateway.rs
@@ -1,5 +1,6 @@
 //! One gateway: its connections, the router between them, and the chores of keeping them.
 
+use crate::program::usage::Usage;
 use crate::protocol::config::Config;
 use crate::protocol::feed::Line;
 use crate::protocol::front::{self, Answer, Message};
@@ -48,6 +49,7 @@
     Connect(LinkId),
     Feed,
     Accept,
+    Unsent(AttemptKey),
     Stragglers,
     LastCall,
 }
@@ -74,6 +76,8 @@
     feed_at: Option<SocketAddr>,
     feed: Option<Feed>,
     feed_wait: f64,
+    /// The last event before a gap for which the feed was asked again.
+    feed_gap: Option<u64>,
     ready: VecDeque<Peer>,
     accepting: bool,
     next: u64,
@@ -106,6 +110,7 @@
             feed_at: config.feed,
             feed: None,
             feed_wait: limits::FEED_BACKOFF.0,
+            feed_gap: None,
             ready: VecDeque::new(),
             accepting: true,
             next: 0,
@@ -164,7 +169,7 @@
             self.due(now);
         }
         if self.terminating.is_some() && self.listener.is_none() && self.router.owed() == 0 {
-            self.done = self.clients.values().all(|c| c.stream.queued() == 0);
+            self.finish(clock::now());
         }
         self.most_sockets = self.most_sockets.max(self.clients.len() + self.links.len());
         self.longest_turn = self.longest_turn.max(clock::now() - start);
@@ -173,6 +178,17 @@
         self.alarm.set(&self.handle, next)
     }
 
+    /// All is answered: closes the clients' connections once that is written, and then the process ends.
+    fn finish(&mut self, now: f64) {
+        for id in self.clients.keys().copied().collect::<Vec<_>>() {
+            if let Some(client) = self.clients.get_mut(&id).filter(|c| c.closing().is_none()) {
+                client.begin_close(now);
+                self.flush_client(now, id);
+            }
+        }
+        self.done = self.clients.is_empty();
+    }
+
     fn due(&mut self, now: f64) {
         self.router.tick(now);
         while let Some((_, chore)) = self.chores.due(now) {
@@ -198,6 +214,7 @@
                         listener.close(&self.handle);
                     }
                 }
+                Chore::Unsent(key) => self.take_back(now, key),
                 Chore::LastCall => self.router.end_all(now),
             }
         }
@@ -219,7 +236,7 @@
                 Effect::Withdraw { key, .. } => self.withdraw(now, key),
                 Effect::Answer { client, id, answer } => self.answer(now, client, id, &answer),
                 Effect::Close(member) => self.close_idle(member),
-                Effect::Log(text) => info!(self.log, "router"; "said" => text),
+                Effect::Log(text) => self.line(&text),
             }
         }
     }
@@ -291,9 +308,6 @@
         let progress = if client.wants_reading() { client.read(now) } else { Progress::Drained };
         loop {
             let Some(client) = self.clients.get_mut(&id) else { return };
-            if client.closing {
-                break;
-            }
             match client.take_message() {
                 Ok(None) => break,
                 Ok(Some(message)) => self.client_message(clock::now(), id, message),
@@ -302,8 +316,9 @@
                     if let Some(request) = broken.id {
                         client.answer(request, &Answer::Unusable(broken.why), false);
                     }
-                    client.closing = true;
+                    client.begin_close(now);
                     self.router.counters.unusable += 1;
+                    self.router.client_gone(now, id);
                     self.line(&format!("a client's connection closes: {}", broken.why));
                     self.flush_client(now, id);
                 }
@@ -323,8 +338,8 @@
             Message::Call(request, call) => {
                 if self.router.is_open(id, request) {
                     // Two open requests of one id: no answer could be told from the other's.
-                    client.closing = true;
                     self.router.counters.unusable += 1;
+                    self.line("a client's connection closes: two open requests of one id");
                     return self.end_client(now, id);
                 }
                 if client.admit() {
@@ -364,7 +379,7 @@
         let before = client.stream.queued();
         let broken = client.flush(now).is_err();
         let left = client.stream.queued();
-        if broken || client.closing && left == 0 {
+        if broken {
             self.end_client(now, id);
         } else if before >= limits::CLIENT_OUTGOING && left < limits::CLIENT_OUTGOING {
             Self::queue(&mut self.ready, Peer::Client(id));
@@ -397,6 +412,19 @@
             self.carried.insert(key, id);
         }
         self.flush_link(now, id);
+        if self.links.get(&id).is_some_and(|h| !h.link.is_written(key)) {
+            self.chores.set(now + self.router.conf().limits.connect, Chore::Unsent(key));
+        }
+    }
+
+    /// An attempt that could not begin to be written for as long as a connection may take never will be: what
+    /// was decided with it, on drains, purges and cold members, holds no more.
+    fn take_back(&mut self, now: f64, key: AttemptKey) {
+        let held = self.carried.get(&key).and_then(|id| self.links.get_mut(id));
+        if held.is_some_and(|h| h.link.take_back(key)) {
+            self.carried.remove(&key);
+            self.router.broke(now, key, Broke::NeverSent);
+        }
     }
 
     /// A connection that can take an attempt of that name, made if there is none.
@@ -576,16 +604,17 @@
             match feed.take_line(now) {
                 Ok(None) => break,
                 Ok(Some(Ok(Line::Last(last)))) => {
-                    self.feed_wait = limits::FEED_BACKOFF.0;
-                    if last > self.router.last_event() {
+                    if last > self.router.last_event() && !self.gap_is_final() {
                         return self.lose_feed(now, "events are missing");
                     }
+                    self.feed_wait = limits::FEED_BACKOFF.0;
                 }
                 Ok(Some(Ok(Line::Event(number, news)))) => {
-                    self.feed_wait = limits::FEED_BACKOFF.0;
-                    if !self.router.feed(now, number, news) {
+                    let gaps = self.feed_gap == Some(self.router.last_event());
+                    if !self.router.feed(now, number, news, gaps) && !self.gap_is_final() {
                         return self.lose_feed(now, "events are missing");
                     }
+                    self.feed_wait = limits::FEED_BACKOFF.0;
                     self.pump(now);
                 }
                 Ok(Some(Err(why))) => self.line(&format!("a line of the feed was dropped: {why}")),
@@ -599,6 +628,12 @@
         }
     }
 
+    /// Whether the feed was asked again already for what follows the last event; if not, it will be.
+    fn gap_is_final(&mut self) -> bool {
+        let last = Some(self.router.last_event());
+        std::mem::replace(&mut self.feed_gap, last) == last
+    }
+
     /// The feed's connection is of no more use: a new one is made after a while that grows.
     fn lose_feed(&mut self, now: f64, why: &str) {
         if let Some(feed) = self.feed.take() {
@@ -626,6 +661,7 @@
             let quiet = now - c.idle_since();
             c.stream.queued() > 0 && quiet > limits::CLIENT_STALL
                 || c.is_idle() && quiet > limits::CLIENT_IDLE
+                || c.closing().is_some_and(|since| now - since > limits::LINGER)
         };
         let stale: Vec<ClientId> = self.clients.iter().filter(|(_, c)| stale(c)).map(|(id, _)| *id).collect();
         for id in stale {
@@ -663,6 +699,7 @@
     /// Writes the summary.
     pub fn summary(&mut self, name: &'static str) {
         let c = self.router.counters;
+        let usage = Usage::now();
         let endings: Vec<String> =
             ENDINGS.iter().zip(c.endings).filter(|(_, n)| *n > 0).map(|(w, n)| format!("{w}:{n}")).collect();
         info!(self.log, "{}", name;
@@ -671,6 +708,7 @@
             "attempts" => endings.join(","), "probes" => c.probes,
             "clients" => self.clients.len(), "links" => self.links.len(), "most_sockets" => self.most_sockets,
             "feed" => self.feed.is_some(), "event" => self.router.last_event(),
+            "cpu_ms" => usage.cpu, "memory_kb" => usage.memory, "descriptors" => usage.descriptors,
             "broken" => c.broken, "overdue" => c.overdue, "timer_late_ms" => format!("{:.1}", c.late),
             "longest_turn_ms" => format!("{:.1}", self.longest_turn));
     }
--- a/crates/deckproxy/src/program/mod.rs
+++ b/crates/deckproxy/src/program/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod gateway;
 pub mod logging;
+pub mod usage;
 
 use crate::protocol::config;
 use crate::transport::clock;
--- a/crates/deckproxy/src/protocol/back.rs
+++ b/crates/deckproxy/src/protocol/back.rs
@@ -149,7 +149,11 @@
         "dead" => Word::Alive(false),
         _ => return Err("an unknown word"),
     };
-    let body = strings.get(3).map_or(Bytes::new(), |r| whole.slice(r.clone()));
+    // A small body would keep the whole buffer alive that it came in, many times its size.
+    let body = strings.get(3).map_or(Bytes::new(), |r| match r.len() {
+        0..limits::SMALL_BODY => Bytes::copy_from_slice(&whole[r.clone()]),
+        _ => whole.slice(r.clone()),
+    });
     if word == Word::Ok && strings.len() < 4 {
         return Err("an answer without its body");
     }
--- a/crates/deckproxy/src/protocol/feed.rs
+++ b/crates/deckproxy/src/protocol/feed.rs
@@ -54,6 +54,8 @@
     PurgeGroup(u32, f64),
     /// Something this version does not know.
     Unknown,
+    /// It can't be read; only its number counts.
+    Unreadable(String),
 }
 
 /// A line.
@@ -98,10 +100,14 @@
     }
 }
 
-/// Reads one event.
+/// Reads one event; only one without a number is an error.
 pub fn event(value: &Value) -> Result<(u64, News), String> {
     let number = value["n"].as_u64().ok_or("an event without its number")?;
-    let news = if let Some(list) = value.get("members") {
+    Ok((number, news(value).unwrap_or_else(News::Unreadable)))
+}
+
+fn news(value: &Value) -> Result<News, String> {
+    Ok(if let Some(list) = value.get("members") {
         let entries = list["members"].as_array().ok_or("a list without its members")?;
         let read: Vec<Entry> = entries.iter().filter_map(entry).collect();
         let whole = list["complete"].as_bool().unwrap_or(false);
@@ -116,8 +122,7 @@
         }
     } else {
         News::Unknown
-    };
-    Ok((number, news))
+    })
 }
 
 fn entry(value: &Value) -> Option<Entry> {
--- a/crates/deckproxy/src/protocol/limits.rs
+++ b/crates/deckproxy/src/protocol/limits.rs
@@ -13,6 +13,8 @@
 pub const FIELD: usize = 128;
 /// Most bytes of an object.
 pub const OBJECT: usize = 240_000;
+/// Bodies below this size are copied out of the buffer that they came in.
+pub const SMALL_BODY: usize = 16 * 1024;
 /// Strings in one answer of a member.
 pub const MEMBER_STRINGS: usize = 8;
 /// Longest string of a member's answer other than its body.
@@ -40,14 +42,15 @@
 pub const CLIENT_STALL: f64 = 10_000.0;
 /// Milliseconds that a client's connection may be idle, well over the four seconds after which clients close.
 pub const CLIENT_IDLE: f64 = 30_000.0;
+/// Milliseconds that a client has to close its side of a connection that closes.
+pub const LINGER: f64 = 300.0;
 /// Milliseconds before a member's idle close at which a connection is not used any more.
 pub const IDLE_MARGIN: f64 = 500.0;
 /// Milliseconds for a probe.
 pub const PROBE: f64 = 1000.0;
-/// Bytes waiting for clients from which no more is read; one client's share of that.
-pub const OUTGOING: usize = 48 * 1024 * 1024;
+/// Bytes waiting for all clients from which no more is read from members.
+pub const OUTGOING: usize = 24 * 1024 * 1024;
 /// Bytes waiting for one client from which its requests are not read.
 pub const CLIENT_OUTGOING: usize = 1024 * 1024;
-/// Bytes waiting for one member's connection from which another connection is opened, and from which
-/// attempts fail as never sent.
+/// Bytes waiting for one member's connection from which another connection is opened.
 pub const MEMBER_OUTGOING: usize = 4 * 1024 * 1024;
--- a/crates/deckproxy/src/routing/router.rs
+++ b/crates/deckproxy/src/routing/router.rs
@@ -11,7 +11,10 @@
 use crate::routing::members::{Members, Place};
 use crate::routing::timers::Timers;
 use deckproxy_control::Control;
-use deckproxy_control::interface::*;
+use deckproxy_control::interface::{
+    Action, Effect as Repeats, Ending, Event, Lifecycle, ListKind, Load, Member, MemberId, Note, Request,
+    RequestId,
+};
 use deckproxy_settings::Conf;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
@@ -231,6 +234,10 @@
             self.counters.unusable += 1;
             return self.effects.push_back(answer(Answer::Unusable("an unknown class")));
         };
+        if call.key.is_none() && self.conf.settings.classes[class].effect == Repeats::Keyed {
+            self.counters.unusable += 1;
+            return self.effects.push_back(answer(Answer::Unusable("replay is missing")));
+        }
         if self.names.contains(&call.name) {
             // Attempts go by this name on the members' connections: two of one name can't be told apart.
             self.counters.unusable += 1;
@@ -303,14 +310,15 @@
         if let Some(member) = self.probes.remove(&at) {
             return self.tell(now, Event::Probed { member, ok: reply.word == Word::Alive(true), load });
         }
+        let tagged = self.open.get(&((at / ATTEMPTS) as RequestId)).is_some_and(|o| o.call.have.is_some());
         let (ending, answer) = match reply.word {
             Word::Ok => (Ending::Ok, Some(Answer::Served(reply.body))),
-            Word::Unchanged => (Ending::Ok, Some(Answer::Unchanged)),
+            Word::Unchanged if tagged => (Ending::Ok, Some(Answer::Unchanged)),
             Word::Miss => (Ending::Miss, None),
             Word::Full => (Ending::Full, None),
             Word::Over => (Ending::Moot, None),
-            // A probe's word under an attempt's id proves nothing.
-            Word::Error | Word::Alive(_) => (Ending::Error, None),
+            // A probe's word under an attempt's id, and that a copy holds that nobody named, prove nothing.
+            Word::Error | Word::Alive(_) | Word::Unchanged => (Ending::Error, None),
         };
         self.end(now, at, ending, answer, load);
     }
@@ -332,12 +340,13 @@
         self.end(now, at, if sent { ending } else { Ending::Moot }, None, None);
     }
 
-    /// The feed told an event. Tells whether it followed the last one; one that was told before is passed over.
-    pub fn feed(&mut self, now: f64, number: u64, news: News) -> bool {
+    /// The feed told an event. One that was told before is passed over. Tells whether it followed the last one;
+    /// if some are missing it is not taken, unless `gaps` says that they can't be had.
+    pub fn feed(&mut self, now: f64, number: u64, news: News, gaps: bool) -> bool {
         if number <= self.last_event {
             return true;
         }
-        if number != self.last_event + 1 {
+        if number != self.last_event + 1 && !gaps {
             return false;
         }
         self.last_event = number;
@@ -387,6 +396,9 @@
                     let text = format!("{dropped} lines of the list of members could not be read");
                     self.effects.push_back(Effect::Log(text));
                 }
+                // What is idle to one that has left is closed at once; the address may get a new member.
+                let gone = all.iter().filter(|m| m.lifecycle == Lifecycle::Gone).map(|m| Effect::Close(m.id));
+                self.effects.extend(gone);
                 self.tell(now, Event::Members(if whole { whole_list } else { ListKind::Delta }, all));
             }
             News::PurgeObject(object, at) => {
@@ -398,6 +410,9 @@
                 self.tell(now, Event::Purged { object: None, group, age });
             }
             News::Unknown => {}
+            News::Unreadable(why) => {
+                self.effects.push_back(Effect::Log(format!("an event of the feed can't be read: {why}")));
+            }
         }
     }
 
--- a/crates/deckproxy/src/transport/client.rs
+++ b/crates/deckproxy/src/transport/client.rs
@@ -20,8 +20,9 @@
     open: usize,
     /// When something last came or went.
     moved: f64,
-    /// Nothing more is read; it closes once what waits is written.
-    pub closing: bool,
+    /// Since when nothing that comes is looked at; it closes once what waits is written.
+    closing: Option<f64>,
+    shut: bool,
     written: Vec<u64>,
 }
 
@@ -29,7 +30,7 @@
     /// A connection just accepted.
     pub fn new(stream: Stream, now: f64) -> Self {
         let (decoder, written) = (Decoder::default(), Vec::new());
-        Client { stream, decoder, open: 0, moved: now, closing: false, written }
+        Client { stream, decoder, open: 0, moved: now, closing: None, shut: false, written }
     }
 
     /// Reads what has come.
@@ -40,11 +41,25 @@
 
     /// Whether its requests are to be read: not while it leaves many answers unread.
     pub fn wants_reading(&self) -> bool {
-        !self.closing && self.stream.is_readable() && self.stream.queued() < limits::CLIENT_OUTGOING
+        self.stream.is_readable() && self.stream.queued() < limits::CLIENT_OUTGOING
+    }
+
+    /// Begins to close: nothing that comes is looked at, what waits is written.
+    pub fn begin_close(&mut self, now: f64) {
+        self.closing.get_or_insert(now);
+    }
+
+    /// Since when it has been closing.
+    pub fn closing(&self) -> Option<f64> {
+        self.closing
     }
 
     /// The next message that has come whole.
     pub fn take_message(&mut self) -> Result<Option<Message>, Broken> {
+        if self.closing.is_some() {
+            self.stream.input.clear();
+            return Ok(None);
+        }
         let message = self.decoder.next(&mut self.stream.input);
         if message == Ok(None) {
             self.stream.lacks = self.decoder.lacks(self.stream.input.len());
@@ -95,6 +110,9 @@
         }
         let counted = self.written.drain(..).filter(|key| *key == COUNTED).count();
         self.open = self.open.saturating_sub(counted);
+        if self.closing.is_some() && self.stream.queued() == 0 && !std::mem::replace(&mut self.shut, true) {
+            self.stream.shut();
+        }
         Ok(())
     }
 }
--- a/crates/deckproxy/src/transport/member.rs
+++ b/crates/deckproxy/src/transport/member.rs
@@ -75,6 +75,22 @@
         self.stream.push(Outgoing { key, parts });
     }
 
+    /// Takes back an attempt of which no byte was written. Tells whether that was so.
+    pub fn take_back(&mut self, key: u64) -> bool {
+        if !self.stream.withdraw(key) {
+            return false;
+        }
+        if let Some(ask) = self.asks.remove(&key) {
+            self.names.remove(&ask.name);
+        }
+        true
+    }
+
+    /// Whether an attempt is written whole.
+    pub fn is_written(&self, key: u64) -> bool {
+        self.asks.get(&key).is_none_or(|a| a.written.is_some())
+    }
+
     /// Gives an attempt up; none if it is not here. Tells whether some of it was written. A connection on which
     /// nothing came for `patience` ms since it was written whole may be dead without a word: it is retired.
     pub fn withdraw(&mut self, key: u64, now: f64, patience: f64) -> Option<bool> {
--- a/crates/deckproxy/src/transport/stream.rs
+++ b/crates/deckproxy/src/transport/stream.rs
@@ -9,7 +9,7 @@
 use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io::{self, Read};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 
 /// Bytes read in one call where no longer message is awaited, and in all before others have their turn.
@@ -183,6 +183,13 @@
         Ok(())
     }
 
+    /// Tells the other side that nothing more comes. What it still sends is read and dropped until it closes
+    /// too: closing with bytes unread would take back what it has not read.
+    pub fn shut(&mut self) {
+        // Fails only where the connection is broken already, which reading tells.
+        let _ = self.socket.shutdown(Shutdown::Write);
+    }
+
     /// Ends the connection.
     pub fn close<D: 'static>(mut self, handle: &LoopHandle<'static, D>) {
         if let Some(token) = self.token.take() {
