--- a/crates/deckproxy/src/main.rs
+++ b/crates/deckproxy/src/main.rs
@@ -4,8 +4,7 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    let (log, _guard) = deckproxy::program::logging::start();
-    match deckproxy::program::run(&log) {
+    match deckproxy::program::run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
             eprintln!("deckproxy: {why}");
--- a/crates/deckproxy/src/program/gateway.rs
+++ b/crates/deckproxy/src/program/gateway.rs
@@ -50,6 +50,7 @@
     Feed,
     Accept,
     Unsent(AttemptKey),
+    Linger(ClientId),
     Stragglers,
     LastCall,
 }
@@ -181,8 +182,9 @@
     /// All is answered: closes the clients' connections once that is written, and then the process ends.
     fn finish(&mut self, now: f64) {
         for id in self.clients.keys().copied().collect::<Vec<_>>() {
-            if let Some(client) = self.clients.get_mut(&id).filter(|c| c.closing().is_none()) {
-                client.begin_close(now);
+            if let Some(client) = self.clients.get_mut(&id).filter(|c| !c.is_closing()) {
+                client.begin_close();
+                self.chores.set(now + limits::LINGER, Chore::Linger(id));
                 self.flush_client(now, id);
             }
         }
@@ -215,6 +217,7 @@
                     }
                 }
                 Chore::Unsent(key) => self.take_back(now, key),
+                Chore::Linger(id) => self.end_client(now, id),
                 Chore::LastCall => self.router.end_all(now),
             }
         }
@@ -316,7 +319,8 @@
                     if let Some(request) = broken.id {
                         client.answer(request, &Answer::Unusable(broken.why), false);
                     }
-                    client.begin_close(now);
+                    client.begin_close();
+                    self.chores.set(now + limits::LINGER, Chore::Linger(id));
                     self.router.counters.unusable += 1;
                     self.router.client_gone(now, id);
                     self.line(&format!("a client's connection closes: {}", broken.why));
@@ -661,7 +665,6 @@
             let quiet = now - c.idle_since();
             c.stream.queued() > 0 && quiet > limits::CLIENT_STALL
                 || c.is_idle() && quiet > limits::CLIENT_IDLE
-                || c.closing().is_some_and(|since| now - since > limits::LINGER)
         };
         let stale: Vec<ClientId> = self.clients.iter().filter(|(_, c)| stale(c)).map(|(id, _)| *id).collect();
         for id in stale {
--- a/crates/deckproxy/src/program/mod.rs
+++ b/crates/deckproxy/src/program/mod.rs
@@ -16,7 +16,16 @@
 const LONGEST_WAIT: Duration = Duration::from_millis(500);
 
 /// Reads the configuration that the environment names, serves until told to end, and tells what went wrong.
-pub fn run(log: &Logger) -> Result<(), String> {
+pub fn run() -> Result<(), String> {
+    // Before any thread starts, the log's too: the signals are blocked for all threads and read from a
+    // descriptor. One thread that does not block them would let the first signal end the process.
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(|e| e.to_string())?;
+    let config = configuration()?;
+    let (log, _guard) = logging::start();
+    serve(&log, signals, config).map_err(|e| format!("the event loop failed: {e}"))
+}
+
+fn configuration() -> Result<config::Config, String> {
     let path = std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG is not set".to_string())?;
     let text = std::fs::read(&path).map_err(|e| format!("cannot read the configuration {path}: {e}"))?;
     let mut config = config::read(&text)?;
@@ -26,12 +35,10 @@
     if let Ok(name) = std::env::var("GW_NAME") {
         config.name = name;
     }
-    serve(log, config).map_err(|e| format!("the event loop failed: {e}"))
+    Ok(config)
 }
 
-fn serve(log: &Logger, config: config::Config) -> Result<(), String> {
-    // Before any thread or connection: the signal is blocked for all of them and read from a descriptor.
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(|e| e.to_string())?;
+fn serve(log: &Logger, signals: Signals, config: config::Config) -> Result<(), String> {
     let mut events: EventLoop<'static, Gateway> = EventLoop::try_new().map_err(|e| e.to_string())?;
     let handle = events.handle();
     handle
--- a/crates/deckproxy/src/protocol/front.rs
+++ b/crates/deckproxy/src/protocol/front.rs
@@ -77,8 +77,9 @@
 pub struct Decoder {
     /// Bytes of the message that were passed over; may lie beyond what has come.
     at: usize,
-    /// Values still to pass over; 0 between messages.
-    left: u64,
+    /// Within a message, values still to pass over. None are left while the end of the last one, a body, is
+    /// still to come: that is not the same as standing between messages.
+    left: Option<u64>,
     values: u64,
 }
 
@@ -139,23 +140,25 @@
     }
 
     fn scan(&mut self, bytes: &[u8]) -> Result<bool, &'static str> {
-        if self.left == 0 {
+        if self.left.is_none() {
             match bytes.first().map(|b| Marker::from_u8(*b)) {
                 None => return Ok(false),
-                Some(Marker::FixArray(_) | Marker::Array16 | Marker::Array32) => self.left = 1,
+                Some(Marker::FixArray(_) | Marker::Array16 | Marker::Array32) => self.left = Some(1),
                 Some(_) => return Err("not a message"),
             }
         }
-        while self.left > 0 && self.at < bytes.len() {
+        let mut left = self.left.unwrap_or(0);
+        while left > 0 && self.at < bytes.len() {
             let Some((len, more)) = extent(&bytes[self.at..])? else { return Ok(false) };
             self.at += len;
             self.values += 1;
-            self.left = self.left - 1 + more;
-            if self.at > limits::CLIENT_MESSAGE || self.values + self.left > limits::CLIENT_VALUES {
+            left = left - 1 + more;
+            self.left = Some(left);
+            if self.at > limits::CLIENT_MESSAGE || self.values + left > limits::CLIENT_VALUES {
                 return Err("a message over the limit");
             }
         }
-        Ok(self.left == 0 && self.at <= bytes.len())
+        Ok(left == 0 && self.at <= bytes.len())
     }
 }
 
--- a/crates/deckproxy/src/protocol/limits.rs
+++ b/crates/deckproxy/src/protocol/limits.rs
@@ -33,7 +33,7 @@
 /// Milliseconds that a longest deadline counts at most when a planned restart is timed.
 pub const LONGEST_COUNTED: f64 = 3000.0;
 /// Milliseconds before the kill that ends a planned restart at which all that is open is ended.
-pub const LAST_CALL: f64 = 150.0;
+pub const LAST_CALL: f64 = 400.0;
 /// Milliseconds without a line after which the feed's connection is taken for dead; it sends one each second.
 pub const FEED_SILENCE: f64 = 3000.0;
 /// Milliseconds from one try to connect to the feed until the next, at first and at most.
--- a/crates/deckproxy/src/transport/client.rs
+++ b/crates/deckproxy/src/transport/client.rs
@@ -20,8 +20,8 @@
     open: usize,
     /// When something last came or went.
     moved: f64,
-    /// Since when nothing that comes is looked at; it closes once what waits is written.
-    closing: Option<f64>,
+    /// Nothing that comes is looked at; it closes once what waits is written.
+    closing: bool,
     shut: bool,
     written: Vec<u64>,
 }
@@ -30,7 +30,7 @@
     /// A connection just accepted.
     pub fn new(stream: Stream, now: f64) -> Self {
         let (decoder, written) = (Decoder::default(), Vec::new());
-        Client { stream, decoder, open: 0, moved: now, closing: None, shut: false, written }
+        Client { stream, decoder, open: 0, moved: now, closing: false, shut: false, written }
     }
 
     /// Reads what has come.
@@ -45,18 +45,18 @@
     }
 
     /// Begins to close: nothing that comes is looked at, what waits is written.
-    pub fn begin_close(&mut self, now: f64) {
-        self.closing.get_or_insert(now);
+    pub fn begin_close(&mut self) {
+        self.closing = true;
     }
 
-    /// Since when it has been closing.
-    pub fn closing(&self) -> Option<f64> {
+    /// Whether it is closing.
+    pub fn is_closing(&self) -> bool {
         self.closing
     }
 
     /// The next message that has come whole.
     pub fn take_message(&mut self) -> Result<Option<Message>, Broken> {
-        if self.closing.is_some() {
+        if self.closing {
             self.stream.input.clear();
             return Ok(None);
         }
@@ -110,7 +110,7 @@
         }
         let counted = self.written.drain(..).filter(|key| *key == COUNTED).count();
         self.open = self.open.saturating_sub(counted);
-        if self.closing.is_some() && self.stream.queued() == 0 && !std::mem::replace(&mut self.shut, true) {
+        if self.closing && self.stream.queued() == 0 && !std::mem::replace(&mut self.shut, true) {
             self.stream.shut();
         }
         Ok(())
--- /dev/null
+++ b/crates/deckproxy/tests/clients.rs
@@ -0,0 +1,220 @@
+//! What clients send, and how a gateway holds against it.
+
+mod common;
+use common::*;
+use rmpv::Value;
+use std::time::Duration;
+
+const OBJECT: &str = "7f3a9c21e0b4d655";
+
+#[test]
+fn a_request_in_single_bytes_is_served() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let mut client = gateway.client();
+    let (id, bytes) = client.encode("page", &[("lookup", OBJECT)], &[]);
+    bytes.iter().for_each(|b| client.send(&[*b]));
+    let (cache, ask) = world.ask();
+    cache.answer(&ask, "200", b"whole");
+    client.served(id, b"whole");
+}
+
+#[test]
+fn bytes_that_mean_nothing_close_their_connection_and_no_other() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let mut good = gateway.client();
+    let id = good.get(OBJECT);
+    let (cache, ask) = world.ask();
+    let deep: Vec<u8> = std::iter::repeat_n(0x91, 100_000).collect();
+    let huge = b"\x94\x00\x07\xa4page\x92\x80\xc6\xff\xff\xff\xff".to_vec();
+    let many = b"\x94\x00\x07\xa4page\xdd\xff\xff\xff\xff".to_vec();
+    for bad in [b"GET / HTTP/1.1\r\n\r\n".to_vec(), vec![0xc1], vec![0x94, 0xc1], deep, huge, many] {
+        let mut client = gateway.client();
+        client.send(&bad);
+        client.closed();
+    }
+    cache.answer(&ask, "200", b"kept");
+    good.served(id, b"kept");
+}
+
+#[test]
+fn an_oversized_request_is_answered_before_its_connection_closes() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let mut client = gateway.client();
+    client.send(b"\x94\x00\x07\xa4page\x92\x80\xc6\x7f\xff\xff\xff");
+    client.error(7, "Unusable");
+    client.closed();
+}
+
+#[test]
+fn requests_that_can_not_be_used_get_an_error_and_the_connection_goes_on() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let mut client = gateway.client();
+    let bad = [
+        ("video", vec![("lookup", OBJECT)], 0),
+        ("page", vec![("lookup", "no hex at all!!!")], 0),
+        ("page", vec![], 0),
+        ("page", vec![("lookup", OBJECT), ("allow", "soon")], 0),
+        ("page", vec![("lookup", OBJECT), ("allow", "NaN")], 0),
+        ("page", vec![("lookup", OBJECT), ("seg", "-1")], 0),
+        ("page", vec![("lookup", OBJECT), ("ref", "short")], 0),
+        ("page", vec![("lookup", OBJECT), ("etag", "a,miss=s-00000004")], 0),
+        ("post", vec![("lookup", OBJECT), ("replay", "a\r\nb")], 0),
+        ("post", vec![("lookup", OBJECT), ("replay", "5c0f")], 48_001),
+    ];
+    for (class, fields, body) in bad {
+        let id = client.call(class, &fields, &vec![0; body]);
+        client.error(id, "Unusable");
+    }
+    client.send_value(&Value::Array(vec![0.into(), 99.into(), "page".into(), Value::Nil]));
+    client.error(99, "Unusable");
+    client.send_value(&Value::Array(vec![2.into(), "unknown".into(), Value::Array(vec![])]));
+    let id = client.get(OBJECT);
+    let (cache, ask) = world.ask();
+    cache.answer(&ask, "200", b"after");
+    client.served(id, b"after");
+    assert!(world.origin.maybe_ask().is_none(), "nothing of it went out");
+}
+
+#[test]
+fn a_33rd_open_request_is_refused_and_room_comes_back() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let mut client = gateway.client();
+    let ids: Vec<u64> = (0..32).map(|_| client.call("once", &[("lookup", OBJECT)], b"x")).collect();
+    let asks: Vec<Ask> = ids.iter().map(|_| world.origin.ask()).collect();
+    let over = client.call("once", &[("lookup", OBJECT)], b"x");
+    client.error(over, "Shed");
+    world.origin.answer(&asks[0], "200", b"one");
+    client.served(ids[0], b"one");
+    let id = client.call("once", &[("lookup", OBJECT)], b"x");
+    let ask = world.origin.ask();
+    world.origin.answer(&ask, "200", b"next");
+    client.served(id, b"next");
+}
+
+#[test]
+fn an_open_id_used_again_closes_the_connection() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let mut client = gateway.client();
+    let (_, bytes) = client.encode("page", &[("lookup", OBJECT)], &[]);
+    client.send(&bytes);
+    let (cache, ask) = world.ask();
+    client.send(&bytes);
+    client.closed();
+    cache.quit(&ask.id);
+}
+
+#[test]
+fn an_aborted_request_is_given_up_at_the_cache_and_never_answered() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let mut client = gateway.client();
+    let id = client.get(OBJECT);
+    let (cache, ask) = world.ask();
+    client.abort(id);
+    cache.quit(&ask.id);
+    cache.answer(&ask, "200", b"too late");
+    client.quiet();
+    let id = client.get(OBJECT);
+    let ask = cache.ask();
+    cache.answer(&ask, "200", b"next");
+    client.served(id, b"next");
+}
+
+#[test]
+fn a_clients_end_gives_up_its_requests_and_lets_another_lead() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let mut leader = gateway.client();
+    leader.get(OBJECT);
+    let (cache, ask) = world.ask();
+    cache.answer(&ask, "404", &[]);
+    let fill = cache.ask();
+    let mut waiter = gateway.client();
+    let id = waiter.get(OBJECT);
+    let look_up = cache.ask();
+    cache.answer(&look_up, "404", &[]);
+    assert!(cache.maybe_ask().is_none(), "it waits");
+    drop(leader);
+    cache.quit(&fill.id);
+    let next = cache.ask();
+    assert_eq!((&next.id, next.field("miss")), (&look_up.id, Some("s-00000003")));
+    cache.answer(&next, "200", b"filled");
+    waiter.served(id, b"filled");
+}
+
+#[test]
+fn the_deadline_counts_from_the_last_byte() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let mut client = gateway.client();
+    let (id, bytes) = client.encode("page", &[("lookup", OBJECT), ("allow", "300")], &[]);
+    let (most, last) = bytes.split_at(bytes.len() - 1);
+    client.send(most);
+    std::thread::sleep(Duration::from_millis(400));
+    client.send(last);
+    let (cache, ask) = world.ask();
+    assert!(ask.field("ttl").unwrap().parse::<u64>().unwrap() > 250);
+    cache.answer(&ask, "200", b"in time");
+    client.served(id, b"in time");
+}
+
+#[test]
+fn a_client_that_never_reads_holds_up_nobody_and_memory_stays_bounded() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let body = vec![9u8; 240_000];
+    let mut greedy: Vec<Client> = (0..12).map(|_| gateway.client()).collect();
+    let mut sent = 0;
+    for client in &mut greedy {
+        for _ in 0..32 {
+            client.get(OBJECT);
+            sent += 1;
+        }
+    }
+    let mut other = gateway.client();
+    let id = other.get("00000000000000aa");
+    let mut served = false;
+    for _ in 0..=sent {
+        let (cache, ask) = world.ask();
+        let last = ask.field("name") == Some("00000000000000aa");
+        cache.try_answer(&ask, "200", if last { b"mine" } else { &body });
+        served |= last;
+    }
+    assert!(served);
+    other.served(id, b"mine");
+    let (memory, _) = gateway.usage();
+    assert!(memory < 128 * 1024, "{memory} KB");
+    // 92 MB were answered to clients that read nothing; all of that is gone with them.
+    drop(greedy);
+    let id = other.get("00000000000000aa");
+    let (cache, ask) = world.ask();
+    cache.answer(&ask, "200", b"again");
+    other.served(id, b"again");
+}
+
+#[test]
+fn clients_beyond_the_budget_take_the_place_of_idle_ones() {
+    let world = World::start();
+    let mut setup = world.setup();
+    setup.sockets = 96;
+    let gateway = setup.start();
+    let mut busy = gateway.client();
+    let first = busy.get(OBJECT);
+    let (cache, ask) = world.ask();
+    let mut all = Vec::new();
+    for _ in 0..100 {
+        let mut client = gateway.client();
+        let id = client.ping();
+        assert_eq!(client.answer(), (id, Answer::Ready(true)));
+        all.push(client);
+        assert!(gateway.usage().1 <= 96, "{:?}", gateway.usage());
+    }
+    cache.answer(&ask, "200", b"kept");
+    busy.served(first, b"kept");
+}
--- a/crates/deckproxy/tests/common/mod.rs
+++ b/crates/deckproxy/tests/common/mod.rs
@@ -92,7 +92,9 @@
             buffer.extend_from_slice(&chunk[..n]);
             Some(true)
         }
-        Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => Some(false),
+        Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {
+            Some(false)
+        }
         Err(_) => None,
     }
 }
@@ -246,6 +248,13 @@
         self.send(ask.conn, &Self::encode(&ask.id, word, fields, body));
     }
 
+    /// Answers what may have been given up, its connection closed.
+    pub fn try_answer(&self, ask: &Ask, word: &str, body: &[u8]) {
+        let stream = self.conns.lock().unwrap().get(&ask.conn).cloned();
+        let bytes = Self::encode(&ask.id, word, "-", body);
+        let _ = stream.map(|s| (&mut &*s).write_all(&bytes));
+    }
+
     /// Breaks a connection with a reset.
     pub fn reset(&self, conn: u64) {
         let stream = self.conns.lock().unwrap().remove(&conn).expect("the connection is open");
@@ -267,6 +276,11 @@
         self.stalled.store(true, Ordering::SeqCst);
     }
 
+    /// Reads on.
+    pub fn resume(&self) {
+        self.stalled.store(false, Ordering::SeqCst);
+    }
+
     /// Takes no more connections: they are refused.
     pub fn refuse(&self) {
         self.listening.store(false, Ordering::SeqCst);
@@ -569,7 +583,8 @@
 
 impl Gateway {
     pub fn spawn(config: &str, address: SocketAddr) -> Self {
-        let name = format!("deckproxy-test-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
+        let name =
+            format!("deckproxy-test-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
         let path = std::env::temp_dir().join(name);
         std::fs::write(&path, config).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_deckproxy"))
@@ -669,11 +684,13 @@
     pub fn ask(&self) -> (&Member, Ask) {
         let mut got = None;
         until("a cache is asked", || {
-            got = self.caches.iter().find_map(|c| loop {
-                match c.seen.try_recv() {
-                    Ok(Seen::Ask(ask)) => break Some((c, ask)),
-                    Ok(_) => {}
-                    Err(_) => break None,
+            got = self.caches.iter().find_map(|c| {
+                loop {
+                    match c.seen.try_recv() {
+                        Ok(Seen::Ask(ask)) => break Some((c, ask)),
+                        Ok(_) => {}
+                        Err(_) => break None,
+                    }
                 }
             });
             got.is_some()
--- /dev/null
+++ b/crates/deckproxy/tests/lifecycle.rs
@@ -0,0 +1,125 @@
+//! Start, planned end, kill.
+
+mod common;
+use common::*;
+use serde_json::json;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+const OBJECT: &str = "7f3a9c21e0b4d655";
+
+#[test]
+fn told_to_end_it_serves_what_it_holds_and_the_stragglers_and_ends_by_itself() {
+    let world = World::start();
+    let mut gateway = world.setup().start();
+    let mut old = gateway.client();
+    let first = old.get(OBJECT);
+    let (cache, ask) = world.ask();
+    let start = Instant::now();
+    gateway.signal("TERM");
+    std::thread::sleep(Duration::from_millis(350));
+    // A new connection, and a request on an open one.
+    let mut new = gateway.client();
+    let ping = new.ping();
+    assert_eq!(new.answer(), (ping, Answer::Ready(false)));
+    let second = new.get(OBJECT);
+    let late = cache.ask();
+    std::thread::sleep(Duration::from_millis(200));
+    let third = old.get(OBJECT);
+    let later = cache.ask();
+    cache.answer(&later, "200", b"3");
+    old.served(third, b"3");
+    cache.answer(&late, "200", b"2");
+    new.served(second, b"2");
+    std::thread::sleep(Duration::from_millis(300));
+    assert!(gateway.child.try_wait().unwrap().is_none(), "one request is open");
+    cache.answer(&ask, "200", b"1");
+    old.served(first, b"1");
+    assert_eq!(gateway.ended(), Some(0));
+    assert!(start.elapsed() < Duration::from_millis(2200), "{:?}", start.elapsed());
+    assert!(gateway.log().contains("end"), "{}", gateway.log());
+}
+
+#[test]
+fn told_to_end_while_idle_it_stays_for_stragglers_only() {
+    let world = World::start();
+    let mut gateway = world.setup().start();
+    let _idle = gateway.client();
+    let start = Instant::now();
+    gateway.signal("TERM");
+    assert_eq!(gateway.ended(), Some(0));
+    assert!((600..1700).contains(&start.elapsed().as_millis()), "{:?}", start.elapsed());
+}
+
+#[test]
+fn told_to_end_it_answers_all_before_the_kill_that_follows() {
+    let world = World::start();
+    let mut setup = world.setup();
+    setup.settings["services"][0]["deadlineMs"] = json!(20_000.0);
+    let mut gateway = setup.start();
+    let mut client = gateway.client();
+    let id = client.call("page", &[("lookup", OBJECT), ("allow", "19000")], &[]);
+    let (_, _ask) = world.ask();
+    let start = Instant::now();
+    gateway.signal("TERM");
+    client.error(id, "Fault");
+    assert_eq!(gateway.ended(), Some(0));
+    assert!((3000..3700).contains(&start.elapsed().as_millis()), "{:?}", start.elapsed());
+}
+
+#[test]
+fn killed_and_started_again_it_serves_at_its_address_from_nothing() {
+    let world = World::start();
+    let setup = world.setup();
+    let gateway = setup.start();
+    let mut client = gateway.client();
+    client.get(OBJECT);
+    let _ = world.ask();
+    gateway.signal("KILL");
+    client.closed();
+    drop(gateway);
+    let gateway = setup.start();
+    let mut client = gateway.client();
+    let id = client.get(OBJECT);
+    let (cache, ask) = world.ask();
+    cache.answer(&ask, "200", b"again");
+    client.served(id, b"again");
+}
+
+#[test]
+fn a_configuration_that_can_not_be_read_ends_it_with_one_line_that_names_the_field() {
+    let world = World::start();
+    let good = world.setup().config();
+    let with = |path: &str, value: serde_json::Value| {
+        let mut config = good.clone();
+        *config.pointer_mut(path).unwrap() = value;
+        config.to_string()
+    };
+    let cases = [
+        ("{".to_string(), "JSON"),
+        (with("/feed", json!("nowhere")), "feed"),
+        (with("/seed", json!(null)), "seed"),
+        (with("/settings", json!(7)), "settings"),
+        (with("/settings/limits/sendCap", json!("many")), "limits.sendCap"),
+        (with("/settings/services/0/aimMs", json!("soon")), "services.0.aimMs"),
+        (with("/limits/sockets", json!(0)), "limits.sockets"),
+        (with("/known/events", json!([{"purge": {}}])), "known"),
+    ];
+    for (text, field) in cases {
+        let mut gateway = Gateway::spawn(&text, free_address());
+        assert_eq!(gateway.ended(), Some(1), "{field}");
+        until("the log is read", || gateway.log().contains('\n'));
+        let log = gateway.log();
+        assert!(log.lines().count() == 1 && log.contains(field), "{field}: {log}");
+    }
+}
+
+#[test]
+fn an_address_that_is_taken_ends_it() {
+    let world = World::start();
+    let setup = world.setup();
+    let _first = setup.start();
+    let mut second = Gateway::spawn(&setup.config().to_string(), setup.listen);
+    assert_eq!(second.ended(), Some(1));
+    assert!(TcpStream::connect(setup.listen).is_ok());
+}
--- /dev/null
+++ b/crates/deckproxy/tests/members.rs
@@ -0,0 +1,286 @@
+//! What members and their connections do, and the ending that follows. A broken promise would show as a request
+//! sent twice, not sent again, or answered late.
+
+mod common;
+use common::*;
+use serde_json::json;
+use socket2::{Domain, Socket, Type};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+const OBJECT: &str = "7f3a9c21e0b4d655";
+
+/// Asks and answers once, so that the connection is up; tells which cache holds the object.
+fn warm<'a>(world: &'a World, client: &mut Client) -> (&'a Member, u64) {
+    let id = client.get(OBJECT);
+    let (cache, ask) = world.ask();
+    cache.answer(&ask, "200", b"warm");
+    client.served(id, b"warm");
+    (cache, ask.conn)
+}
+
+#[test]
+fn a_refused_connection_proves_that_nothing_ran() {
+    let world = World::start();
+    world.origin.refuse();
+    let gateway = world.setup().start();
+    let mut client = gateway.client();
+    // Without a key it may be refused, with the word that a new try does no harm, only since it never ran.
+    let id = client.call("once", &[("lookup", OBJECT)], b"x");
+    client.error(id, "Shed");
+}
+
+/// An address whose queue of connections is full: a handshake never ends.
+fn black_hole() -> (Socket, Vec<TcpStream>, SocketAddr) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    socket.listen(0).unwrap();
+    let at = socket.local_addr().unwrap().as_socket().unwrap();
+    let mut held = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&at, Duration::from_millis(100)) {
+        held.push(stream);
+    }
+    (socket, held, at)
+}
+
+#[test]
+fn a_handshake_that_does_not_end_fails_in_time_and_never_ran() {
+    let world = World::start();
+    let (_socket, _held, at) = black_hole();
+    let mut setup = world.setup();
+    let entries = vec![
+        entry("s-00000009", at, "edge", "box", "Ready"),
+        world.parent.entry("hub", "parent", "Ready"),
+        world.origin.entry("hub", "origin", "Ready"),
+    ];
+    setup.events = vec![json!({"n": 1, "members": {"revision": 1, "complete": true, "members": entries}})];
+    let gateway = setup.start();
+    let mut client = gateway.client();
+    let start = Instant::now();
+    let id = client.get(OBJECT);
+    let ask = world.parent.ask();
+    assert!((380..700).contains(&start.elapsed().as_millis()), "{:?}", start.elapsed());
+    world.parent.answer(&ask, "200", b"done");
+    client.served(id, b"done");
+}
+
+#[test]
+fn a_silent_member_ends_at_the_deadline_and_its_connection_is_not_trusted_again() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let mut client = gateway.client();
+    let (cache, conn) = warm(&world, &mut client);
+    let start = Instant::now();
+    let id = client.get(OBJECT);
+    let ask = cache.ask();
+    assert_eq!(ask.conn, conn);
+    client.error(id, "Shed");
+    let took = start.elapsed().as_millis();
+    assert!((1195..1250).contains(&took), "{took} ms");
+    cache.quit(&ask.id);
+    // The process may be gone without a word: the next request tries a new connection.
+    let id = client.get(OBJECT);
+    let again = cache.ask();
+    assert_ne!(again.conn, conn);
+    cache.answer(&again, "200", b"back");
+    client.served(id, b"back");
+}
+
+#[test]
+fn a_connection_closed_while_idle_costs_nothing() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let mut client = gateway.client();
+    for _ in 0..3 {
+        let (cache, conn) = warm(&world, &mut client);
+        cache.close(conn);
+        cache.closed();
+    }
+    assert!(!gateway.log().contains("attempts out"), "{}", gateway.log());
+}
+
+#[test]
+fn a_connection_about_to_be_closed_for_being_idle_is_not_used() {
+    let world = World::start();
+    let mut setup = world.setup();
+    setup.settings["limits"]["connIdleMs"] = json!(1000.0);
+    let gateway = setup.start();
+    let mut client = gateway.client();
+    let (cache, first) = warm(&world, &mut client);
+    // The gateway closes it itself, half a second before the member would.
+    let start = Instant::now();
+    cache.closed();
+    assert!(start.elapsed() < Duration::from_millis(1000), "{:?}", start.elapsed());
+    let (_, second) = warm(&world, &mut client);
+    assert_ne!(first, second);
+}
+
+#[test]
+fn one_connection_carries_as_many_as_the_settings_say() {
+    let world = World::start();
+    let mut setup = world.setup();
+    setup.settings["limits"]["maxStreams"] = json!(4);
+    let gateway = setup.start();
+    let mut client = gateway.client();
+    let names: Vec<String> = (0..10).map(|_| fresh_name()).collect();
+    let call = |name: &String| client.call("once", &[("lookup", OBJECT), ("ref", name)], b"x");
+    let ids: Vec<u64> = names.iter().map(call).collect();
+    let asks: Vec<Ask> = ids.iter().map(|_| world.origin.ask()).collect();
+    let mut carried = std::collections::BTreeMap::new();
+    asks.iter().for_each(|a| *carried.entry(a.conn).or_insert(0) += 1);
+    assert_eq!(carried.values().copied().collect::<Vec<_>>(), [4, 4, 2]);
+    for ask in &asks {
+        world.origin.answer(ask, "200", ask.id.as_bytes());
+        let at = names.iter().position(|n| *n == ask.id).unwrap();
+        client.served(ids[at], ask.id.as_bytes());
+    }
+}
+
+#[test]
+fn an_answer_that_comes_byte_by_byte_is_whole() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let mut client = gateway.client();
+    let id = client.get(OBJECT);
+    let (cache, ask) = world.ask();
+    for byte in Member::encode(&ask.id, "200", "entity=t,issued=1", b"one\r\n*4\r\ntwo") {
+        cache.send(ask.conn, &[byte]);
+    }
+    client.served(id, b"one\r\n*4\r\ntwo");
+}
+
+#[test]
+fn an_answer_broken_off_in_its_body_is_a_reset() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let mut client = gateway.client();
+    let id = client.get(OBJECT);
+    let (cache, ask) = world.ask();
+    let bytes = Member::encode(&ask.id, "200", "-", &[7; 5000]);
+    cache.send(ask.conn, &bytes[..3000]);
+    cache.close(ask.conn);
+    let other = world.other(cache);
+    let again = other.ask();
+    other.answer(&again, "200", b"whole");
+    client.served(id, b"whole");
+}
+
+#[test]
+fn a_member_that_vanishes_costs_only_its_own_requests() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let mut client = gateway.client();
+    let objects: Vec<String> = (0..20u64).map(|i| format!("{:016x}", i * 0x0101_0101_0101)).collect();
+    let ids: Vec<u64> = objects.iter().map(|o| client.get(o)).collect();
+    let asks: Vec<(&Member, Ask)> = ids.iter().map(|_| world.ask()).collect();
+    let (gone, kept): (Vec<_>, Vec<_>) = asks.iter().partition(|(m, _)| m.id == world.caches[0].id);
+    assert!(!gone.is_empty() && !kept.is_empty());
+    world.caches[0].refuse();
+    world.caches[0].reset(gone[0].1.conn);
+    let mut served = 0;
+    for (member, ask) in &kept {
+        member.answer(ask, "200", b"kept");
+        served += 1;
+    }
+    // Those of the one that vanished go to the other, as far as the budget for further attempts reaches.
+    let mut answers = 0;
+    while answers < ids.len() {
+        while let Some(ask) = world.caches[1].maybe_ask() {
+            world.caches[1].answer(&ask, "200", b"moved");
+            served += 1;
+        }
+        while answers < ids.len() && served > 0 {
+            match client.answer().1 {
+                Answer::Served(..) => served -= 1,
+                Answer::Error(word, _) => assert_eq!(word, "Shed"),
+                Answer::Ready(_) => unreachable!(),
+            }
+            answers += 1;
+            if served == 0 {
+                break;
+            }
+        }
+        if served == 0 && answers < ids.len() && world.caches[1].maybe_ask().is_none() {
+            client.answer();
+            answers += 1;
+        }
+    }
+}
+
+#[test]
+fn an_address_taken_over_by_a_new_member_gets_a_new_connection() {
+    let world = World::start();
+    let feed = Feed::start();
+    let mut setup = world.setup();
+    setup.feed = feed.address;
+    let gateway = setup.start();
+    let mut client = gateway.client();
+    let (cache, conn) = warm(&world, &mut client);
+    let other = world.other(cache);
+    let (_, line) = feed.sub();
+    let members = [
+        cache.entry("edge", "box", "Gone"),
+        other.entry("edge", "box", "Gone"),
+        entry("s-0000000a", cache.address, "edge", "box", "Ready"),
+    ];
+    tell(&line, &json!({"n": 2, "members": {"revision": 2, "complete": false, "members": members}}));
+    // The old member's idle connection ends, though the address is the same.
+    cache.closed();
+    let id = client.get(OBJECT);
+    let ask = cache.ask();
+    assert_ne!(ask.conn, conn);
+    cache.answer(&ask, "200", b"new");
+    client.served(id, b"new");
+}
+
+#[test]
+fn what_a_member_that_reads_nothing_never_got_is_known_never_to_have_run() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let mut client = gateway.client();
+    // The origin's connection is up, then it reads no more: the kernel's buffers fill with bodies.
+    let id = client.call("once", &[("lookup", OBJECT)], b"x");
+    let ask = world.origin.ask();
+    world.origin.answer(&ask, "200", b"done");
+    client.served(id, b"done");
+    world.origin.stall();
+    let body = vec![1u8; 48_000];
+    let mut refused = Vec::new();
+    let mut failed = Vec::new();
+    let mut clients: Vec<Client> = (0..12).map(|_| gateway.client()).collect();
+    let mut names = Vec::new();
+    for client in &mut clients {
+        let name = |_| fresh_name();
+        let all: Vec<String> = (0..30).map(name).collect();
+        for name in &all {
+            client.call("once", &[("lookup", OBJECT), ("ref", name)], &body);
+        }
+        names.push(all);
+    }
+    for (client, names) in clients.iter_mut().zip(&names) {
+        for _ in names {
+            let (id, answer) = client.answer();
+            let name = names[usize::try_from(id).unwrap() - 1].clone();
+            match answer {
+                Answer::Error(word, _) if word == "Shed" => refused.push(name),
+                Answer::Error(word, _) if word == "Fault" => failed.push(name),
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+    assert!(refused.len() > 50 && failed.len() > 5, "{} refused, {} failed", refused.len(), failed.len());
+    // Now it reads what the kernel kept: nothing of what was refused is in it.
+    world.origin.resume();
+    while let Some(ask) = world.origin.maybe_ask() {
+        assert!(failed.contains(&ask.id), "{} was refused and yet came", ask.id);
+    }
+}
+
+#[test]
+fn probes_of_the_module_are_not_sent_unless_it_asks() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let mut client = gateway.client();
+    warm(&world, &mut client);
+    assert!(world.caches.iter().all(|c| c.maybe_ask().is_none()));
+}
--- a/crates/deckproxy/tests/serving.rs
+++ b/crates/deckproxy/tests/serving.rs
@@ -17,7 +17,10 @@
     let id = client.call("page", &fields, &[]);
     let (cache, ask) = world.ask();
     assert_eq!(ask.id, name);
-    assert_eq!((ask.field("lane"), ask.field("name"), ask.field("piece")), (Some("page"), Some(OBJECT), Some("3")));
+    assert_eq!(
+        (ask.field("lane"), ask.field("name"), ask.field("piece")),
+        (Some("page"), Some(OBJECT), Some("3"))
+    );
     let ttl: u64 = ask.field("ttl").unwrap().parse().unwrap();
     assert!((1..=1200).contains(&ttl), "{ttl}");
     for absent in ["miss", "prio", "within", "f", "mine", "dedupe"] {
