--- a/crates/deckproxy/src/protocol/back.rs
+++ b/crates/deckproxy/src/protocol/back.rs
@@ -104,7 +104,7 @@
             let Some(end) = buffer[from..].windows(2).position(|w| w == b"\r\n").map(|i| from + i) else {
                 // The last byte may be half of a line's end.
                 self.searched = buffer.len().saturating_sub(1).max(self.at);
-                return if buffer.len() - self.at > LINE { Err("a line without end") } else { Ok(None) };
+                return if buffer.len() - self.at > LINE { Err("no length") } else { Ok(None) };
             };
             let line = &buffer[self.at..end];
             let first = line.first().copied();
--- /dev/null
+++ b/crates/deckproxy/tests/endings.rs
@@ -0,0 +1,189 @@
+//! What happens to an attempt and which ending the module is told, row by row as docs/architecture.md has it.
+
+use bytes::Bytes;
+use deckproxy::protocol::back::{Reply, Word};
+use deckproxy::protocol::config;
+use deckproxy::protocol::front::{Answer, Call};
+use deckproxy::routing::counters::ENDINGS;
+use deckproxy::routing::router::{AttemptKey, Broke, Effect, Router};
+use serde_json::json;
+
+const NOW: f64 = 1_764_576_000_000.0;
+
+/// A router that knows one cache and the origin, and attempts nothing twice where it may have run.
+fn router() -> Router {
+    let entry = |id: &str, zone: &str, kind: &str| {
+        json!({"id": id, "host_port": "127.0.0.1:9", "locality": zone, "flavor": kind, "cell": 0,
+            "phase": "Ready", "size": 100, "up_since_ms": 0})
+    };
+    let members = [entry("s-1", "edge", "box"), entry("s-2", "hub", "origin")];
+    let class = |name: &str, effect: &str| json!({"name": name, "aimMs": 500.0, "deadlineMs": 1500.0, "effect": effect, "group": "all"});
+    let config = json!({
+        "listen": "127.0.0.1:1", "seed": "1",
+        "known": {"n": 1, "events": [{"n": 1, "members": {"complete": true, "members": members}}]},
+        "settings": {
+            "services": [class("page", "retryable"), class("once", "fragile")],
+            "familyInfo": {"goesThrough": [false, true], "sourceKind": 1, "bypassAllowed": true, "canJoin": true,
+                "flowKbPerS": 1000.0, "zoneBalancers": [0, 1]},
+            "limits": {"sendCap": 2, "cancel": true, "connectTimeoutMs": 400.0},
+            "machineTypes": ["box", "origin"], "zones": ["hub", "edge"], "locality": 1, "groupSize": 1
+        }
+    });
+    let config = config::read(config.to_string().as_bytes()).unwrap();
+    Router::new(NOW, config.conf, config.seed, config.known)
+}
+
+fn call(class: &str, name: u64) -> Call {
+    Call {
+        name: format!("{name:016x}").into(),
+        class: class.into(),
+        allow: 1000.0,
+        key: None,
+        object: ("000000000000002a".into(), 42),
+        part: None,
+        group: 0,
+        size: Some(10.0),
+        have: None,
+        body: Bytes::new(),
+    }
+}
+
+fn effects(router: &mut Router) -> Vec<Effect> {
+    std::iter::from_fn(|| router.effect()).filter(|e| !matches!(e, Effect::Log(_))).collect()
+}
+
+/// Begins a request that must not run twice; gives the key of its attempt.
+fn begin(router: &mut Router) -> AttemptKey {
+    router.request(NOW, 1, 7, call("once", 1));
+    match &effects(router)[..] {
+        [Effect::Ask { key, .. }] => *key,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn reply(word: Word) -> Reply {
+    Reply { id: "0000000000000001".into(), word, report: Vec::new(), body: Bytes::from_static(b"body") }
+}
+
+fn count(router: &Router, ending: &str) -> u64 {
+    router.counters.endings[ENDINGS.iter().position(|e| *e == ending).unwrap()]
+}
+
+/// After that happened, the ending told; and whether the module may send again or refuse, as it never ran.
+fn row(what: &str, ending: &str, never_ran: bool, happen: impl Fn(&mut Router, AttemptKey)) {
+    let mut router = router();
+    let key = begin(&mut router);
+    happen(&mut router, key);
+    assert_eq!(count(&router, ending), 1, "{what}: {:?}", router.counters);
+    assert_eq!(router.counters.endings.iter().sum::<u64>(), 1, "{what}");
+    let after = effects(&mut router);
+    let again = after.iter().any(|e| matches!(e, Effect::Ask { .. }));
+    let refused = after.iter().any(|e| matches!(e, Effect::Answer { answer: Answer::Refused(_), .. }));
+    let failed = after.iter().any(|e| matches!(e, Effect::Answer { answer: Answer::Failed, .. }));
+    assert_eq!(again || refused, never_ran, "{what}: {after:?}");
+    assert_eq!(failed, !never_ran, "{what}: {after:?}");
+    assert_eq!(router.counters.broken, 0);
+}
+
+#[test]
+fn every_ending_is_told_as_what_it_proves() {
+    row("no connection, or not written whole", "connect_failed", true, |r, k| {
+        r.broke(NOW, k, Broke::NeverSent)
+    });
+    row("broke after it was written whole", "reset", false, |r, k| r.broke(NOW, k, Broke::Reset));
+    row("a miss", "miss", true, |r, k| r.reply(NOW, k, reply(Word::Miss)));
+    row("full", "full", true, |r, k| r.reply(NOW, k, reply(Word::Full)));
+    row("over already", "moot", true, |r, k| r.reply(NOW, k, reply(Word::Over)));
+    row("an error", "error", false, |r, k| r.reply(NOW, k, reply(Word::Error)));
+    row("a copy that holds and nobody named", "error", false, |r, k| r.reply(NOW, k, reply(Word::Unchanged)));
+    row("a probe's word", "error", false, |r, k| r.reply(NOW, k, reply(Word::Alive(true))));
+    row("silence until its time was over", "timeout", false, |r, k| {
+        r.tick(NOW + 1000.0);
+        let withdraw = r.effect();
+        assert!(matches!(withdraw, Some(Effect::Withdraw { key, .. }) if key == k), "{withdraw:?}");
+        r.withdrawn(NOW + 1000.0, k, true);
+    });
+    row("its time was over while it waited to be written", "moot", true, |r, k| {
+        r.tick(NOW + 1000.0);
+        assert!(matches!(r.effect(), Some(Effect::Withdraw { .. })));
+        r.withdrawn(NOW + 1000.0, k, false);
+    });
+}
+
+#[test]
+fn served_is_told_to_the_client_first_and_once() {
+    let mut router = router();
+    let key = begin(&mut router);
+    router.reply(NOW + 5.0, key, reply(Word::Ok));
+    router.reply(NOW + 6.0, key, reply(Word::Ok));
+    let answer = Answer::Served(Bytes::from_static(b"body"));
+    assert_eq!(effects(&mut router), [Effect::Answer { client: 1, id: 7, answer }]);
+    assert_eq!((count(&router, "ok"), router.owed()), (1, 0));
+    // Nothing is left that a timer could find.
+    router.tick(NOW + 100_000.0);
+    assert!(effects(&mut router).is_empty());
+    assert_eq!((router.counters.overdue, router.counters.broken), (0, 0));
+}
+
+#[test]
+fn a_client_that_left_is_owed_nothing_and_its_attempt_is_given_up() {
+    let mut router = router();
+    let key = begin(&mut router);
+    router.abort(NOW + 5.0, 1, 7);
+    assert!(matches!(&effects(&mut router)[..], [Effect::Withdraw { key: k, .. }] if *k == key));
+    // Its answer crosses: it counts as the ending, and reaches nobody.
+    router.reply(NOW + 6.0, key, reply(Word::Ok));
+    router.withdrawn(NOW + 6.0, key, true);
+    assert!(effects(&mut router).is_empty());
+    assert_eq!((router.counters.gone, count(&router, "ok"), count(&router, "cancelled")), (1, 1, 0));
+    // The name is free again once nothing is out under it.
+    router.request(NOW + 7.0, 1, 8, call("once", 1));
+    assert!(matches!(&effects(&mut router)[..], [Effect::Ask { .. }]));
+}
+
+#[test]
+fn a_name_in_use_can_not_be_used_twice() {
+    let mut router = router();
+    begin(&mut router);
+    router.request(NOW, 2, 7, call("page", 1));
+    let answer = Answer::Unusable("ref is in use");
+    assert_eq!(effects(&mut router), [Effect::Answer { client: 2, id: 7, answer }]);
+}
+
+#[test]
+fn no_request_outlives_its_deadline_whatever_happens_to_its_attempts() {
+    let mut router = router();
+    begin(&mut router);
+    // The withdrawal is never confirmed: a connection that lost track of it must not cost the answer.
+    router.tick(NOW + 1000.0);
+    assert!(matches!(&effects(&mut router)[..], [Effect::Withdraw { .. }]));
+    router.tick(NOW + 1058.0);
+    let after = effects(&mut router);
+    assert_eq!(after, [Effect::Answer { client: 1, id: 7, answer: Answer::Failed }]);
+    assert_eq!((router.counters.overdue, router.owed()), (1, 0));
+}
+
+#[test]
+fn an_end_of_the_process_answers_all_that_is_owed() {
+    let mut router = router();
+    let key = begin(&mut router);
+    router.request(NOW, 1, 8, call("page", 2));
+    effects(&mut router);
+    router.end_all(NOW + 1.0);
+    let after = effects(&mut router);
+    let failed = |e: &&Effect| matches!(e, Effect::Answer { answer: Answer::Failed, .. });
+    assert_eq!(after.iter().filter(failed).count(), 2, "{after:?}");
+    assert!(after.iter().any(|e| matches!(e, Effect::Withdraw { key: k, .. } if *k == key)));
+    assert_eq!(router.owed(), 0);
+}
+
+#[test]
+fn requests_beyond_the_settings_limit_are_refused() {
+    let text = json!({"listen": "127.0.0.1:1", "seed": 1, "settings": {"services": [{"name": "page",
+        "effect": "retryable", "deadlineMs": 1000.0}], "limits": {"maxOpen": 0}}});
+    let config = config::read(text.to_string().as_bytes()).unwrap();
+    let mut router = Router::new(NOW, config.conf, config.seed, config.known);
+    router.request(NOW, 1, 7, call("page", 1));
+    let refused = Effect::Answer { client: 1, id: 7, answer: Answer::Refused(0.0) };
+    assert_eq!(effects(&mut router), [refused]);
+}
