--- a/crates/deckproxy-settings/src/lib.rs
+++ b/crates/deckproxy-settings/src/lib.rs
@@ -43,15 +43,15 @@
     pub probes: bool,
 }
 
-/// Names the values of a load report, which come in the order of the settings' field names.
+/// Reads the values of a load report by their names. The settings and the sockets' page have each their own.
 pub fn load<'a>(values: impl IntoIterator<Item = (&'a str, f64)>) -> Option<Load> {
     let mut load = None::<Load>;
     for (name, value) in values {
         let load = load.get_or_insert_default();
         match name {
-            "busy_reqs" => load.held = Some(value),
+            "busy_reqs" | "inflight" => load.held = Some(value),
             "x1" => load.link = Some(value),
-            "cpu_share" => load.cpu = Some(value),
+            "cpu_share" | "util" => load.cpu = Some(value),
             _ => {}
         }
     }
--- a/crates/deckproxy/src/program/gateway.rs
+++ b/crates/deckproxy/src/program/gateway.rs
@@ -15,7 +15,7 @@
 use crate::transport::feed::Feed;
 use crate::transport::listener::{Accepted, Listener};
 use crate::transport::member::Link;
-use crate::transport::stream::{Progress, Stream};
+use crate::transport::stream::{Progress, Stream, is_exhausted};
 use calloop::{LoopHandle, Readiness};
 use deckproxy_control::interface::MemberId;
 use slog::{Logger, debug, info, warn};
@@ -462,7 +462,12 @@
         self.next += 1;
         let id = self.next;
         let ready = move |g: &mut Gateway, news| g.link_news(id, news);
-        let stream = match Stream::connect(&self.handle, place.address, ready) {
+        let mut made = Stream::connect(&self.handle, place.address, ready);
+        if made.as_ref().is_err_and(is_exhausted) && self.close_idle_client() {
+            // The lack is ours; an idle client's descriptor is worth less than a request.
+            made = Stream::connect(&self.handle, place.address, ready);
+        }
+        let stream = match made {
             Ok(stream) => stream,
             Err(e) => {
                 self.line(&format!("member {}: {e}", self.router.member_name(member)));
--- a/crates/deckproxy/src/protocol/front.rs
+++ b/crates/deckproxy/src/protocol/front.rs
@@ -260,8 +260,15 @@
     if length > limits::CLIENT_BODY {
         return Err("the body is over the limit");
     }
+    if rest.len() < length {
+        return Err("the body is cut short");
+    }
     let start = whole.len() - rest.len();
-    call.body = whole.slice(start..start + length);
+    // A small body would keep the whole buffer alive that it came in, many times its size.
+    call.body = match length {
+        0..limits::SMALL_BODY => Bytes::copy_from_slice(&rest[..length]),
+        _ => whole.slice(start..start + length),
+    };
     Ok(Message::Call(id, Box::new(call)))
 }
 
--- a/crates/deckproxy/src/protocol/limits.rs
+++ b/crates/deckproxy/src/protocol/limits.rs
@@ -48,6 +48,8 @@
 pub const IDLE_MARGIN: f64 = 500.0;
 /// Milliseconds for a probe.
 pub const PROBE: f64 = 1000.0;
+/// Bytes of requests' bodies that are held for all clients until their attempts are over.
+pub const HELD: usize = 32 * 1024 * 1024;
 /// Bytes waiting for all clients from which no more is read from members.
 pub const OUTGOING: usize = 24 * 1024 * 1024;
 /// Bytes waiting for one client from which its requests are not read.
--- a/crates/deckproxy/src/routing/members.rs
+++ b/crates/deckproxy/src/routing/members.rs
@@ -73,6 +73,11 @@
         })
     }
 
+    /// All that were ever listed.
+    pub fn ids(&self) -> impl Iterator<Item = MemberId> {
+        self.known.keys().copied()
+    }
+
     /// Where a member is reached.
     pub fn place(&self, id: MemberId) -> Option<Place> {
         self.known.get(&id).and_then(|k| k.place)
--- a/crates/deckproxy/src/routing/router.rs
+++ b/crates/deckproxy/src/routing/router.rs
@@ -120,6 +120,8 @@
     open: BTreeMap<RequestId, Open>,
     ids: HashMap<(ClientId, u32), RequestId>,
     names: HashSet<Box<str>>,
+    /// Bytes of the bodies of all that is open.
+    held: usize,
     probes: HashMap<AttemptKey, MemberId>,
     next: RequestId,
     next_probe: u64,
@@ -167,6 +169,7 @@
             open: BTreeMap::new(),
             ids: HashMap::new(),
             names: HashSet::new(),
+            held: 0,
             probes: HashMap::new(),
             next: 0,
             next_probe: 0,
@@ -243,7 +246,8 @@
             self.counters.unusable += 1;
             return self.effects.push_back(answer(Answer::Unusable("ref is in use")));
         }
-        if self.open.len() >= self.conf.limits.open {
+        let held = self.held + call.body.len();
+        if self.open.len() >= self.conf.limits.open || held > limits::HELD {
             self.counters.refused += 1;
             return self.effects.push_back(answer(Answer::Refused(0.0)));
         }
@@ -262,6 +266,7 @@
             class,
             expires,
         };
+        self.held = held;
         self.names.insert(call.name.clone());
         self.ids.insert((client, id), request);
         let open = Open { client, id, call: call.into(), expires, sends: 0, out: Vec::new(), ended: false };
@@ -397,8 +402,9 @@
                     self.effects.push_back(Effect::Log(text));
                 }
                 // What is idle to one that has left is closed at once; the address may get a new member.
-                let gone = all.iter().filter(|m| m.lifecycle == Lifecycle::Gone).map(|m| Effect::Close(m.id));
-                self.effects.extend(gone);
+                let left = all.iter().filter(|m| m.lifecycle == Lifecycle::Gone).map(|m| m.id);
+                let unlisted = self.members.ids().filter(|id| whole && !all.iter().any(|m| m.id == *id));
+                self.effects.extend(left.chain(unlisted).map(Effect::Close));
                 self.tell(now, Event::Members(if whole { whole_list } else { ListKind::Delta }, all));
             }
             News::PurgeObject(object, at) => {
@@ -558,6 +564,7 @@
         }
         if let Some(open) = self.open.remove(&request) {
             self.names.remove(&open.call.name);
+            self.held -= open.call.body.len();
         }
     }
 }
--- a/crates/deckproxy/src/transport/listener.rs
+++ b/crates/deckproxy/src/transport/listener.rs
@@ -1,5 +1,6 @@
 //! The listening socket.
 
+use crate::transport::stream::is_exhausted;
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use socket2::{Domain, Protocol, Socket, Type};
@@ -56,8 +57,7 @@
             match self.socket.accept() {
                 Ok((socket, _)) => return Accepted::One(socket),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Accepted::None,
-                // EMFILE, ENFILE, ENOBUFS, ENOMEM
-                Err(e) if matches!(e.raw_os_error(), Some(24 | 23 | 105 | 12)) => return Accepted::Exhausted,
+                Err(e) if is_exhausted(&e) => return Accepted::Exhausted,
                 // That one connection broke before it was accepted.
                 Err(_) => {}
             }
--- a/crates/deckproxy/src/transport/stream.rs
+++ b/crates/deckproxy/src/transport/stream.rs
@@ -29,6 +29,12 @@
     Ended,
 }
 
+/// Whether an error tells that the process or the system has no descriptor or buffer left (EMFILE, ENFILE,
+/// ENOBUFS, ENOMEM), which says nothing of the other side.
+pub fn is_exhausted(e: &io::Error) -> bool {
+    matches!(e.raw_os_error(), Some(24 | 23 | 105 | 12))
+}
+
 /// A connection, or one that is being made.
 pub struct Stream {
     socket: Rc<TcpStream>,
--- a/crates/deckproxy/tests/clients.rs
+++ b/crates/deckproxy/tests/clients.rs
@@ -218,3 +218,58 @@
     cache.answer(&ask, "200", b"kept");
     busy.served(first, b"kept");
 }
+
+#[test]
+fn without_a_descriptor_left_it_neither_spins_nor_dies() {
+    let world = World::start();
+    let gateway = world.setup().start_under("ulimit -n 32");
+    let mut busy: Vec<Client> = Vec::new();
+    let mut asks = Vec::new();
+    // Fewer open requests than descriptors, then idle connections until there are no more.
+    for _ in 0..4 {
+        let mut client = gateway.client();
+        client.get(OBJECT);
+        asks.push(world.ask());
+        busy.push(client);
+    }
+    let idle: Vec<Client> = (0..60).map(|_| gateway.client()).collect();
+    until("the lack is noted", || gateway.log().contains("no descriptor is left"));
+    let before = gateway.cpu();
+    std::thread::sleep(Duration::from_millis(500));
+    assert!(gateway.cpu() - before < 100, "{} ms of CPU in half a second", gateway.cpu() - before);
+    for (client, (cache, ask)) in busy.iter_mut().zip(&asks) {
+        cache.answer(ask, "200", b"kept");
+        client.served(1, b"kept");
+    }
+    drop(idle);
+    until("new clients are served", || {
+        let mut client = gateway.client();
+        let id = client.ping();
+        client.answer() == (id, Answer::Ready(true))
+    });
+}
+
+#[test]
+fn bodies_that_wait_for_a_stalled_member_are_bounded() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let mut first = gateway.client();
+    let id = first.call("once", &[("lookup", OBJECT)], b"x");
+    let ask = world.origin.ask();
+    world.origin.answer(&ask, "200", b"done");
+    first.served(id, b"done");
+    world.origin.stall();
+    let body = vec![1u8; 48_000];
+    let mut clients: Vec<Client> = (0..40).map(|_| gateway.client()).collect();
+    for client in &mut clients {
+        (0..32).for_each(|_| {
+            client.call("once", &[("lookup", OBJECT)], &body);
+        });
+    }
+    // 61 MB were sent; all of it is answered, what found no room at once.
+    for client in &mut clients {
+        (0..32).for_each(|_| assert!(matches!(client.answer().1, Answer::Error(..))));
+    }
+    let (memory, _) = gateway.usage();
+    assert!(memory < 128 * 1024, "{memory} KB");
+}
--- a/crates/deckproxy/tests/common/mod.rs
+++ b/crates/deckproxy/tests/common/mod.rs
@@ -565,7 +565,12 @@
     }
 
     pub fn start(&self) -> Gateway {
-        let gateway = Gateway::spawn(&self.config().to_string(), self.listen);
+        self.start_under("true")
+    }
+
+    /// Starts it after a shell's command that sets its limits.
+    pub fn start_under(&self, limit: &str) -> Gateway {
+        let gateway = Gateway::spawn_under(&self.config().to_string(), self.listen, limit);
         until("the gateway is ready", || TcpStream::connect(self.listen).is_ok());
         let mut client = Client::connect(self.listen);
         let id = client.ping();
@@ -583,11 +588,18 @@
 
 impl Gateway {
     pub fn spawn(config: &str, address: SocketAddr) -> Self {
+        Self::spawn_under(config, address, "true")
+    }
+
+    /// Starts it by a shell after a command that sets its limits.
+    pub fn spawn_under(config: &str, address: SocketAddr, limit: &str) -> Self {
         let name =
             format!("deckproxy-test-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
         let path = std::env::temp_dir().join(name);
         std::fs::write(&path, config).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_deckproxy"))
+        let command = format!("{limit} && exec {}", env!("CARGO_BIN_EXE_deckproxy"));
+        let mut child = Command::new("sh")
+            .args(["-c", &command])
             .env("GW_CONFIG", &path)
             .env("GW_LISTEN", address.to_string())
             .env("GW_NAME", "n1")
@@ -631,6 +643,12 @@
         code.and_then(|c| c.code())
     }
 
+    /// CPU time of its event loop in ms.
+    pub fn cpu(&self) -> u64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/schedstat", self.child.id())).unwrap();
+        text.split_whitespace().next().unwrap().parse::<u64>().unwrap() / 1_000_000
+    }
+
     /// Resident memory in KB, and open descriptors.
     pub fn usage(&self) -> (u64, usize) {
         let proc = format!("/proc/{}", self.child.id());
