Gateway's parts by file, slow readers get all before an end, no timer rings at once

A planned end gave a client 300 ms from the last answer on, also one still reading megabytes; the span now counts from when all is written (test: 7.7 MB read late). A timer of the module set for now or before would have been due for ever within one tick.

--- /dev/null
+++ b/crates/deckproxy/src/program/clients.rs
@@ -0,0 +1,160 @@
+//! Clients: accepting them, their messages, their answers, their end.
+
+use crate::program::gateway::{ACCEPT_AGAIN, BATCH, Chore, Gateway, Peer};
+use crate::protocol::front::{self, Answer, Message};
+use crate::protocol::limits;
+use crate::routing::router::ClientId;
+use crate::transport::client::Client;
+use crate::transport::clock;
+use crate::transport::listener::{Accepted, Listener};
+use crate::transport::stream::{Progress, Stream};
+use calloop::Readiness;
+
+impl Gateway {
+    pub(super) fn accept(&mut self, now: f64) {
+        self.accepting = false;
+        if let Some(listener) = self.listener.take() {
+            self.accept_from(now, &listener);
+            self.listener = Some(listener);
+        }
+    }
+
+    pub(super) fn accept_from(&mut self, now: f64, listener: &Listener) {
+        for _ in 0..BATCH {
+            if self.clients.len() >= self.sockets / limits::CLIENT_SHARE && !self.close_idle_client() {
+                // Those that wait stay in the kernel's queue until a place is free.
+                return self.chores.set(now + ACCEPT_AGAIN, Chore::Accept);
+            }
+            let socket = match listener.accept() {
+                Accepted::One(socket) => socket,
+                Accepted::None => return,
+                Accepted::Exhausted => {
+                    self.line("no descriptor is left for a client");
+                    self.close_idle_client();
+                    return self.chores.set(now + ACCEPT_AGAIN, Chore::Accept);
+                }
+            };
+            self.next += 1;
+            let id = self.next;
+            let ready = move |g: &mut Gateway, news| g.client_news(id, news);
+            match Stream::accepted(&self.handle, socket, ready) {
+                Ok(stream) => {
+                    self.clients.insert(id, Client::new(stream, now));
+                }
+                Err(e) => self.line(&format!("a client's connection could not be taken: {e}")),
+            }
+        }
+        self.accepting = true;
+    }
+
+    /// Makes room for a new client: the one idle for longest is closed.
+    pub(super) fn close_idle_client(&mut self) -> bool {
+        let idle = self.clients.iter().filter(|(_, c)| c.is_idle());
+        let oldest = idle.min_by(|a, b| a.1.idle_since().total_cmp(&b.1.idle_since())).map(|(id, _)| *id);
+        if let Some(client) = oldest.and_then(|id| self.clients.remove(&id)) {
+            client.stream.close(&self.handle);
+        }
+        oldest.is_some()
+    }
+
+    pub(super) fn client_news(&mut self, id: ClientId, news: Readiness) {
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.stream.note(news);
+            Self::queue(&mut self.ready, Peer::Client(id));
+        }
+    }
+
+    pub(super) fn serve_client(&mut self, now: f64, id: ClientId) {
+        self.flush_client(now, id);
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let progress = if client.wants_reading() { client.read(now) } else { Progress::Drained };
+        loop {
+            let Some(client) = self.clients.get_mut(&id) else { return };
+            match client.take_message() {
+                Ok(None) => break,
+                Ok(Some(message)) => self.client_message(clock::now(), id, message),
+                Err(broken) => {
+                    // What can still be answered is, then the connection closes.
+                    if let Some(request) = broken.id {
+                        client.answer(request, &Answer::Unusable(broken.why), false);
+                    }
+                    client.begin_close();
+                    self.router.counters.unusable += 1;
+                    self.router.client_gone(now, id);
+                    self.line(&format!("a client's connection closes: {}", broken.why));
+                    self.flush_client(now, id);
+                }
+            }
+            self.pump(now);
+        }
+        match progress {
+            Progress::More => Self::queue(&mut self.ready, Peer::Client(id)),
+            Progress::Ended => self.end_client(now, id),
+            Progress::Drained => {}
+        }
+    }
+
+    pub(super) fn client_message(&mut self, now: f64, id: ClientId, message: Message) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        match message {
+            Message::Call(request, call) => {
+                if self.router.is_open(id, request) {
+                    // Two open requests of one id: no answer could be told from the other's.
+                    self.router.counters.unusable += 1;
+                    self.line("a client's connection closes: two open requests of one id");
+                    return self.end_client(now, id);
+                }
+                if client.admit() {
+                    return self.router.request(now, id, request, *call);
+                }
+                self.router.counters.refused += 1;
+                client.answer(request, &Answer::Refused(0.0), false);
+            }
+            Message::Ping(request) => client.push(front::ready(request, self.terminating.is_none())),
+            Message::Abort(requests) => {
+                for request in requests {
+                    if self.router.is_open(id, request) {
+                        client.release();
+                        self.router.abort(now, id, request);
+                    }
+                }
+                return;
+            }
+            Message::Unusable(request, why) => {
+                self.router.counters.unusable += 1;
+                client.answer(request, &Answer::Unusable(why), false);
+            }
+            Message::Ignored => return,
+        }
+        self.flush_client(now, id);
+    }
+
+    pub(super) fn answer(&mut self, now: f64, id: ClientId, request: u32, answer: &Answer) {
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.answer(request, answer, true);
+            self.flush_client(now, id);
+        }
+    }
+
+    pub(super) fn flush_client(&mut self, now: f64, id: ClientId) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let before = client.stream.queued();
+        let broken = client.flush(now).is_err();
+        let left = client.stream.queued();
+        if broken {
+            self.end_client(now, id);
+        } else if client.shut() {
+            // From here on the client has a while to close its side.
+            self.chores.set(now + limits::LINGER, Chore::Linger(id));
+        } else if before >= limits::CLIENT_OUTGOING && left < limits::CLIENT_OUTGOING {
+            Self::queue(&mut self.ready, Peer::Client(id));
+        }
+    }
+
+    pub(super) fn end_client(&mut self, now: f64, id: ClientId) {
+        if let Some(client) = self.clients.remove(&id) {
+            client.stream.close(&self.handle);
+            self.router.client_gone(now, id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/deckproxy/src/program/members.rs
@@ -0,0 +1,201 @@
+//! Members: the pool of connections by member id, attempts on them, and what a broken connection means for those.
+
+use crate::program::gateway::{Chore, Gateway, Held, LinkId, Peer};
+use crate::protocol::limits;
+use crate::routing::members::Place;
+use crate::routing::router::{AttemptKey, Broke};
+use crate::transport::clock;
+use crate::transport::member::Link;
+use crate::transport::stream::{Progress, Stream, is_exhausted};
+use bytes::Bytes;
+use calloop::Readiness;
+use deckproxy_control::interface::MemberId;
+
+impl Gateway {
+    pub(super) fn send(
+        &mut self,
+        now: f64,
+        key: AttemptKey,
+        member: MemberId,
+        place: Place,
+        name: Box<str>,
+        parts: [Bytes; 3],
+    ) {
+        let Some(id) = self.link_for(now, member, place, &name) else {
+            return self.router.broke(now, key, Broke::NeverSent);
+        };
+        if let Some(held) = self.links.get_mut(&id) {
+            held.link.ask(key, name, parts, now);
+            self.carried.insert(key, id);
+        }
+        self.flush_link(now, id);
+        if self.links.get(&id).is_some_and(|h| !h.link.is_written(key)) {
+            self.chores.set(now + self.router.conf().limits.connect, Chore::Unsent(key));
+        }
+    }
+
+    /// An attempt that could not begin to be written for as long as a connection may take never will be: what
+    /// was decided with it, on drains, purges and cold members, holds no more.
+    pub(super) fn take_back(&mut self, now: f64, key: AttemptKey) {
+        let held = self.carried.get(&key).and_then(|id| self.links.get_mut(id));
+        if held.is_some_and(|h| h.link.take_back(key)) {
+            self.carried.remove(&key);
+            self.router.broke(now, key, Broke::NeverSent);
+        }
+    }
+
+    /// A connection that can take an attempt of that name, made if there is none.
+    pub(super) fn link_for(
+        &mut self,
+        now: f64,
+        member: MemberId,
+        place: Place,
+        name: &str,
+    ) -> Option<LinkId> {
+        let (idle, streams) = (self.router.conf().limits.idle, self.router.conf().limits.streams);
+        let mut found = None;
+        for id in self.pools.get(&member).cloned().unwrap_or_default() {
+            let Some(held) = self.links.get_mut(&id) else { continue };
+            // A new process, or another address: the old connections carry nothing new. Nor does one that the
+            // member is about to close for being idle.
+            let old = idle > 0.0 && now - held.link.idle_since() > idle - limits::IDLE_MARGIN;
+            held.link.retired |= held.place != place || old && held.link.load() == 0;
+            if held.link.retired && held.link.load() == 0 {
+                self.drop_link(id);
+            } else if held.link.load() < streams
+                && held.link.stream.queued() < limits::MEMBER_OUTGOING
+                && held.link.takes(name)
+            {
+                found = found.or(Some(id));
+            }
+        }
+        found.or_else(|| self.connect(now, member, place))
+    }
+
+    pub(super) fn connect(&mut self, now: f64, member: MemberId, place: Place) -> Option<LinkId> {
+        let most = self.sockets.saturating_sub(self.sockets / limits::CLIENT_SHARE + limits::RESERVE);
+        if self.links.len() >= most {
+            let idle = self.links.iter().filter(|(_, h)| h.link.load() == 0).map(|(id, _)| *id).next();
+            self.drop_link(idle?);
+        }
+        self.next += 1;
+        let id = self.next;
+        let ready = move |g: &mut Gateway, news| g.link_news(id, news);
+        let mut made = Stream::connect(&self.handle, place.address, ready);
+        if made.as_ref().is_err_and(is_exhausted) && self.close_idle_client() {
+            // The lack is ours; an idle client's descriptor is worth less than a request.
+            made = Stream::connect(&self.handle, place.address, ready);
+        }
+        let stream = match made {
+            Ok(stream) => stream,
+            Err(e) => {
+                self.line(&format!("member {}: {e}", self.router.member_name(member)));
+                return None;
+            }
+        };
+        self.links.insert(id, Held { link: Link::new(stream, now), member, place, connecting: true });
+        self.pools.entry(member).or_default().push(id);
+        self.chores.set(now + self.router.conf().limits.connect, Chore::Connect(id));
+        Some(id)
+    }
+
+    pub(super) fn link_news(&mut self, id: LinkId, news: Readiness) {
+        if let Some(held) = self.links.get_mut(&id) {
+            held.link.stream.note(news);
+            Self::queue(&mut self.ready, Peer::Link(id));
+        }
+    }
+
+    pub(super) fn serve_link(&mut self, now: f64, id: LinkId) {
+        let Some(held) = self.links.get_mut(&id) else { return };
+        if held.connecting {
+            match held.link.stream.is_connecting() {
+                Ok(still) => held.connecting = still,
+                Err(e) => return self.end_link(now, id, &format!("not connected: {e}")),
+            }
+        }
+        self.flush_link(now, id);
+        // At the bound nothing more is read: what came would only wait here for its clients.
+        let full = self.outgoing() > limits::OUTGOING;
+        let Some(held) = self.links.get_mut(&id) else { return };
+        let readable = held.link.stream.is_readable() && !full;
+        let progress = if readable { held.link.read(now) } else { Progress::Drained };
+        loop {
+            let Some(held) = self.links.get_mut(&id) else { return };
+            match held.link.take_reply(now) {
+                Ok(None) => break,
+                Ok(Some((Some(key), reply))) => {
+                    self.carried.remove(&key);
+                    self.router.reply(clock::now(), key, reply);
+                }
+                Ok(Some((None, _))) => {}
+                Err(why) => return self.end_link(now, id, why),
+            }
+            self.pump(now);
+        }
+        match progress {
+            Progress::More => Self::queue(&mut self.ready, Peer::Link(id)),
+            Progress::Ended => self.end_link(now, id, "closed"),
+            Progress::Drained => {}
+        }
+        if self.links.get(&id).is_some_and(|h| h.link.retired && h.link.load() == 0) {
+            self.drop_link(id);
+        }
+    }
+
+    /// Bytes that wait for clients.
+    pub(super) fn outgoing(&self) -> usize {
+        self.clients.values().map(|c| c.stream.queued()).sum()
+    }
+
+    pub(super) fn flush_link(&mut self, now: f64, id: LinkId) {
+        let Some(held) = self.links.get_mut(&id) else { return };
+        if let Err(e) = held.link.flush(now) {
+            self.end_link(now, id, &format!("broke: {e}"));
+        }
+    }
+
+    pub(super) fn withdraw(&mut self, now: f64, key: AttemptKey) {
+        let patience = self.router.conf().limits.connect;
+        let id = self.carried.remove(&key);
+        let held = id.and_then(|id| self.links.get_mut(&id));
+        let sent = held.and_then(|h| h.link.withdraw(key, now, patience));
+        if let Some(id) = id {
+            self.flush_link(now, id);
+        }
+        self.router.withdrawn(now, key, sent.unwrap_or(true));
+    }
+
+    /// A connection has ended: what was out on it ends as it was sent.
+    pub(super) fn end_link(&mut self, now: f64, id: LinkId, why: &str) {
+        let Some(held) = self.links.get_mut(&id) else { return };
+        let lost = held.link.lost();
+        let name = self.router.member_name(held.member).to_string();
+        if !lost.is_empty() {
+            self.line(&format!("member {name}: connection {why}, {} attempts out", lost.len()));
+        }
+        self.drop_link(id);
+        for (key, written) in lost {
+            self.carried.remove(&key);
+            self.router.broke(now, key, if written { Broke::Reset } else { Broke::NeverSent });
+        }
+    }
+
+    /// Closes a connection on which nothing is out.
+    pub(super) fn drop_link(&mut self, id: LinkId) {
+        if let Some(held) = self.links.remove(&id) {
+            if let Some(pool) = self.pools.get_mut(&held.member) {
+                pool.retain(|other| *other != id);
+            }
+            held.link.stream.close(&self.handle);
+        }
+    }
+
+    pub(super) fn close_idle(&mut self, member: MemberId) {
+        for id in self.pools.get(&member).cloned().unwrap_or_default() {
+            if self.links.get(&id).is_some_and(|h| h.link.load() == 0) {
+                self.drop_link(id);
+            }
+        }
+    }
+}
--- a/crates/deckproxy/src/program/mod.rs
+++ b/crates/deckproxy/src/program/mod.rs
@@ -1,7 +1,10 @@
 //! Wiring: the event loop, start and end of the process, logging.
 
+mod clients;
+mod feed;
 pub mod gateway;
 pub mod logging;
+mod members;
 pub mod usage;
 
 use crate::protocol::config;
--- a/crates/deckproxy/src/protocol/limits.rs
+++ b/crates/deckproxy/src/protocol/limits.rs
@@ -26,6 +26,8 @@
 /// Descriptors kept back for the loop, the listener, the feed, the log and what is accepted to be closed.
 pub const RESERVE: usize = 40;
 
+/// Milliseconds until a timer of the module rings at the earliest.
+pub const TICK: f64 = 1.0;
 /// Milliseconds by which every time limit is longer on sockets.
 pub const SOCKET_SLACK: f64 = 50.0;
 /// Milliseconds after SIGTERM in which new connections and requests may still come.
--- a/crates/deckproxy/src/routing/router.rs
+++ b/crates/deckproxy/src/routing/router.rs
@@ -461,7 +461,8 @@
             Action::Refuse { request, retry_after } => self.finish(request, Answer::Refused(retry_after)),
             Action::Fail { request } => self.finish(request, Answer::Failed),
             Action::Cancel { request, attempt } => self.give_up(key(request, attempt), Ending::Cancelled),
-            Action::Timer { token, at } => self.timers.set(at, Due::Module(token)),
+            // Never at once: a timer that is always due would hold the loop for good.
+            Action::Timer { token, at } => self.timers.set(at.max(now + limits::TICK), Due::Module(token)),
             Action::Probe(member) => self.probe(now, member),
             Action::Close(member) => self.effects.push_back(Effect::Close(member)),
             Action::Log(text) => self.effects.push_back(Effect::Log(text)),
--- a/crates/deckproxy/src/transport/client.rs
+++ b/crates/deckproxy/src/transport/client.rs
@@ -101,6 +101,17 @@
         self.open = self.open.saturating_sub(1);
     }
 
+    /// Where it is closing and all is written, tells the other side that nothing more comes. Tells whether it
+    /// did so now.
+    pub fn shut(&mut self) -> bool {
+        let now = self.closing && self.stream.queued() == 0 && !self.shut;
+        if now {
+            self.shut = true;
+            self.stream.shut();
+        }
+        now
+    }
+
     /// Writes what the kernel takes.
     pub fn flush(&mut self, now: f64) -> io::Result<()> {
         let before = self.stream.queued();
@@ -110,9 +121,6 @@
         }
         let counted = self.written.drain(..).filter(|key| *key == COUNTED).count();
         self.open = self.open.saturating_sub(counted);
-        if self.closing && self.stream.queued() == 0 && !std::mem::replace(&mut self.shut, true) {
-            self.stream.shut();
-        }
         Ok(())
     }
 }
--- a/crates/deckproxy/tests/clients.rs
+++ b/crates/deckproxy/tests/clients.rs
@@ -270,3 +270,35 @@
     let (memory, _) = gateway.usage();
     assert!(memory < 128 * 1024, "{memory} KB");
 }
+
+#[test]
+fn a_flood_from_some_clients_delays_no_deadline_of_another() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let mut client = gateway.client();
+    let stop = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let floods: Vec<_> = (0..6)
+        .map(|_| {
+            let (mut flood, stop) = (gateway.client(), stop.clone());
+            std::thread::spawn(move || {
+                let mut sent = 0u64;
+                while !stop.load(std::sync::atomic::Ordering::SeqCst) {
+                    (0..200).for_each(|_| sent = flood.ping());
+                    (0..200).for_each(|_| drop(flood.answer()));
+                }
+                sent
+            })
+        })
+        .collect();
+    for _ in 0..3 {
+        let start = std::time::Instant::now();
+        let id = client.call("page", &[("lookup", OBJECT), ("allow", "250")], &[]);
+        let (_, ask) = world.ask();
+        client.error(id, "Shed");
+        let took = start.elapsed().as_millis();
+        assert!((245..450).contains(&took), "{took} ms for {ask:?}");
+    }
+    stop.store(true, std::sync::atomic::Ordering::SeqCst);
+    let sent: u64 = floods.into_iter().map(|f| f.join().unwrap()).sum();
+    assert!(sent > 2000, "{sent} pings are no flood");
+}
--- a/crates/deckproxy/tests/lifecycle.rs
+++ b/crates/deckproxy/tests/lifecycle.rs
@@ -123,3 +123,27 @@
     assert_eq!(second.ended(), Some(1));
     assert!(TcpStream::connect(setup.listen).is_ok());
 }
+
+#[test]
+fn told_to_end_it_writes_all_to_a_slow_reader_first() {
+    let world = World::start();
+    let mut gateway = world.setup().start();
+    let mut client = gateway.client();
+    let body = vec![5u8; 240_000];
+    for _ in 0..32 {
+        client.get(OBJECT);
+    }
+    let asks: Vec<(&Member, Ask)> = (0..32).map(|_| world.ask()).collect();
+    for (cache, ask) in &asks {
+        cache.answer(ask, "200", &body);
+    }
+    gateway.signal("TERM");
+    // Long after all is answered, and well before the last call, it reads.
+    std::thread::sleep(Duration::from_millis(1400));
+    assert!(gateway.child.try_wait().unwrap().is_none(), "7 MB are not in the kernel's buffers");
+    for _ in 0..32 {
+        assert!(matches!(client.answer().1, Answer::Served(b, _) if b == body));
+    }
+    client.closed();
+    assert_eq!(gateway.ended(), Some(0));
+}
