--- a/crates/deckproxy-settings/src/lib.rs
+++ b/crates/deckproxy-settings/src/lib.rs
@@ -33,6 +33,9 @@
     pub idle: f64,
     /// A connection that is not up by then failed, ms.
     pub connect: f64,
+    /// What was decided on drains and purges holds for a send that begins within this span, ms: the shortest of
+    /// their graces and of the time for a connection.
+    pub unsent: f64,
     /// Attempts that one connection carries together.
     pub streams: usize,
     /// Requests that may be open.
@@ -189,9 +192,12 @@
     if streams == 0 {
         return Err("setting limits.maxStreams: a connection that carries nothing".to_string());
     }
+    let connect = text.number("limits.connectTimeoutMs", 1000.0)?;
+    let graces = [text.number("rules.drainGraceMs", 0.0)?, text.number("familyInfo.obeyAfterMs", 0.0)?];
     let limits = Limits {
         idle: text.number("limits.connIdleMs", 0.0)?,
-        connect: text.number("limits.connectTimeoutMs", 1000.0)?,
+        connect,
+        unsent: graces.into_iter().filter(|span| *span > 0.0).fold(connect, f64::min),
         streams,
         open: text.parse("limits.maxOpen")?.unwrap_or(usize::MAX),
         slack: text.number("rules.answerSlackMs", 0.0)?,
--- a/crates/deckproxy-settings/tests/settings.rs
+++ b/crates/deckproxy-settings/tests/settings.rs
@@ -68,5 +68,8 @@
         (l.idle, l.connect, l.streams, l.open, l.slack, l.probes),
         (15000.0, 400.0, 100, 20000, 8.0, true)
     );
+    let unsent = |text: &str| settings::read(text).unwrap().limits.unsent;
+    assert_eq!(unsent("limits.connectTimeoutMs=400.0\nrules.drainGraceMs=500.0"), 400.0);
+    assert_eq!(unsent("limits.connectTimeoutMs=400.0\nrules.drainGraceMs=300.0"), 300.0);
     assert!(settings::read("limits.maxStreams=0").is_err(), "a connection that carries nothing");
 }
--- a/crates/deckproxy/src/program/members.rs
+++ b/crates/deckproxy/src/program/members.rs
@@ -30,12 +30,12 @@
         }
         self.flush_link(now, id);
         if self.links.get(&id).is_some_and(|h| !h.link.is_written(key)) {
-            self.chores.set(now + self.router.conf().limits.connect, Chore::Unsent(key));
+            self.chores.set(now + self.router.conf().limits.unsent, Chore::Unsent(key));
         }
     }
 
-    /// An attempt that could not begin to be written for as long as a connection may take never will be: what
-    /// was decided with it, on drains, purges and cold members, holds no more.
+    /// An attempt that could not begin to be written for so long never will be: what was decided with it, on
+    /// drains, purges and cold members, holds no more.
     pub(super) fn take_back(&mut self, now: f64, key: AttemptKey) {
         let held = self.carried.get(&key).and_then(|id| self.links.get_mut(id));
         if held.is_some_and(|h| h.link.take_back(key)) {
@@ -73,7 +73,8 @@
     }
 
     pub(super) fn connect(&mut self, now: f64, member: MemberId, place: Place) -> Option<LinkId> {
-        let most = self.sockets.saturating_sub(self.sockets / limits::CLIENT_SHARE + limits::RESERVE);
+        let reserve = limits::RESERVE.min(self.sockets / limits::RESERVE_SHARE);
+        let most = self.sockets.saturating_sub(self.sockets / limits::CLIENT_SHARE + reserve);
         if self.links.len() >= most {
             let idle = self.links.iter().filter(|(_, h)| h.link.load() == 0).map(|(id, _)| *id).next();
             self.drop_link(idle?);
--- a/crates/deckproxy/src/protocol/limits.rs
+++ b/crates/deckproxy/src/protocol/limits.rs
@@ -24,7 +24,10 @@
 /// Share of the descriptors that clients may hold, as one in so many.
 pub const CLIENT_SHARE: usize = 3;
 /// Descriptors kept back for the loop, the listener, the feed, the log and what is accepted to be closed.
+/// Where there are few, one in so many.
 pub const RESERVE: usize = 40;
+/// See `RESERVE`.
+pub const RESERVE_SHARE: usize = 4;
 
 /// Milliseconds until a timer of the module rings at the earliest.
 pub const TICK: f64 = 1.0;
--- a/crates/deckproxy/tests/common/mod.rs
+++ b/crates/deckproxy/tests/common/mod.rs
@@ -669,6 +669,14 @@
     }
 }
 
+/// A gateway with its feed.
+pub struct Fed {
+    pub gateway: Gateway,
+    pub client: Client,
+    pub feed: Feed,
+    pub line: TcpStream,
+}
+
 /// A whole small deployment: two caches, a parent, the origin.
 pub struct World {
     pub caches: [Member; 2],
@@ -698,6 +706,17 @@
         Setup::knowing(&self.entries())
     }
 
+    /// A gateway that has subscribed to its feed, a client of it, and the feed's side of the subscription.
+    pub fn fed(&self) -> Fed {
+        let feed = Feed::start();
+        let mut setup = self.setup();
+        setup.feed = feed.address;
+        let gateway = setup.start();
+        let (from, line) = feed.sub();
+        assert_eq!(from, 1);
+        Fed { client: gateway.client(), gateway, feed, line }
+    }
+
     /// The next request at either cache, and which it is.
     pub fn ask(&self) -> (&Member, Ask) {
         let mut got = None;
--- a/crates/deckproxy/tests/feed.rs
+++ b/crates/deckproxy/tests/feed.rs
@@ -32,13 +32,7 @@
 #[test]
 fn a_cut_feed_is_resumed_after_the_last_event() {
     let world = World::start();
-    let feed = Feed::start();
-    let mut setup = world.setup();
-    setup.feed = feed.address;
-    let gateway = setup.start();
-    let mut client = gateway.client();
-    let (from, line) = feed.sub();
-    assert_eq!(from, 1);
+    let Fed { gateway: _gateway, mut client, feed, line } = world.fed();
     tell(&line, &purge(2, 5));
     until("the purge is known", || is_bound(&world, &mut client, 5));
     drop(line);
@@ -57,12 +51,7 @@
 #[test]
 fn missing_events_are_asked_for_again_once() {
     let world = World::start();
-    let feed = Feed::start();
-    let mut setup = world.setup();
-    setup.feed = feed.address;
-    let gateway = setup.start();
-    let mut client = gateway.client();
-    let (_, line) = feed.sub();
+    let Fed { gateway: _gateway, mut client, feed, line } = world.fed();
     tell(&line, &purge(4, 5));
     let (from, line) = feed.sub();
     assert_eq!(from, 1, "2 and 3 are missing");
@@ -82,12 +71,7 @@
 #[test]
 fn lines_that_can_not_be_read_are_dropped_and_the_rest_counts() {
     let world = World::start();
-    let feed = Feed::start();
-    let mut setup = world.setup();
-    setup.feed = feed.address;
-    let gateway = setup.start();
-    let mut client = gateway.client();
-    let (_, line) = feed.sub();
+    let Fed { gateway: _gateway, mut client, line, .. } = world.fed();
     for bad in ["", "{", "[[[[", "{\"n\":-1}", "\u{0}\u{1}", "{\"purge\":{}}", "nonsense"] {
         (&line).write_all(format!("{bad}\n").as_bytes()).unwrap();
     }
--- a/crates/deckproxy/tests/members.rs
+++ b/crates/deckproxy/tests/members.rs
@@ -213,14 +213,9 @@
 #[test]
 fn an_address_taken_over_by_a_new_member_gets_a_new_connection() {
     let world = World::start();
-    let feed = Feed::start();
-    let mut setup = world.setup();
-    setup.feed = feed.address;
-    let gateway = setup.start();
-    let mut client = gateway.client();
+    let Fed { gateway: _gateway, mut client, line, .. } = world.fed();
     let (cache, conn) = warm(&world, &mut client);
     let other = world.other(cache);
-    let (_, line) = feed.sub();
     let members = [
         cache.entry("edge", "box", "Gone"),
         other.entry("edge", "box", "Gone"),
@@ -302,12 +297,7 @@
 #[test]
 fn a_member_that_started_again_gets_a_new_connection() {
     let world = World::start();
-    let feed = Feed::start();
-    let mut setup = world.setup();
-    setup.feed = feed.address;
-    let gateway = setup.start();
-    let mut client = gateway.client();
-    let (_, line) = feed.sub();
+    let Fed { gateway: _gateway, mut client, line, .. } = world.fed();
     let (cache, conn) = warm(&world, &mut client);
     // Its old process vanished without a word: the connection still looks open.
     let mut again = cache.entry("edge", "box", "Ready");
--- a/crates/deckproxy/tests/serving.rs
+++ b/crates/deckproxy/tests/serving.rs
@@ -193,12 +193,7 @@
 #[test]
 fn a_draining_cache_gets_nothing_new_and_finishes_what_it_has() {
     let world = World::start();
-    let feed = Feed::start();
-    let mut setup = world.setup();
-    setup.feed = feed.address;
-    let gateway = setup.start();
-    let mut client = gateway.client();
-    let (_, line) = feed.sub();
+    let Fed { gateway: _gateway, mut client, line, .. } = world.fed();
     let first = client.get(OBJECT);
     let (cache, ask) = world.ask();
     let draining = cache.entry("edge", "box", "Terminating");
