An idle connection that the member has closed is noticed before an ask is written to it

Seen in a test under load: the member's close and the client's next request came in one batch of news, and the ask was written to the closed connection, so that it ended as one that may have run. link_for now reads an idle connection first; the stand-in tells of a close only after it. What was heard on a connection counts only where bytes came.

--- a/crates/deckproxy/src/program/members.rs
+++ b/crates/deckproxy/src/program/members.rs
@@ -59,7 +59,8 @@
             // A new process, or another address: the old connections carry nothing new. Nor does one that the
             // member is about to close for being idle.
             let old = idle > 0.0 && now - held.link.idle_since() > idle - limits::IDLE_MARGIN;
-            held.link.retired |= held.place != place || old && held.link.load() == 0;
+            held.link.retired |=
+                held.place != place || old && held.link.load() == 0 || held.link.is_stale(now);
             if held.link.retired && held.link.load() == 0 {
                 self.drop_link(id);
             } else if held.link.load() < streams
--- a/crates/deckproxy/src/transport/member.rs
+++ b/crates/deckproxy/src/transport/member.rs
@@ -109,8 +109,18 @@
 
     /// Reads what has come.
     pub fn read(&mut self, now: f64) -> Progress {
-        self.heard = now;
-        self.stream.read()
+        let before = self.stream.input.len();
+        let progress = self.stream.read();
+        if self.stream.input.len() > before {
+            self.heard = now;
+        }
+        progress
+    }
+
+    /// Whether nothing is out on it and the member has closed it, which the loop may not have told yet: an ask
+    /// written to it would end as one that may have run.
+    pub fn is_stale(&mut self, now: f64) -> bool {
+        self.load() == 0 && self.stream.is_open() && self.read(now) == Progress::Ended
     }
 
     /// The next answer that has come whole, and the key of what it answers; none for what was given up.
--- a/crates/deckproxy/src/transport/stream.rs
+++ b/crates/deckproxy/src/transport/stream.rs
@@ -126,6 +126,11 @@
         Ok(self.connecting)
     }
 
+    /// Whether the handshake is over.
+    pub fn is_open(&self) -> bool {
+        !self.connecting
+    }
+
     /// Whether reading may bring something.
     pub fn is_readable(&self) -> bool {
         self.readable && !self.connecting
--- a/crates/deckproxy/tests/common/mod.rs
+++ b/crates/deckproxy/tests/common/mod.rs
@@ -128,11 +128,11 @@
     Some(words)
 }
 
-fn serve(conn: u64, stream: &TcpStream, conns: &Conns, stalled: &AtomicBool, seen: &Sender<Seen>) {
+fn serve(conn: u64, stream: Arc<TcpStream>, conns: &Conns, stalled: &AtomicBool, seen: &Sender<Seen>) {
     let mut buffer = Vec::new();
     let _ = seen.send(Seen::Opened(conn));
     while conns.lock().unwrap().contains_key(&conn) {
-        if read_some(stream, &mut buffer, stalled).is_none() {
+        if read_some(&stream, &mut buffer, stalled).is_none() {
             break;
         }
         while let Some(words) = command(&mut buffer) {
@@ -152,6 +152,8 @@
         }
     }
     conns.lock().unwrap().remove(&conn);
+    // It is told once the connection has ended.
+    drop(stream);
     let _ = seen.send(Seen::Closed(conn));
 }
 
@@ -183,7 +185,7 @@
                 let stream = Arc::new(stream);
                 conns.lock().unwrap().insert(conn, stream.clone());
                 let (conns, stalled, send) = (conns.clone(), stalled.clone(), send.clone());
-                thread::spawn(move || serve(conn, &stream, &conns, &stalled, &send));
+                thread::spawn(move || serve(conn, stream, &conns, &stalled, &send));
             }
         });
         Member { id: id.to_string(), address, seen, conns, listening, stalled }
