--- a/crates/deckproxy/src/main.rs
+++ b/crates/deckproxy/src/main.rs
@@ -1,13 +1,15 @@
 //! The gateway's process.
 #![forbid(unsafe_code)]
 
+use std::io::{self, Write};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
     match deckproxy::program::run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("deckproxy: {why}");
+            // Where even that can't be written, the exit code still tells.
+            let _ = writeln!(io::stderr(), "deckproxy: {why}");
             ExitCode::FAILURE
         }
     }
--- a/crates/deckproxy/src/program/logging.rs
+++ b/crates/deckproxy/src/program/logging.rs
@@ -10,7 +10,8 @@
 /// The log of the process, and what writes out its last lines when dropped.
 pub fn start() -> (Logger, slog_async::AsyncGuard) {
     let plain = slog_term::PlainSyncDecorator::new(std::io::stderr());
-    let format = slog_term::FullFormat::new(plain).use_utc_timestamp().build().fuse();
+    // A line that can't be written is lost; the gateway goes on, also where nobody reads its log any more.
+    let format = slog_term::FullFormat::new(plain).use_utc_timestamp().build().ignore_res();
     let (drain, guard) = slog_async::Async::new(format)
         .chan_size(WAITING)
         .overflow_strategy(OverflowStrategy::DropAndReport)
@@ -20,5 +21,5 @@
         Ok("warning") => slog::Level::Warning,
         _ => slog::Level::Info,
     };
-    (Logger::root(drain.filter_level(level).fuse(), o!()), guard)
+    (Logger::root(drain.filter_level(level).ignore_res(), o!()), guard)
 }
--- a/crates/deckproxy/tests/common/mod.rs
+++ b/crates/deckproxy/tests/common/mod.rs
@@ -586,6 +586,7 @@
     pub child: Child,
     pub address: SocketAddr,
     log: Arc<Mutex<String>>,
+    unheard: Arc<AtomicBool>,
 }
 
 impl Gateway {
@@ -610,21 +611,27 @@
             .unwrap();
         let mut stderr = child.stderr.take().unwrap();
         let log: Arc<Mutex<String>> = Arc::default();
-        let copy = log.clone();
+        let unheard = Arc::new(AtomicBool::new(false));
+        let (copy, stop) = (log.clone(), unheard.clone());
         thread::spawn(move || {
             let mut chunk = [0; 4096];
-            while let Ok(n @ 1..) = stderr.read(&mut chunk) {
+            while let (false, Ok(n @ 1..)) = (stop.load(Ordering::SeqCst), stderr.read(&mut chunk)) {
                 copy.lock().unwrap().push_str(&String::from_utf8_lossy(&chunk[..n]));
             }
             let _ = std::fs::remove_file(path);
         });
-        Gateway { child, address, log }
+        Gateway { child, address, log, unheard }
     }
 
     pub fn client(&self) -> Client {
         Client::connect(self.address)
     }
 
+    /// Closes the log's reader when its next line has come.
+    pub fn stop_reading_log(&self) {
+        self.unheard.store(true, Ordering::SeqCst);
+    }
+
     pub fn log(&self) -> String {
         self.log.lock().unwrap().clone()
     }
--- a/crates/deckproxy/tests/lifecycle.rs
+++ b/crates/deckproxy/tests/lifecycle.rs
@@ -147,3 +147,21 @@
     client.closed();
     assert_eq!(gateway.ended(), Some(0));
 }
+
+#[test]
+fn a_log_that_nobody_reads_any_more_ends_nothing() {
+    let world = World::start();
+    let Fed { mut gateway, mut client, feed, line } = world.fed();
+    gateway.stop_reading_log();
+    // Each lost feed writes a line; the first closes the reader, the others find a broken pipe.
+    drop(line);
+    for _ in 0..4 {
+        drop(feed.sub());
+    }
+    let id = client.get(OBJECT);
+    let (cache, ask) = world.ask();
+    cache.answer(&ask, "200", b"served");
+    client.served(id, b"served");
+    gateway.signal("TERM");
+    assert_eq!(gateway.ended(), Some(0));
+}
