Probes end by themselves and are never told QUIT; requests of a client found by range

A probe whose time was over stayed on its connection for good and would have kept it from being closed. Found by reading; the module sends no probes today. A test that could not fail is gone.

--- a/crates/deckproxy/src/program/gateway.rs
+++ b/crates/deckproxy/src/program/gateway.rs
@@ -236,12 +236,11 @@
         while let Some(effect) = self.router.effect() {
             match effect {
                 Effect::Ask { key, member, place, call, orders } => {
-                    self.send(now, key, member, place, call.name.clone(), back::ask(&call, &orders));
+                    self.send(now, key, member, place, &call.name, Some(back::ask(&call, &orders)));
                 }
                 Effect::Probe { key, member, place } => {
                     let tag = format!("p{:x}", key & 0xffff_ffff);
-                    let parts = [back::probe(&tag), bytes::Bytes::new(), bytes::Bytes::new()];
-                    self.send(now, key, member, place, tag.into(), parts);
+                    self.send(now, key, member, place, &tag, None);
                 }
                 Effect::Withdraw { key, .. } => self.withdraw(now, key),
                 Effect::Answer { client, id, answer } => self.answer(now, client, id, &answer),
--- a/crates/deckproxy/src/program/members.rs
+++ b/crates/deckproxy/src/program/members.rs
@@ -12,20 +12,24 @@
 use deckproxy_control::interface::MemberId;
 
 impl Gateway {
+    /// Sends an attempt or, where there is none, a probe.
     pub(super) fn send(
         &mut self,
         now: f64,
         key: AttemptKey,
         member: MemberId,
         place: Place,
-        name: Box<str>,
-        parts: [Bytes; 3],
+        name: &str,
+        ask: Option<[Bytes; 3]>,
     ) {
-        let Some(id) = self.link_for(now, member, place, &name) else {
+        let Some(id) = self.link_for(now, member, place, name) else {
             return self.router.broke(now, key, Broke::NeverSent);
         };
         if let Some(held) = self.links.get_mut(&id) {
-            held.link.ask(key, name, parts, now);
+            match ask {
+                Some(parts) => held.link.ask(key, name.into(), parts, now),
+                None => held.link.probe(key, name.into(), now),
+            }
             self.carried.insert(key, id);
         }
         self.flush_link(now, id);
--- a/crates/deckproxy/src/routing/router.rs
+++ b/crates/deckproxy/src/routing/router.rs
@@ -118,7 +118,7 @@
     classes: HashMap<Box<str>, usize>,
     members: Members,
     open: BTreeMap<RequestId, Open>,
-    ids: HashMap<(ClientId, u32), RequestId>,
+    ids: BTreeMap<(ClientId, u32), RequestId>,
     names: HashSet<Box<str>>,
     /// Bytes of the bodies of all that is open.
     held: usize,
@@ -167,7 +167,7 @@
             classes,
             members: Members::default(),
             open: BTreeMap::new(),
-            ids: HashMap::new(),
+            ids: BTreeMap::new(),
             names: HashSet::new(),
             held: 0,
             probes: HashMap::new(),
@@ -291,7 +291,7 @@
 
     /// A client's connection has ended with these requests open.
     pub fn client_gone(&mut self, now: f64, client: ClientId) {
-        let left: Vec<u32> = self.ids.keys().filter(|k| k.0 == client).map(|k| k.1).collect();
+        let left: Vec<u32> = self.ids.range((client, 0)..=(client, u32::MAX)).map(|(k, _)| k.1).collect();
         left.into_iter().for_each(|id| self.abort(now, client, id));
     }
 
@@ -366,7 +366,12 @@
             match due {
                 Due::Module(token) => self.tell(now, Event::Timer(token)),
                 Due::Attempt(at) => self.give_up(at, Ending::Timeout),
-                Due::Probe(at) => self.broke(now, at, Broke::Reset),
+                Due::Probe(at) => {
+                    if let Some(member) = self.probes.get(&at).copied() {
+                        self.effects.push_back(Effect::Withdraw { key: at, member });
+                        self.broke(now, at, Broke::Reset);
+                    }
+                }
                 Due::Request(request) => {
                     // The module answers at the last attempt's end or before; this is the net below it.
                     if self.open.get(&request).is_some_and(|o| !o.ended) {
--- a/crates/deckproxy/src/transport/member.rs
+++ b/crates/deckproxy/src/transport/member.rs
@@ -14,6 +14,8 @@
     name: Box<str>,
     /// When it was written whole, if it was.
     written: Option<f64>,
+    /// The member is told when it is given up; a probe ends by itself.
+    quits: bool,
 }
 
 /// A connection to a member, or one that is being made.
@@ -67,12 +69,22 @@
         !self.retired && !self.names.contains_key(name) && !self.given_up.contains(name)
     }
 
-    /// Appends an attempt or a probe.
+    /// Appends an attempt.
     pub fn ask(&mut self, key: u64, name: Box<str>, parts: [Bytes; 3], now: f64) {
+        self.add(key, name, Outgoing { key, parts }, true, now);
+    }
+
+    /// Appends a probe.
+    pub fn probe(&mut self, key: u64, name: Box<str>, now: f64) {
+        let message = Outgoing::whole(key, back::probe(&name));
+        self.add(key, name, message, false, now);
+    }
+
+    fn add(&mut self, key: u64, name: Box<str>, message: Outgoing, quits: bool, now: f64) {
         self.used = now;
         self.names.insert(name.clone(), key);
-        self.asks.insert(key, Ask { name, written: None });
-        self.stream.push(Outgoing { key, parts });
+        self.asks.insert(key, Ask { name, written: None, quits });
+        self.stream.push(message);
     }
 
     /// Takes back an attempt of which no byte was written. Tells whether that was so.
@@ -100,7 +112,9 @@
         if self.stream.withdraw(key) {
             return Some(false);
         }
-        self.stream.push(Outgoing::whole(OTHER, back::quit(&ask.name)));
+        if ask.quits {
+            self.stream.push(Outgoing::whole(OTHER, back::quit(&ask.name)));
+        }
         self.given_up.insert(ask.name);
         let silent = ask.written.is_some_and(|at| self.heard < at && now - at > patience);
         self.retired |= silent || self.given_up.len() > GIVEN_UP;
--- a/crates/deckproxy/tests/codecs.rs
+++ b/crates/deckproxy/tests/codecs.rs
@@ -255,6 +255,22 @@
     assert!(text(&Orders { age: 1234.9, ..Orders::default() }).contains(",within=1234,"), "rounded down");
 }
 
+#[test]
+fn probes_and_withdrawals_are_words_of_one_argument() {
+    assert_eq!(back::probe("p1"), &b"*2\r\n$4\r\nINFO\r\n$2\r\np1\r\n"[..]);
+    assert_eq!(back::quit("9b1f"), &b"*2\r\n$4\r\nQUIT\r\n$4\r\n9b1f\r\n"[..]);
+    // Answers to probes come with or without fields and body.
+    for (text, alive, report) in [
+        ("*2\r\n$2\r\np1\r\n$5\r\nalive\r\n", true, vec![]),
+        ("*3\r\n$2\r\np1\r\n$4\r\ndead\r\n$1\r\n-\r\n", false, vec![]),
+        ("*4\r\n$2\r\np1\r\n$5\r\nalive\r\n$10\r\nrep=x1:0.5\r\n$0\r\n\r\n", true, vec![("x1".into(), 0.5)]),
+    ] {
+        let want = Reply { id: "p1".into(), word: Word::Alive(alive), report, body: Bytes::new() };
+        assert_eq!(replies(text.as_bytes(), &[3, 9]), [Ok(want)]);
+    }
+    assert!(replies(b"*2\r\n$2\r\np1\r\n$3\r\n200\r\n", &[])[0].is_err(), "served without a body");
+}
+
 #[test]
 fn answers_to_clients_are_what_the_page_shows() {
     let read = |parts: [Bytes; 3]| {
--- a/crates/deckproxy/tests/members.rs
+++ b/crates/deckproxy/tests/members.rs
@@ -309,12 +309,3 @@
         now != conn
     });
 }
-
-#[test]
-fn probes_of_the_module_are_not_sent_unless_it_asks() {
-    let world = World::start();
-    let gateway = world.setup().start();
-    let mut client = gateway.client();
-    warm(&world, &mut client);
-    assert!(world.caches.iter().all(|c| c.maybe_ask().is_none()));
-}
