--- a/crates/deckproxy/tests/endings.rs
+++ b/crates/deckproxy/tests/endings.rs
@@ -12,8 +12,13 @@
 
 /// A router that knows one cache and the origin, and attempts nothing twice where it may have run.
 fn router() -> Router {
+    router_with("127.0.0.1:9")
+}
+
+/// The same, with what the list tells of the members' address.
+fn router_with(address: &str) -> Router {
     let entry = |id: &str, zone: &str, kind: &str| {
-        json!({"id": id, "host_port": "127.0.0.1:9", "locality": zone, "flavor": kind, "cell": 0,
+        json!({"id": id, "host_port": address, "locality": zone, "flavor": kind, "cell": 0,
             "phase": "Ready", "size": 100, "up_since_ms": 0})
     };
     let members = [entry("s-1", "edge", "box"), entry("s-2", "hub", "origin")];
@@ -110,6 +115,29 @@
     });
 }
 
+#[test]
+fn a_member_without_an_address_is_never_reached() {
+    let mut router = router_with("nowhere");
+    router.request(NOW, 1, 7, call("once", 1));
+    let after = effects(&mut router);
+    assert_eq!(after.len(), 1, "{after:?}");
+    assert!(matches!(after[0], Effect::Answer { answer: Answer::Refused(_), .. }), "{after:?}");
+    assert!(count(&router, "connect_failed") >= 1);
+}
+
+#[test]
+fn what_is_called_off_may_have_run_only_if_some_of_it_was_written() {
+    for (sent, ending) in [(true, "cancelled"), (false, "moot")] {
+        let mut router = router();
+        let key = begin(&mut router);
+        router.abort(NOW + 5.0, 1, 7);
+        assert!(matches!(&effects(&mut router)[..], [Effect::Withdraw { key: k, .. }] if *k == key));
+        router.withdrawn(NOW + 5.0, key, sent);
+        assert_eq!((count(&router, ending), router.counters.endings.iter().sum::<u64>()), (1, 1));
+        assert!(effects(&mut router).is_empty(), "nobody is owed anything");
+    }
+}
+
 #[test]
 fn served_is_told_to_the_client_first_and_once() {
     let mut router = router();
