--- a/crates/deckproxy/tests/members.rs
+++ b/crates/deckproxy/tests/members.rs
@@ -56,6 +56,9 @@
     setup.events = vec![json!({"n": 1, "members": {"revision": 1, "complete": true, "members": entries}})];
     let gateway = setup.start();
     let mut client = gateway.client();
+    // Once it has answered, the gateway holds this client's descriptor.
+    let ping = client.ping();
+    assert_eq!(client.answer(), (ping, Answer::Ready(true)));
     let (_, before) = gateway.usage();
     let start = Instant::now();
     let id = client.get(OBJECT);
