Each attempt has a connection to itself while descriptors allow

The log shows what one such answer cost: "connection a string without its end, 28 attempts out", and in the same millisecond "member out for 1000 ms: failing". All attempts on a cache shared one connection (link_for took the first with room, 100 each), so one spoilt answer ended up to 28 attempts, and as each counted as a failure of its own (FAILS_CERTAIN is six in a row), the cache was left out too; with several out at once, node n2 refused 877 of 4007.

Now an attempt goes on an idle connection, the last used first, else on a new one; from three quarters of the descriptors' budget on, and while eight are on their way up at one member, attempts share the least loaded. The longest idle one makes room. Only the connection that is taken is checked for a close. The kernel takes 128 KB for one connection at most, so that what it has not taken is known not to have gone. In the module, failures of a member at one instant are one failure. That can hurt where a process dies and all its connections break in one turn: its refused connections then leave it out a little later.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -83,8 +83,9 @@
     held: Shared,
     /// Its pace: slowdowns seen of late, their weight, and when that was brought up to date.
     seen: (f64, f64, Millis),
-    /// Failures in a row.
+    /// Failures in a row, and when the last one was.
     fails: u32,
+    failed_at: Millis,
     /// Sends since its last sign of life, and when the first of them went.
     unanswered: u32,
     unanswered_since: Millis,
@@ -416,10 +417,13 @@
     /// Books a sign of health or trouble that the member itself caused.
     fn judge(&mut self, id: MemberId, good: bool) {
         let Some(p) = self.peers.get_mut(&id) else { return };
-        p.fails = if good { 0 } else { p.fails + 1 };
+        // What fails at one instant broke with one connection: that is one failure.
+        let again = !good && p.failed_at == self.now && p.fails > 0;
+        p.fails = if good { 0 } else { p.fails + u32::from(!again) };
+        p.failed_at = self.now;
         if good && p.trial {
             (p.trial, p.out_span) = (false, p.out_span * 0.25);
-        } else if p.trial || p.fails >= FAILS_CERTAIN {
+        } else if p.trial || p.fails >= FAILS_CERTAIN && !again {
             let why = if p.trial { "failed its trial" } else { "failing" };
             self.leave_out(id, why);
         }
--- a/crates/deckproxy-control/tests/trouble.rs
+++ b/crates/deckproxy-control/tests/trouble.rs
@@ -56,6 +56,26 @@
     assert_eq!(home(&mut rig, 5), silent);
 }
 
+/// One connection that broke ended many attempts, and each counted: the member was left out for a second.
+#[test]
+fn what_fails_at_one_instant_is_one_failure() {
+    let mut rig = Rig::new();
+    let member = home(&mut rig, 5);
+    let held: Vec<RequestId> = (0..8).map(|_| rig.ask(SMALL, 5, 0)).collect();
+    rig.now += 20.0;
+    held.iter().for_each(|id| rig.end(*id, 0, member, Ending::Reset));
+    assert_eq!(home(&mut rig, 5), member, "it is still asked");
+    // Failures one after another still leave it out.
+    let mut asked = Vec::new();
+    for _ in 0..8 {
+        rig.now += 20.0;
+        let id = rig.ask(SMALL, 5, 0);
+        asked.push(rig.sends()[0].1);
+        rig.end(id, 0, asked[asked.len() - 1], Ending::Reset);
+    }
+    assert!(asked[0] == member && asked[7] != member, "{asked:?}");
+}
+
 #[test]
 fn a_member_that_answers_others_is_not_silent() {
     let mut rig = Rig::new();
--- a/crates/deckproxy/src/program/members.rs
+++ b/crates/deckproxy/src/program/members.rs
@@ -48,41 +48,59 @@
         }
     }
 
-    /// A connection that can take an attempt of that name, made if there is none.
-    pub(super) fn link_for(
-        &mut self,
-        now: f64,
-        member: MemberId,
-        place: Place,
-        name: &str,
-    ) -> Option<LinkId> {
+    /// A connection that can take an attempt of that name. Each attempt has one to itself while descriptors
+    /// allow: an answer that can't be read, a silence or a reset ends all that is out on its connection. Idle
+    /// ones are used again, the last used first, so that those not needed grow old and are closed.
+    fn link_for(&mut self, now: f64, member: MemberId, place: Place, name: &str) -> Option<LinkId> {
         let (idle, streams) = (self.router.conf().limits.idle, self.router.conf().limits.streams);
-        let mut found = None;
+        let (mut free, mut connecting) = (Vec::new(), 0);
         for id in self.pools.get(&member).cloned().unwrap_or_default() {
             let Some(held) = self.links.get_mut(&id) else { continue };
             // A new process, or another address: the old connections carry nothing new. Nor does one that the
             // member is about to close for being idle.
             let old = idle > 0.0 && now - held.link.idle_since() > idle - limits::IDLE_MARGIN;
-            held.link.retired |=
-                held.place != place || old && held.link.load() == 0 || held.link.is_stale(now);
-            if held.link.retired && held.link.load() == 0 {
+            held.link.retired |= held.place != place || old && held.link.load() == 0;
+            connecting += usize::from(held.connecting);
+            if held.link.load() > 0 {
+                continue;
+            } else if held.link.retired {
+                self.drop_link(id);
+            } else {
+                free.push((held.link.idle_since(), id));
+            }
+        }
+        free.sort_by(|a, b| b.0.total_cmp(&a.0));
+        for (_, id) in free {
+            let Some(held) = self.links.get_mut(&id) else { continue };
+            if held.link.is_stale(now) {
                 self.drop_link(id);
-            } else if held.link.load() < streams
-                && held.link.stream.queued() < limits::MEMBER_OUTGOING
-                && held.link.takes(name)
-            {
-                found = found.or(Some(id));
+            } else if held.link.takes(name) {
+                return Some(id);
             }
         }
-        found.or_else(|| self.connect(now, member, place))
+        let most = limits::links(self.sockets);
+        if self.links.len() < most - most / limits::SHARE_FROM
+            && connecting < limits::CONNECTING
+            && let Some(id) = self.connect(now, member, place)
+        {
+            return Some(id);
+        }
+        // Descriptors are short, or the member takes no more connections for now: attempts share connections, the one with least out first.
+        let pool = self.pools.get(&member).into_iter().flatten();
+        let shared = pool.filter_map(|id| self.links.get(id).map(|h| (h.link.load(), *id, &h.link)));
+        let shared = shared.filter(|(load, _, link)| {
+            *load < streams && link.stream.queued() < limits::MEMBER_OUTGOING && link.takes(name)
+        });
+        let least = shared.map(|(load, id, _)| (load, id)).min();
+        least.map(|(_, id)| id).or_else(|| self.connect(now, member, place))
     }
 
     pub(super) fn connect(&mut self, now: f64, member: MemberId, place: Place) -> Option<LinkId> {
-        let reserve = limits::RESERVE.min(self.sockets / limits::RESERVE_SHARE);
-        let most = self.sockets.saturating_sub(self.sockets / limits::CLIENT_SHARE + reserve);
-        if self.links.len() >= most {
-            let idle = self.links.iter().filter(|(_, h)| h.link.load() == 0).map(|(id, _)| *id).next();
-            self.drop_link(idle?);
+        if self.links.len() >= limits::links(self.sockets) {
+            let idle = self.links.iter().filter(|(_, h)| h.link.load() == 0);
+            let oldest = idle.min_by(|a, b| a.1.link.idle_since().total_cmp(&b.1.link.idle_since()));
+            let oldest = oldest.map(|(id, _)| *id);
+            self.drop_link(oldest?);
         }
         self.next += 1;
         let id = self.next;
--- a/crates/deckproxy/src/protocol/limits.rs
+++ b/crates/deckproxy/src/protocol/limits.rs
@@ -28,6 +28,11 @@
 pub const RESERVE: usize = 40;
 /// See `RESERVE`.
 pub const RESERVE_SHARE: usize = 4;
+/// Share of the members' connections, as one in so many, from which on attempts share them.
+pub const SHARE_FROM: usize = 4;
+/// Connections that may be on their way up to one member before its attempts share them: a burst does not
+/// overflow what waits to be accepted there, and a member that has vanished takes no descriptors.
+pub const CONNECTING: usize = 8;
 
 /// Milliseconds until a timer of the module rings at the earliest.
 pub const TICK: f64 = 1.0;
@@ -61,3 +66,8 @@
 pub const CLIENT_OUTGOING: usize = 1024 * 1024;
 /// Bytes waiting for one member's connection from which another connection is opened.
 pub const MEMBER_OUTGOING: usize = 4 * 1024 * 1024;
+
+/// Connections to members that a number of descriptors allows.
+pub fn links(sockets: usize) -> usize {
+    sockets.saturating_sub(sockets / CLIENT_SHARE + RESERVE.min(sockets / RESERVE_SHARE))
+}
--- a/crates/deckproxy/src/transport/stream.rs
+++ b/crates/deckproxy/src/transport/stream.rs
@@ -15,6 +15,8 @@
 /// Bytes read in one call where no longer message is awaited, and in all before others have their turn.
 const CHUNK: usize = 16 * 1024;
 const TURN: usize = 256 * 1024;
+/// Bytes that the kernel takes for one connection to a member: what it has not taken is known not to have gone.
+const SENDING: usize = 128 * 1024;
 /// An empty input buffer above this size is given back.
 const KEEP: usize = 64 * 1024;
 
@@ -68,6 +70,7 @@
     ) -> io::Result<Self> {
         let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
+        socket.set_send_buffer_size(SENDING)?;
         match socket.connect(&to.into()) {
             Ok(()) => {}
             // EINPROGRESS has no stable kind of its own.
--- a/crates/deckproxy/tests/common/mod.rs
+++ b/crates/deckproxy/tests/common/mod.rs
@@ -165,6 +165,8 @@
     pub fn start_at(id: &str, at: SocketAddr) -> Self {
         let listener = TcpListener::bind(at).unwrap();
         let address = listener.local_addr().unwrap();
+        // What it does not read stays with the gateway.
+        socket2::SockRef::from(&listener).set_recv_buffer_size(16 * 1024).unwrap();
         listener.set_nonblocking(true).unwrap();
         let (send, seen) = channel();
         let conns: Conns = Arc::default();
