Errors to a request that failed elsewhere too are held against no member

The logs show "member out for 1000 ms: failing" for the origin, again and again, on all nodes, while no trouble was among the members. A probe that printed each answer 500 with its request: all of them were requests that bad clients made up ("ids that no cache knows"), each asked at three caches, both parents and the origin in turn; not one was a booking. So six such errors in a row left the origin out (judge, FAILS_CERTAIN), and bookings, which run nowhere else, were refused. Excluded: load (0.06 of 0.2 cores), connections, descriptors (174 of 384).

An error after a failure elsewhere is now booked against nobody, as the request itself may be at fault, and the third failure of a request ends it, so that it does not use up what is saved for repeats. The first failure counts as before, so a member that fails requests of its own is still left out. It could hurt where a whole pool fails at once: it is then left out one member after another.

Test: trouble.rs, a request that is an error everywhere.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -851,8 +851,10 @@
         if !never_ran && o.maybe_run.is_none() {
             o.maybe_run = Some((a.sent, a.member));
         }
+        // What failed at one member and is an error at the next may be the request's own fault.
+        let suspect = end.ending == Ending::Error && !o.bad.is_empty();
         let (r, ended) = (o.r, o.ended);
-        self.book(&a, &r, end);
+        self.book(&a, &r, end, suspect);
         if ended {
             // What is out beside it is called off; its waiters need not wait for that.
             let out = self.open.get(&id).filter(|_| self.s.cancel).into_iter().flat_map(|o| &o.out);
@@ -877,7 +879,7 @@
         let Some(o) = self.open.get_mut(&id) else { return };
         o.bad.push(guilty);
         let (key, bad) = ((r.object, r.part), o.bad.clone());
-        if self.retries < 1.0 || self.now >= r.expires {
+        if self.retries < 1.0 || self.now >= r.expires || suspect && bad.len() > 2 {
             return self.give_up(id);
         }
         self.retries -= 1.0;
@@ -896,7 +898,7 @@
     }
 
     /// Books an outcome: loads, learned times, health.
-    fn book(&mut self, a: &Attempt, r: &Request, end: Ended) {
+    fn book(&mut self, a: &Attempt, r: &Request, end: Ended, suspect: bool) {
         let source = a.source.filter(|s| *s != a.member);
         self.link.add(-f64::from(u8::from(a.linked)), self.now);
         for m in [Some(a.member), source].into_iter().flatten() {
@@ -929,7 +931,7 @@
             }
             Ending::Miss => self.judge(a.member, true),
             // What fails at a parent while the origin does is not held against it: it still has its copies.
-            _ if a.kind == Kind::Fill && !origin && failing => {}
+            _ if a.kind == Kind::Fill && !origin && failing || suspect => {}
             Ending::Timeout | Ending::Full if a.kind != Kind::LookUp && !a.late => {
                 self.see(a, |_| LATE_DRAG);
                 if end.ending == Ending::Full && a.kind == Kind::Fill {
--- a/crates/deckproxy-control/tests/trouble.rs
+++ b/crates/deckproxy-control/tests/trouble.rs
@@ -76,6 +76,27 @@
     assert!(asked[0] == member && asked[7] != member, "{asked:?}");
 }
 
+/// Requests that no cache can use went to all of them and to the origin, six attempts each: the origin was left out
+/// for failing, and nothing was left to repeat good requests with.
+#[test]
+fn a_request_that_is_an_error_everywhere_is_held_against_nobody_and_given_up() {
+    let mut rig = Rig::new();
+    for object in 0..40 {
+        let id = rig.ask(SMALL, object, 0);
+        let mut attempts = 0;
+        while let Some((_, member, _)) = rig.sends().first().copied() {
+            rig.end(id, attempts, member, Ending::Error);
+            attempts += 1;
+        }
+        assert!(attempts <= 3 && refused(&rig.acts, id), "{attempts}");
+        // Good ones pass between them.
+        home(&mut rig, object + 100);
+        rig.now += 50.0;
+    }
+    let id = rig.ask(KEYED, 5, 0);
+    assert_eq!(rig.sends(), [(id, THE_ORIGIN, None)], "the origin is not left out");
+}
+
 #[test]
 fn a_member_that_answers_others_is_not_silent() {
     let mut rig = Rig::new();
