Clients that keep a message waiting, miscount or send figures out of range are turned away

Read in the code: a silent or half-spoken client was held for 30 s, and one that sent a byte now and then for good (Client::read renews `moved`); at the bound the longest idle went, which is a good client when hundreds of new ones say nothing; a closing connection dropped what was open on it unanswered.

Now: numbers in the page's form only and within their range (allow to the class's longest time, groups to 255, sizes to eight times that time, dup only 1, keys in keyed classes only, names in lower case); message ids must count up from 1, else that request is told so and the connection closes; what is open on a closing connection is answered first, 1.5 s at most, and 256 KB more are read from it. A first message must come within 2 s, and each from its first byte on; 128 requests taken back in a row close too. At the bound, who has said nothing usable goes first, after 50 ms; while there are such, no good one goes. Once the time for stragglers is over, requests are refused at once.

--- a/crates/deckproxy/src/program/clients.rs
+++ b/crates/deckproxy/src/program/clients.rs
@@ -1,6 +1,6 @@
 //! Clients: accepting them, their messages, their answers, their end.
 
-use crate::program::gateway::{ACCEPT_AGAIN, BATCH, Chore, Gateway, Peer};
+use crate::program::gateway::{ACCEPT_AGAIN, ACCEPTS, Chore, Gateway, Peer};
 use crate::protocol::front::{self, Answer, Message};
 use crate::protocol::limits;
 use crate::routing::router::ClientId;
@@ -20,8 +20,8 @@
     }
 
     pub(super) fn accept_from(&mut self, now: f64, listener: &Listener) {
-        for _ in 0..BATCH {
-            if self.clients.len() >= self.sockets / limits::CLIENT_SHARE && !self.close_idle_client() {
+        for _ in 0..ACCEPTS {
+            if self.clients.len() >= self.sockets / limits::CLIENT_SHARE && !self.make_room(now) {
                 // Those that wait stay in the kernel's queue until a place is free.
                 return self.chores.set(now + ACCEPT_AGAIN, Chore::Accept);
             }
@@ -30,7 +30,7 @@
                 Accepted::None => return,
                 Accepted::Exhausted => {
                     self.line("no descriptor is left for a client");
-                    self.close_idle_client();
+                    self.make_room(now);
                     return self.chores.set(now + ACCEPT_AGAIN, Chore::Accept);
                 }
             };
@@ -47,14 +47,21 @@
         self.accepting = true;
     }
 
-    /// Makes room for a new client: the one idle for longest is closed.
-    pub(super) fn close_idle_client(&mut self) -> bool {
-        let idle = self.clients.iter().filter(|(_, c)| c.is_idle());
-        let oldest = idle.min_by(|a, b| a.1.idle_since().total_cmp(&b.1.idle_since())).map(|(id, _)| *id);
-        if let Some(client) = oldest.and_then(|id| self.clients.remove(&id)) {
-            client.stream.close(&self.handle);
+    /// Makes room for a new client. Who has sent nothing that can be used goes first, the oldest, if it had the
+    /// time to; while there are such, though too young, nobody else goes for them. Else the one idle for longest
+    /// goes. One with an open request never goes.
+    pub(super) fn make_room(&mut self, now: f64) -> bool {
+        let mut unproven = self.clients.iter().filter(|(_, c)| !c.is_proven() && !c.is_closing()).peekable();
+        let some = unproven.peek().is_some();
+        // They are numbered as they came.
+        let old = unproven.next().filter(|(_, c)| now - c.opened() > limits::CLIENT_YOUNG);
+        let idle = self.clients.iter().filter(|(_, c)| !some && c.is_idle());
+        let oldest = idle.min_by(|a, b| a.1.idle_since().total_cmp(&b.1.idle_since()));
+        let goes = old.or(oldest).map(|(id, _)| *id);
+        if let Some(id) = goes {
+            self.end_client(now, id);
         }
-        oldest.is_some()
+        goes.is_some()
     }
 
     pub(super) fn client_news(&mut self, id: ClientId, news: Readiness) {
@@ -78,11 +85,7 @@
                     if let Some(request) = broken.id {
                         client.answer(request, &Answer::Unusable(broken.why), false);
                     }
-                    client.begin_close();
-                    self.router.counters.unusable += 1;
-                    self.router.client_gone(now, id);
-                    self.line(&format!("a client's connection closes: {}", broken.why));
-                    self.flush_client(now, id);
+                    self.dismiss(now, id, broken.why);
                 }
             }
             self.pump(now);
@@ -94,6 +97,17 @@
         }
     }
 
+    /// A client's connection is of no more use: nothing that comes on it is looked at. What is open is answered,
+    /// and it closes.
+    fn dismiss(&mut self, now: f64, id: ClientId, why: &str) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.begin_close();
+        self.router.counters.unusable += 1;
+        self.line(&format!("a client's connection closes: {why}"));
+        self.chores.set(now + limits::CLOSING, Chore::Linger(id));
+        self.flush_client(now, id);
+    }
+
     pub(super) fn client_message(&mut self, now: f64, id: ClientId, message: Message) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         match message {
@@ -104,23 +118,42 @@
                     self.line("a client's connection closes: two open requests of one id");
                     return self.end_client(now, id);
                 }
+                if !client.follows(request) {
+                    // The page has them start at 1 and count up; whoever does otherwise made this one up.
+                    let why = "message ids do not start at 1 and count up";
+                    client.answer(request, &Answer::Unusable(why), false);
+                    return self.dismiss(now, id, why);
+                }
+                if self.terminating.is_some() && self.listener.is_none() {
+                    // The time for stragglers is over: what is refused at once is soon with another gateway.
+                    self.router.counters.refused += 1;
+                    client.answer(request, &Answer::Refused(0.0), false);
+                    return self.flush_client(now, id);
+                }
                 if client.admit() {
                     return self.router.request(now, id, request, *call);
                 }
                 self.router.counters.refused += 1;
                 client.answer(request, &Answer::Refused(0.0), false);
             }
-            Message::Ping(request) => client.push(front::ready(request, self.terminating.is_none())),
+            Message::Ping(request) => {
+                client.follows(request);
+                client.push(front::ready(request, self.terminating.is_none()));
+            }
             Message::Abort(requests) => {
                 for request in requests {
                     if self.router.is_open(id, request) {
-                        client.release();
+                        let many = client.release();
                         self.router.abort(now, id, request);
+                        if many {
+                            return self.dismiss(now, id, "it takes back all that it asks for");
+                        }
                     }
                 }
                 return;
             }
             Message::Unusable(request, why) => {
+                client.follows(request);
                 self.router.counters.unusable += 1;
                 client.answer(request, &Answer::Unusable(why), false);
             }
--- a/crates/deckproxy/src/program/gateway.rs
+++ b/crates/deckproxy/src/program/gateway.rs
@@ -24,9 +24,11 @@
 /// again when descriptors ran out.
 const HOUSEKEEPING: f64 = 250.0;
 const SUMMARY: f64 = 10_000.0;
-pub(super) const ACCEPT_AGAIN: f64 = 100.0;
-/// Connections served in one turn before the loop looks for news, and accepted in one go.
-pub(super) const BATCH: usize = 64;
+pub(super) const ACCEPT_AGAIN: f64 = 20.0;
+/// Connections served in one turn before the loop looks for news, and accepted in one go: those accepted before
+/// are read first.
+const BATCH: usize = 64;
+pub(super) const ACCEPTS: usize = 16;
 /// Log lines about single peers in one interval of the summary.
 const PEER_LINES: u32 = 50;
 
@@ -291,10 +293,11 @@
             let quiet = now - c.idle_since();
             c.stream.queued() > 0 && quiet > limits::CLIENT_STALL
                 || c.is_idle() && quiet > limits::CLIENT_IDLE
+                || c.is_overdue(now)
         };
         let stale: Vec<ClientId> = self.clients.iter().filter(|(_, c)| stale(c)).map(|(id, _)| *id).collect();
         for id in stale {
-            debug!(self.log, "closing a client's connection that is stalled or idle"; "client" => id);
+            debug!(self.log, "closing a client's connection that is stalled, idle or half-spoken"; "client" => id);
             self.end_client(now, id);
         }
         // What was not read at the bound is read again.
--- a/crates/deckproxy/src/program/members.rs
+++ b/crates/deckproxy/src/program/members.rs
@@ -106,7 +106,7 @@
         let id = self.next;
         let ready = move |g: &mut Gateway, news| g.link_news(id, news);
         let mut made = Stream::connect(&self.handle, place.address, ready);
-        if made.as_ref().is_err_and(is_exhausted) && self.close_idle_client() {
+        if made.as_ref().is_err_and(is_exhausted) && self.make_room(now) {
             // The lack is ours; an idle client's descriptor is worth less than a request.
             made = Stream::connect(&self.handle, place.address, ready);
         }
--- a/crates/deckproxy/src/protocol/front.rs
+++ b/crates/deckproxy/src/protocol/front.rs
@@ -246,8 +246,16 @@
             "lookup" => call.object = hex(text(&mut rest)?, "lookup")?,
             "allow" => call.allow = number(text(&mut rest)?, "allow")?,
             "room" => call.size = Some(number(text(&mut rest)?, "room")?).filter(|kb| *kb > 0.0),
-            "seg" => call.part = Some(text(&mut rest)?.parse().map_err(|_| "seg")?),
-            "bucket" => call.group = text(&mut rest)?.parse().map_err(|_| "bucket")?,
+            "seg" => call.part = Some(whole_number(text(&mut rest)?, "seg")?),
+            "bucket" => {
+                let group = whole_number(text(&mut rest)?, "bucket")?;
+                call.group = Some(group).filter(|n| *n < limits::GROUPS).ok_or("bucket")?;
+            }
+            "dup" => {
+                if text(&mut rest)? != "1" {
+                    return Err("dup");
+                }
+            }
             "replay" => call.key = Some(word(text(&mut rest)?, "replay")?),
             "etag" => call.have = Some(word(text(&mut rest)?, "etag")?),
             _ => skip(&mut rest)?,
@@ -274,14 +282,25 @@
 
 /// A name of 16 hex digits.
 fn hex(text: &str, field: &'static str) -> Result<(Box<str>, u64), &'static str> {
-    if text.len() != 16 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+    if text.len() != 16 || !text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f')) {
         return Err(field);
     }
     u64::from_str_radix(text, 16).map(|n| (text.into(), n)).map_err(|_| field)
 }
 
+/// A number as the page writes it: digits, perhaps a point and digits. What else may be read as a number, as a sign,
+/// an exponent or a word, would go on to members in another form than it came.
 fn number(text: &str, field: &'static str) -> Result<f64, &'static str> {
-    text.parse().ok().filter(|x: &f64| x.is_finite() && *x >= 0.0).ok_or(field)
+    let digits = |part: &str| !part.is_empty() && part.bytes().all(|b| b.is_ascii_digit());
+    let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
+    let plain = text.len() <= limits::DIGITS && digits(whole) && digits(fraction);
+    text.parse().ok().filter(|_| plain).ok_or(field)
+}
+
+/// A whole number; one with zeros in front would go on in another form than it came.
+fn whole_number(text: &str, field: &'static str) -> Result<u32, &'static str> {
+    let plain = text.bytes().all(|b| b.is_ascii_digit()) && (text.len() == 1 || !text.starts_with('0'));
+    text.parse().ok().filter(|_| plain).ok_or(field)
 }
 
 /// A text that can stand in the members' lists of fields.
--- a/crates/deckproxy/src/protocol/limits.rs
+++ b/crates/deckproxy/src/protocol/limits.rs
@@ -11,6 +11,12 @@
 pub const CLIENT_VALUES: u64 = 1024;
 /// Longest text of one field that is passed on.
 pub const FIELD: usize = 128;
+/// Groups of objects.
+pub const GROUPS: u32 = 256;
+/// Times a class's longest time that sending a part may take by its size.
+pub const LARGEST: f64 = 8.0;
+/// Longest text of a number.
+pub const DIGITS: usize = 20;
 /// Most bytes of an object.
 pub const OBJECT: usize = 240_000;
 /// Bodies below this size are copied out of the buffer that they came in.
@@ -51,7 +57,18 @@
 /// Milliseconds that a client may leave its answers unread before its connection is closed.
 pub const CLIENT_STALL: f64 = 10_000.0;
 /// Milliseconds that a client's connection may be idle, well over the four seconds after which clients close.
-pub const CLIENT_IDLE: f64 = 30_000.0;
+pub const CLIENT_IDLE: f64 = 10_000.0;
+/// Milliseconds in which a new connection's first message must come, and any message from its first byte on.
+pub const CLIENT_PROMPT: f64 = 2000.0;
+/// Milliseconds that a new connection has in any case, also when there is no room for more: its first message may
+/// be on its way.
+pub const CLIENT_YOUNG: f64 = 50.0;
+/// Requests that a client may take back one after another without one being answered.
+pub const CLIENT_TAKEN_BACK: usize = 4 * CLIENT_OPEN;
+/// Milliseconds after which a connection that closes is closed whatever is still open on it.
+pub const CLOSING: f64 = 1500.0;
+/// Bytes that are still read, and dropped, from a client whose connection closes.
+pub const CLOSING_READ: usize = 256 * 1024;
 /// Milliseconds that a client has to close its side of a connection that closes.
 pub const LINGER: f64 = 300.0;
 /// Milliseconds before a member's idle close at which a connection is not used any more.
--- a/crates/deckproxy/src/routing/router.rs
+++ b/crates/deckproxy/src/routing/router.rs
@@ -237,9 +237,21 @@
             self.counters.unusable += 1;
             return self.effects.push_back(answer(Answer::Unusable("an unknown class")));
         };
-        if call.key.is_none() && self.conf.settings.classes[class].effect == Repeats::Keyed {
+        let kind = &self.conf.settings.classes[class];
+        // A size that takes so long would also be learned as the class's.
+        let sending = call.size.filter(|_| self.conf.settings.flow > 0.0);
+        let sending = sending.map_or(0.0, |kb| kb / self.conf.settings.flow * 1000.0);
+        let wrong = [
+            (
+                call.key.is_some() != (kind.effect == Repeats::Keyed),
+                "replay: in keyed classes and in no other",
+            ),
+            (call.allow > kind.deadline + limits::SOCKET_SLACK, "allow is over the class's longest time"),
+            (sending > kind.deadline * limits::LARGEST, "room is out of range"),
+        ];
+        if let Some((_, why)) = wrong.iter().find(|(wrong, _)| *wrong) {
             self.counters.unusable += 1;
-            return self.effects.push_back(answer(Answer::Unusable("replay is missing")));
+            return self.effects.push_back(answer(Answer::Unusable(why)));
         }
         if self.names.contains(&call.name) {
             // Attempts go by this name on the members' connections: two of one name can't be told apart.
--- a/crates/deckproxy/src/transport/client.rs
+++ b/crates/deckproxy/src/transport/client.rs
@@ -18,8 +18,16 @@
     decoder: Decoder,
     /// Requests whose answer is not with the kernel yet.
     open: usize,
-    /// When something last came or went.
+    /// When it was accepted, when something last came or went, and since when a message is on its way.
+    opened: f64,
     moved: f64,
+    partial: Option<f64>,
+    /// The id that its next request has; none came yet where it is 1.
+    next_id: u32,
+    /// Requests taken back since one was answered.
+    taken_back: usize,
+    /// Bytes read and dropped while closing.
+    dropped: usize,
     /// Nothing that comes is looked at; it closes once what waits is written.
     closing: bool,
     shut: bool,
@@ -30,7 +38,20 @@
     /// A connection just accepted.
     pub fn new(stream: Stream, now: f64) -> Self {
         let (decoder, written) = (Decoder::default(), Vec::new());
-        Client { stream, decoder, open: 0, moved: now, closing: false, shut: false, written }
+        Client {
+            stream,
+            decoder,
+            open: 0,
+            opened: now,
+            moved: now,
+            partial: None,
+            next_id: 1,
+            taken_back: 0,
+            dropped: 0,
+            closing: false,
+            shut: false,
+            written,
+        }
     }
 
     /// Reads what has come.
@@ -39,9 +60,34 @@
         self.stream.read()
     }
 
-    /// Whether its requests are to be read: not while it leaves many answers unread.
+    /// Whether its requests are to be read: not while it leaves many answers unread, and not for long once it
+    /// closes. What is left unread then holds up the one who sends it, and nobody else.
     pub fn wants_reading(&self) -> bool {
-        self.stream.is_readable() && self.stream.queued() < limits::CLIENT_OUTGOING
+        let takes = !self.closing || self.dropped < limits::CLOSING_READ;
+        self.stream.is_readable() && takes && self.stream.queued() < limits::CLIENT_OUTGOING
+    }
+
+    /// Whether it has sent a whole message that can be used.
+    pub fn is_proven(&self) -> bool {
+        self.next_id > 1
+    }
+
+    /// When it was accepted.
+    pub fn opened(&self) -> f64 {
+        self.opened
+    }
+
+    /// Whether it keeps a message waiting for so long: its first one, or the rest of one that has begun.
+    pub fn is_overdue(&self, now: f64) -> bool {
+        let waiting = if self.is_proven() { self.partial } else { Some(self.opened) };
+        !self.closing && waiting.is_some_and(|since| now - since > limits::CLIENT_PROMPT)
+    }
+
+    /// Takes the id of a message. Tells whether it follows the one before.
+    pub fn follows(&mut self, id: u32) -> bool {
+        let follows = id == self.next_id;
+        self.next_id = id.saturating_add(1).max(2);
+        follows
     }
 
     /// Begins to close: nothing that comes is looked at, what waits is written.
@@ -57,11 +103,16 @@
     /// The next message that has come whole.
     pub fn take_message(&mut self) -> Result<Option<Message>, Broken> {
         if self.closing {
+            self.dropped += self.stream.input.len();
             self.stream.input.clear();
             return Ok(None);
         }
         let message = self.decoder.next(&mut self.stream.input);
-        if message == Ok(None) {
+        if message != Ok(None) {
+            self.partial = None;
+        } else {
+            let begun = !self.stream.input.is_empty();
+            self.partial = begun.then(|| self.partial.unwrap_or(self.moved));
             self.stream.lacks = self.decoder.lacks(self.stream.input.len());
             self.stream.trim();
         }
@@ -96,15 +147,17 @@
         self.stream.push(Outgoing::whole(OTHER, bytes));
     }
 
-    /// A request left without an answer.
-    pub fn release(&mut self) {
+    /// A request left without an answer. Tells whether that were too many one after another.
+    pub fn release(&mut self) -> bool {
         self.open = self.open.saturating_sub(1);
+        self.taken_back += 1;
+        self.taken_back > limits::CLIENT_TAKEN_BACK
     }
 
-    /// Where it is closing and all is written, tells the other side that nothing more comes. Tells whether it
+    /// Where it is closing, nothing is owed on it and all is written, tells the other side that nothing more comes. Tells whether it
     /// did so now.
     pub fn shut(&mut self) -> bool {
-        let now = self.closing && self.stream.queued() == 0 && !self.shut;
+        let now = self.closing && self.is_idle() && !self.shut;
         if now {
             self.shut = true;
             self.stream.shut();
@@ -121,6 +174,9 @@
         }
         let counted = self.written.drain(..).filter(|key| *key == COUNTED).count();
         self.open = self.open.saturating_sub(counted);
+        if counted > 0 {
+            self.taken_back = 0;
+        }
         Ok(())
     }
 }
