Every table has an end, and all bounds follow from the memory and descriptors given

Now Bounds::of(memory, sockets) gives the clients, the connections to members, the bytes that connections and bodies may hold before new requests are refused at once (half of the memory), and those that may wait unread (a quarter). A ledger of the bytes read and unread is kept as they come and go, so no scan of all clients is left on the reading path. Members that have left are forgotten, their busy connections retired; empty buffers are given back; bodies are copied. A reload takes new limits. The summary shows the size of every table.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -344,6 +344,7 @@
                 let last =
                     self.purged.entry((object, if object.is_some() { 0 } else { group })).or_insert(at);
                 *last = last.max(at);
+                self.purged.retain(|_, at| now <= *at + self.s.purge_done);
             }
             Event::Probed { .. } | Event::Peer(..) | Event::Started => {}
         }
@@ -354,6 +355,11 @@
         acts.append(&mut self.acts);
     }
 
+    /// Sizes of what grows with what passes by: members, requests, fills, objects, purges.
+    pub fn sizes(&self) -> [usize; 5] {
+        [self.peers.len(), self.open.len(), self.table.len(), self.objects.len(), self.purged.len()]
+    }
+
     fn members(&mut self, kind: ListKind, list: Vec<Member>) {
         if kind != ListKind::Delta {
             let left = self.peers.values_mut().filter(|p| !list.iter().any(|m| m.id == p.m.id));
@@ -408,9 +414,8 @@
         if self.logs < LOGS {
             self.logs += 1;
             let (zone, kind, span) = (p.m.zone, p.m.kind, p.out_span);
-            self.acts.push(Action::Log(format!(
-                "member {id} (kind {kind}, zone {zone}) out for {span:.0} ms: {why}"
-            )));
+            let text = format!("member {id} (kind {kind}, zone {zone}) out for {span:.0} ms: {why}");
+            self.acts.push(Action::Log(text));
         }
     }
 
@@ -497,11 +502,8 @@
     }
 
     fn origin(&self) -> Option<MemberId> {
-        self.peers
-            .values()
-            .map(|p| p.m)
-            .find(|m| m.lifecycle == Lifecycle::Ready && self.is_origin(m))
-            .map(|m| m.id)
+        let mut ready = self.peers.values().filter(|p| p.m.lifecycle == Lifecycle::Ready);
+        ready.find(|p| self.is_origin(&p.m)).map(|p| p.m.id)
     }
 
     fn hot(&self, r: &Request) -> bool {
@@ -955,12 +957,11 @@
     /// what has gone out of date is forgotten.
     fn sweep(&mut self) {
         self.sweeping = false;
-        let (now, done) = (self.now, self.s.purge_done);
+        let now = self.now;
         // A router that slept heard nobody: silence is counted anew.
         if now - self.sweep_due > ASLEEP {
             self.peers.values_mut().for_each(|p| p.unanswered_since = now);
         }
-        self.purged.retain(|_, at| now <= *at + done);
         if self.objects.len() * 2 > OBJECTS_MOST {
             self.objects.retain(|_, o| now - o.asked.1 < 10.0 * HOT_SPAN);
         }
--- a/crates/deckproxy/src/program/clients.rs
+++ b/crates/deckproxy/src/program/clients.rs
@@ -21,7 +21,7 @@
 
     pub(super) fn accept_from(&mut self, now: f64, listener: &Listener) {
         for _ in 0..ACCEPTS {
-            if self.clients.len() >= self.sockets / limits::CLIENT_SHARE && !self.make_room(now) {
+            if self.clients.len() >= self.bounds.clients && !self.make_room(now) {
                 // Those that wait stay in the kernel's queue until a place is free.
                 return self.chores.set(now + ACCEPT_AGAIN, Chore::Accept);
             }
@@ -37,7 +37,7 @@
             self.next += 1;
             let id = self.next;
             let ready = move |g: &mut Gateway, news| g.client_news(id, news);
-            match Stream::accepted(&self.handle, socket, ready) {
+            match Stream::accepted(&self.handle, &self.from_clients, socket, ready) {
                 Ok(stream) => {
                     self.clients.insert(id, Client::new(stream, now));
                 }
@@ -108,7 +108,15 @@
         self.flush_client(now, id);
     }
 
+    /// Whether connections and bodies hold as many bytes as they may.
+    fn is_full(&self) -> bool {
+        let (clients, members) = (&self.from_clients, &self.from_members);
+        let all = clients.input.get() + clients.output.get() + members.input.get() + self.router.held();
+        all > self.bounds.bytes
+    }
+
     pub(super) fn client_message(&mut self, now: f64, id: ClientId, message: Message) {
+        let is_full = self.is_full();
         let Some(client) = self.clients.get_mut(&id) else { return };
         match message {
             Message::Call(request, call) => {
@@ -130,7 +138,8 @@
                     client.answer(request, &Answer::Refused(0.0), false);
                     return self.flush_client(now, id);
                 }
-                if client.admit() {
+                // What all hold is looked at before what this one may.
+                if !is_full && client.admit() {
                     return self.router.request(now, id, request, *call);
                 }
                 self.router.counters.refused += 1;
--- a/crates/deckproxy/src/program/feed.rs
+++ b/crates/deckproxy/src/program/feed.rs
@@ -10,7 +10,7 @@
 impl Gateway {
     pub(super) fn connect_feed(&mut self, now: f64) {
         let Some(at) = self.feed_at.filter(|_| self.feed.is_none()) else { return };
-        match Stream::connect(&self.handle, at, |g: &mut Gateway, news| g.feed_news(news)) {
+        match Stream::connect(&self.handle, &self.from_feed, at, |g: &mut Gateway, news| g.feed_news(news)) {
             Ok(stream) => self.feed = Some(Feed::new(stream, self.router.last_event(), now)),
             Err(e) => self.lose_feed(now, &e.to_string()),
         }
--- a/crates/deckproxy/src/program/gateway.rs
+++ b/crates/deckproxy/src/program/gateway.rs
@@ -1,8 +1,9 @@
 //! One gateway: its connections, the router between them, and the chores of keeping them.
 
 use crate::program::usage::Usage;
+use crate::protocol::back;
 use crate::protocol::config::Config;
-use crate::protocol::{back, limits};
+use crate::protocol::limits::{self, Bounds};
 use crate::routing::counters::ENDINGS;
 use crate::routing::members::Place;
 use crate::routing::router::{AttemptKey, ClientId, Effect, Router};
@@ -13,12 +14,14 @@
 use crate::transport::feed::Feed;
 use crate::transport::listener::Listener;
 use crate::transport::member::Link;
+use crate::transport::stream::Ledger;
 use calloop::LoopHandle;
 use deckproxy_control::interface::MemberId;
 use slog::{Logger, debug, info, warn};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// ms between looks at idle and stalled connections, between summaries in the log, and until accepting is tried
 /// again when descriptors ran out.
@@ -82,7 +85,11 @@
     pub(super) ready: VecDeque<Peer>,
     pub(super) accepting: bool,
     pub(super) next: u64,
-    pub(super) sockets: usize,
+    pub(super) bounds: Bounds,
+    /// What the connections hold, by kind.
+    pub(super) from_clients: Rc<Ledger>,
+    pub(super) from_members: Rc<Ledger>,
+    pub(super) from_feed: Rc<Ledger>,
     pub(super) terminating: Option<f64>,
     pub(super) done: bool,
     pub(super) peer_lines: u32,
@@ -116,7 +123,10 @@
             ready: VecDeque::new(),
             accepting: true,
             next: 0,
-            sockets: config.sockets,
+            bounds: Bounds::of(config.memory, config.sockets),
+            from_clients: Rc::default(),
+            from_members: Rc::default(),
+            from_feed: Rc::default(),
             terminating: None,
             done: false,
             peer_lines: 0,
@@ -164,7 +174,7 @@
         if config.listen != self.listen {
             warn!(self.log, "reload: listen takes a restart"; "listen" => %config.listen);
         }
-        self.sockets = config.sockets;
+        self.bounds = Bounds::of(config.memory, config.sockets);
         self.feed_at = config.feed;
         // Also where the address is the same: whoever asks for a reload doubts what is known.
         if let Some(feed) = self.feed.take() {
@@ -301,7 +311,7 @@
             self.end_client(now, id);
         }
         // What was not read at the bound is read again.
-        if self.outgoing() <= limits::OUTGOING {
+        if self.from_clients.output.get() <= self.bounds.unread {
             let waiting = self.links.iter().filter(|(_, h)| h.link.stream.is_readable()).map(|(id, _)| *id);
             for id in waiting.collect::<Vec<_>>() {
                 Self::queue(&mut self.ready, Peer::Link(id));
@@ -311,9 +321,9 @@
         }
     }
 
-    /// At the bound on bytes that wait for clients, the one that leaves most unread is closed.
+    /// At the bound on bytes that wait for clients, the one that holds most is closed.
     fn evict(&mut self, now: f64) {
-        let worst = self.clients.iter().max_by_key(|(_, c)| c.stream.queued()).map(|(id, _)| *id);
+        let worst = self.clients.iter().max_by_key(|(_, c)| c.holds()).map(|(id, _)| *id);
         if let Some(id) = worst {
             self.line("closing the client's connection that leaves most unread");
             self.end_client(now, id);
@@ -328,6 +338,18 @@
         }
     }
 
+    /// Sizes of all that grows with what passes by; each has an end.
+    fn sizes(&self) -> String {
+        let own =
+            [("pools", self.pools.len()), ("carried", self.carried.len()), ("chores", self.chores.len())];
+        let bytes = [
+            ("read", self.from_clients.input.get() + self.from_members.input.get()),
+            ("unread", self.from_clients.output.get()),
+        ];
+        let all = own.into_iter().chain(bytes).chain(self.router.sizes());
+        all.map(|(name, size)| format!("{name}:{size}")).collect::<Vec<_>>().join(",")
+    }
+
     /// Writes the summary.
     pub fn summary(&mut self, name: &'static str) {
         let c = self.router.counters;
@@ -339,6 +361,7 @@
             "gone" => c.gone, "unusable" => c.unusable, "owed" => self.router.owed(),
             "attempts" => endings.join(","), "probes" => c.probes,
             "clients" => self.clients.len(), "links" => self.links.len(), "most_sockets" => self.most_sockets,
+            "sizes" => self.sizes(),
             "feed" => self.feed.is_some(), "event" => self.router.last_event(),
             "cpu_ms" => usage.cpu, "memory_kb" => usage.memory, "descriptors" => usage.descriptors,
             "broken" => c.broken, "overdue" => c.overdue, "timer_late_ms" => format!("{:.1}", c.late),
--- a/crates/deckproxy/src/program/members.rs
+++ b/crates/deckproxy/src/program/members.rs
@@ -78,7 +78,7 @@
                 return Some(id);
             }
         }
-        let most = limits::links(self.sockets);
+        let most = self.bounds.links;
         if self.links.len() < most - most / limits::SHARE_FROM
             && connecting < limits::CONNECTING
             && let Some(id) = self.connect(now, member, place)
@@ -96,7 +96,7 @@
     }
 
     pub(super) fn connect(&mut self, now: f64, member: MemberId, place: Place) -> Option<LinkId> {
-        if self.links.len() >= limits::links(self.sockets) {
+        if self.links.len() >= self.bounds.links {
             let idle = self.links.iter().filter(|(_, h)| h.link.load() == 0);
             let oldest = idle.min_by(|a, b| a.1.link.idle_since().total_cmp(&b.1.link.idle_since()));
             let oldest = oldest.map(|(id, _)| *id);
@@ -105,10 +105,10 @@
         self.next += 1;
         let id = self.next;
         let ready = move |g: &mut Gateway, news| g.link_news(id, news);
-        let mut made = Stream::connect(&self.handle, place.address, ready);
+        let mut made = Stream::connect(&self.handle, &self.from_members, place.address, ready);
         if made.as_ref().is_err_and(is_exhausted) && self.make_room(now) {
             // The lack is ours; an idle client's descriptor is worth less than a request.
-            made = Stream::connect(&self.handle, place.address, ready);
+            made = Stream::connect(&self.handle, &self.from_members, place.address, ready);
         }
         let stream = match made {
             Ok(stream) => stream,
@@ -140,7 +140,7 @@
         }
         self.flush_link(now, id);
         // At the bound nothing more is read: what came would only wait here for its clients.
-        let full = self.outgoing() > limits::OUTGOING;
+        let full = self.from_clients.output.get() > self.bounds.unread;
         let Some(held) = self.links.get_mut(&id) else { return };
         let readable = held.link.stream.is_readable() && !full;
         let progress = if readable { held.link.read(now) } else { Progress::Drained };
@@ -167,11 +167,6 @@
         }
     }
 
-    /// Bytes that wait for clients.
-    pub(super) fn outgoing(&self) -> usize {
-        self.clients.values().map(|c| c.stream.queued()).sum()
-    }
-
     pub(super) fn flush_link(&mut self, now: f64, id: LinkId) {
         let Some(held) = self.links.get_mut(&id) else { return };
         if let Err(e) = held.link.flush(now) {
@@ -210,14 +205,20 @@
         if let Some(held) = self.links.remove(&id) {
             if let Some(pool) = self.pools.get_mut(&held.member) {
                 pool.retain(|other| *other != id);
+                if pool.is_empty() {
+                    self.pools.remove(&held.member);
+                }
             }
             held.link.stream.close(&self.handle);
         }
     }
 
+    /// Closes a member's idle connections; the others take nothing new, and close once nothing is out on them.
     pub(super) fn close_idle(&mut self, member: MemberId) {
         for id in self.pools.get(&member).cloned().unwrap_or_default() {
-            if self.links.get(&id).is_some_and(|h| h.link.load() == 0) {
+            let Some(held) = self.links.get_mut(&id) else { continue };
+            held.link.retired = true;
+            if held.link.load() == 0 {
                 self.drop_link(id);
             }
         }
--- a/crates/deckproxy/src/protocol/front.rs
+++ b/crates/deckproxy/src/protocol/front.rs
@@ -126,7 +126,7 @@
         match self.scan(buffer) {
             Ok(false) => Ok(None),
             Ok(true) => {
-                let whole = buffer.split_to(self.at).freeze();
+                let whole = buffer.split_to(self.at);
                 *self = Decoder::default();
                 message(&whole).map(Some)
             }
@@ -192,11 +192,11 @@
     Ok((id, rest))
 }
 
-fn message(whole: &Bytes) -> Result<Message, Broken> {
+fn message(whole: &[u8]) -> Result<Message, Broken> {
     let Ok((id, rest)) = head(whole) else {
         return notification(whole).map_err(|why| Broken { why, id: None });
     };
-    Ok(request(whole, id, rest).unwrap_or_else(|why| Message::Unusable(id, why)))
+    Ok(request(id, rest).unwrap_or_else(|why| Message::Unusable(id, why)))
 }
 
 fn notification(whole: &[u8]) -> Result<Message, &'static str> {
@@ -214,7 +214,7 @@
     ids.collect::<Result<_, _>>().map(Message::Abort)
 }
 
-fn request(whole: &Bytes, id: u32, mut rest: &[u8]) -> Result<Message, &'static str> {
+fn request(id: u32, mut rest: &[u8]) -> Result<Message, &'static str> {
     let method = text(&mut rest)?;
     if method == "ping" {
         return Ok(Message::Ping(id));
@@ -271,12 +271,8 @@
     if rest.len() < length {
         return Err("the body is cut short");
     }
-    let start = whole.len() - rest.len();
-    // A small body would keep the whole buffer alive that it came in, many times its size.
-    call.body = match length {
-        0..limits::SMALL_BODY => Bytes::copy_from_slice(&rest[..length]),
-        _ => whole.slice(start..start + length),
-    };
+    // A slice would keep the whole buffer alive that it came in, many times what is counted for it.
+    call.body = Bytes::copy_from_slice(&rest[..length]);
     Ok(Message::Call(id, Box::new(call)))
 }
 
--- a/crates/deckproxy/src/protocol/limits.rs
+++ b/crates/deckproxy/src/protocol/limits.rs
@@ -75,16 +75,40 @@
 pub const IDLE_MARGIN: f64 = 500.0;
 /// Milliseconds for a probe.
 pub const PROBE: f64 = 1000.0;
-/// Bytes of requests' bodies that are held for all clients until their attempts are over.
-pub const HELD: usize = 32 * 1024 * 1024;
-/// Bytes waiting for all clients from which no more is read from members.
-pub const OUTGOING: usize = 24 * 1024 * 1024;
 /// Bytes waiting for one client from which its requests are not read.
 pub const CLIENT_OUTGOING: usize = 1024 * 1024;
 /// Bytes waiting for one member's connection from which another connection is opened.
 pub const MEMBER_OUTGOING: usize = 4 * 1024 * 1024;
 
-/// Connections to members that a number of descriptors allows.
-pub fn links(sockets: usize) -> usize {
-    sockets.saturating_sub(sockets / CLIENT_SHARE + RESERVE.min(sockets / RESERVE_SHARE))
+/// Share of the memory that connections and requests' bodies may take, from which on new requests are refused. The
+/// rest is for the process itself, what its tables hold, and what is on its way already.
+const MEMORY: f64 = 0.5;
+/// Share of the memory that may wait for clients, from which on nothing more is read from members and who leaves
+/// most unread is closed.
+const UNREAD: f64 = 0.25;
+
+/// Bounds that follow from the memory and the descriptors that a process is given.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Connections of clients.
+    pub clients: usize,
+    /// Connections to members.
+    pub links: usize,
+    /// Bytes read and not decoded, waiting to be written, or held as bodies.
+    pub bytes: usize,
+    /// Bytes that wait for clients.
+    pub unread: usize,
+}
+
+impl Bounds {
+    /// The bounds for so many MB and descriptors.
+    pub fn of(memory_mb: f64, sockets: usize) -> Self {
+        let bytes = |share: f64| (memory_mb * 1024.0 * 1024.0 * share) as usize;
+        Bounds {
+            clients: sockets / CLIENT_SHARE,
+            links: sockets.saturating_sub(sockets / CLIENT_SHARE + RESERVE.min(sockets / RESERVE_SHARE)),
+            bytes: bytes(MEMORY),
+            unread: bytes(UNREAD),
+        }
+    }
 }
--- a/crates/deckproxy/src/routing/members.rs
+++ b/crates/deckproxy/src/routing/members.rs
@@ -19,7 +19,7 @@
     place: Option<Place>,
 }
 
-/// All members that were ever listed, by number.
+/// All members that are listed, by number.
 #[derive(Default)]
 pub struct Members {
     known: HashMap<MemberId, Known>,
@@ -73,7 +73,24 @@
         })
     }
 
-    /// All that were ever listed.
+    /// Drops one that has left the list.
+    pub fn forget(&mut self, id: MemberId) {
+        if let Some(known) = self.known.remove(&id) {
+            self.numbers.remove(&known.name);
+        }
+    }
+
+    /// How many are listed.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Whether none is listed.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    /// All that are listed.
     pub fn ids(&self) -> impl Iterator<Item = MemberId> {
         self.known.keys().copied()
     }
--- a/crates/deckproxy/src/routing/router.rs
+++ b/crates/deckproxy/src/routing/router.rs
@@ -204,6 +204,23 @@
         self.ids.len()
     }
 
+    /// Bytes of the bodies of all that is open.
+    pub fn held(&self) -> usize {
+        self.held
+    }
+
+    /// Sizes of its tables and of the module's.
+    pub fn sizes(&self) -> impl Iterator<Item = (&'static str, usize)> {
+        let own = [
+            ("requests", self.open.len()),
+            ("members", self.members.len()),
+            ("probing", self.probes.len()),
+            ("timers", self.timers.len()),
+        ];
+        let names = ["peers", "deciding", "filling", "objects", "purges"];
+        own.into_iter().chain(names.into_iter().zip(self.control.sizes()))
+    }
+
     /// When `tick` is to be called next.
     pub fn next_due(&self) -> Option<f64> {
         self.timers.next()
@@ -258,8 +275,7 @@
             self.counters.unusable += 1;
             return self.effects.push_back(answer(Answer::Unusable("ref is in use")));
         }
-        let held = self.held + call.body.len();
-        if self.open.len() >= self.conf.limits.open || held > limits::HELD {
+        if self.open.len() >= self.conf.limits.open {
             self.counters.refused += 1;
             return self.effects.push_back(answer(Answer::Refused(0.0)));
         }
@@ -278,7 +294,7 @@
             class,
             expires,
         };
-        self.held = held;
+        self.held += call.body.len();
         self.names.insert(call.name.clone());
         self.ids.insert((client, id), request);
         let open = Open { client, id, call: call.into(), expires, sends: 0, out: Vec::new(), ended: false };
@@ -421,8 +437,11 @@
                 // What is idle to one that has left is closed at once; the address may get a new member.
                 let left = all.iter().filter(|m| m.lifecycle == Lifecycle::Gone).map(|m| m.id);
                 let unlisted = self.members.ids().filter(|id| whole && !all.iter().any(|m| m.id == *id));
-                self.effects.extend(left.chain(unlisted).map(Effect::Close));
+                let gone: Vec<MemberId> = left.chain(unlisted).collect();
+                self.effects.extend(gone.iter().copied().map(Effect::Close));
                 self.tell(now, Event::Members(if whole { whole_list } else { ListKind::Delta }, all));
+                // The module asks them for nothing more; what is out there ends by its number alone.
+                gone.into_iter().for_each(|id| self.members.forget(id));
             }
             News::PurgeObject(object, at) => {
                 let age = (now - at).max(0.0);
--- a/crates/deckproxy/src/routing/timers.rs
+++ b/crates/deckproxy/src/routing/timers.rs
@@ -49,6 +49,16 @@
         self.heap.push(Entry { at, order: self.order, what });
     }
 
+    /// Timers that are set.
+    pub fn len(&self) -> usize {
+        self.heap.len()
+    }
+
+    /// Whether none is set.
+    pub fn is_empty(&self) -> bool {
+        self.heap.is_empty()
+    }
+
     /// When the next one is due.
     pub fn next(&self) -> Option<f64> {
         self.heap.peek().map(|e| e.at)
--- a/crates/deckproxy/src/transport/client.rs
+++ b/crates/deckproxy/src/transport/client.rs
@@ -22,6 +22,8 @@
     opened: f64,
     moved: f64,
     partial: Option<f64>,
+    /// A message was taken off the buffer since that was trimmed.
+    taken: bool,
     /// The id that its next request has; none came yet where it is 1.
     next_id: u32,
     /// Requests taken back since one was answered.
@@ -45,6 +47,7 @@
             opened: now,
             moved: now,
             partial: None,
+            taken: false,
             next_id: 1,
             taken_back: 0,
             dropped: 0,
@@ -105,16 +108,17 @@
         if self.closing {
             self.dropped += self.stream.input.len();
             self.stream.input.clear();
+            self.stream.trim(true);
             return Ok(None);
         }
         let message = self.decoder.next(&mut self.stream.input);
         if message != Ok(None) {
-            self.partial = None;
+            (self.partial, self.taken) = (None, true);
         } else {
             let begun = !self.stream.input.is_empty();
             self.partial = begun.then(|| self.partial.unwrap_or(self.moved));
             self.stream.lacks = self.decoder.lacks(self.stream.input.len());
-            self.stream.trim();
+            self.stream.trim(std::mem::take(&mut self.taken));
         }
         message
     }
@@ -126,6 +130,11 @@
         room
     }
 
+    /// Bytes that it holds here.
+    pub fn holds(&self) -> usize {
+        self.stream.input.len() + self.stream.queued()
+    }
+
     /// Whether no request is open.
     pub fn is_idle(&self) -> bool {
         self.open == 0 && self.stream.queued() == 0
--- a/crates/deckproxy/src/transport/feed.rs
+++ b/crates/deckproxy/src/transport/feed.rs
@@ -33,7 +33,7 @@
         let line = self.decoder.next(&mut self.stream.input)?;
         match line {
             Some(_) => self.heard = now,
-            None => self.stream.trim(),
+            None => self.stream.trim(true),
         }
         Ok(line)
     }
--- a/crates/deckproxy/src/transport/member.rs
+++ b/crates/deckproxy/src/transport/member.rs
@@ -30,13 +30,15 @@
     /// When something last came, and when it last had something to do.
     heard: f64,
     used: f64,
+    /// An answer was taken off the buffer since that was trimmed.
+    taken: bool,
     /// Takes nothing new; closes once nothing is out.
     pub retired: bool,
     written: Vec<u64>,
 }
 
 /// Names given up on one connection, from which it is retired.
-const GIVEN_UP: usize = 4096;
+const GIVEN_UP: usize = 32;
 
 impl Link {
     /// A connection that is being made.
@@ -49,6 +51,7 @@
             given_up: HashSet::new(),
             heard: now,
             used: now,
+            taken: false,
             retired: false,
             written: Vec::new(),
         }
@@ -141,9 +144,10 @@
     pub fn take_reply(&mut self, now: f64) -> Result<Option<(Option<u64>, Reply)>, &'static str> {
         let Some(reply) = self.decoder.next(&mut self.stream.input)? else {
             self.stream.lacks = self.decoder.lacks(self.stream.input.len());
-            self.stream.trim();
+            self.stream.trim(std::mem::take(&mut self.taken));
             return Ok(None);
         };
+        self.taken = true;
         // An answer to what was not written yet answers something else.
         let key = self.names.get(&reply.id).copied();
         let key = key.filter(|key| self.asks.get(key).is_some_and(|a| a.written.is_some()));
--- a/crates/deckproxy/src/transport/stream.rs
+++ b/crates/deckproxy/src/transport/stream.rs
@@ -8,6 +8,7 @@
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
 use socket2::{Domain, Protocol, Socket, Type};
+use std::cell::Cell;
 use std::io::{self, Read};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -17,8 +18,6 @@
 const TURN: usize = 256 * 1024;
 /// Bytes that the kernel takes for one connection to a member: what it has not taken is known not to have gone.
 const SENDING: usize = 128 * 1024;
-/// An empty input buffer above this size is given back.
-const KEEP: usize = 64 * 1024;
 
 /// What a turn of reading found.
 #[derive(Debug, PartialEq, Eq)]
@@ -37,6 +36,23 @@
     matches!(e.raw_os_error(), Some(24 | 23 | 105 | 12))
 }
 
+/// What all connections of one kind hold together, in bytes.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    /// Read and not decoded yet.
+    pub input: Cell<usize>,
+    /// Waiting to go out.
+    pub output: Cell<usize>,
+}
+
+impl Ledger {
+    /// Books a change of one connection's part.
+    fn book(total: &Cell<usize>, booked: &mut usize, now: usize) {
+        total.set(total.get() - *booked + now);
+        *booked = now;
+    }
+}
+
 /// A connection, or one that is being made.
 pub struct Stream {
     socket: Rc<TcpStream>,
@@ -49,22 +65,33 @@
     readable: bool,
     writable: bool,
     connecting: bool,
+    ledger: Rc<Ledger>,
+    booked: (usize, usize),
+}
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        Ledger::book(&self.ledger.input, &mut self.booked.0, 0);
+        Ledger::book(&self.ledger.output, &mut self.booked.1, 0);
+    }
 }
 
 impl Stream {
     /// Takes over an accepted connection. `ready` is called when the kernel has news of it.
     pub fn accepted<D: 'static>(
         handle: &LoopHandle<'static, D>,
+        ledger: &Rc<Ledger>,
         socket: TcpStream,
         ready: impl FnMut(&mut D, Readiness) + 'static,
     ) -> io::Result<Self> {
         socket.set_nonblocking(true)?;
-        Self::register(handle, socket, false, ready)
+        Self::register(handle, ledger, socket, false, ready)
     }
 
     /// Starts to connect; an error tells that nothing was sent.
     pub fn connect<D: 'static>(
         handle: &LoopHandle<'static, D>,
+        ledger: &Rc<Ledger>,
         to: SocketAddr,
         ready: impl FnMut(&mut D, Readiness) + 'static,
     ) -> io::Result<Self> {
@@ -77,11 +104,12 @@
             Err(e) if e.kind() == io::ErrorKind::WouldBlock || e.raw_os_error() == Some(115) => {}
             Err(e) => return Err(e),
         }
-        Self::register(handle, socket.into(), true, ready)
+        Self::register(handle, ledger, socket.into(), true, ready)
     }
 
     fn register<D: 'static>(
         handle: &LoopHandle<'static, D>,
+        ledger: &Rc<Ledger>,
         socket: TcpStream,
         connecting: bool,
         mut ready: impl FnMut(&mut D, Readiness) + 'static,
@@ -104,6 +132,8 @@
             readable: false,
             writable: !connecting,
             connecting,
+            ledger: Rc::clone(ledger),
+            booked: (0, 0),
         })
     }
 
@@ -141,6 +171,17 @@
 
     /// Reads what there is, up to a turn's amount.
     pub fn read(&mut self) -> Progress {
+        let progress = self.take_in();
+        self.book();
+        progress
+    }
+
+    fn book(&mut self) {
+        Ledger::book(&self.ledger.input, &mut self.booked.0, self.input.len());
+        Ledger::book(&self.ledger.output, &mut self.booked.1, self.output.bytes());
+    }
+
+    fn take_in(&mut self) -> Progress {
         let mut left = TURN;
         while left > 0 {
             let chunk = self.lacks.max(CHUNK).min(left.max(CHUNK));
@@ -166,21 +207,26 @@
         Progress::More
     }
 
-    /// Gives back a large buffer that holds nothing.
-    pub fn trim(&mut self) {
-        if self.input.is_empty() && self.input.capacity() > KEEP {
-            self.input = BytesMut::new();
+    /// All that can be was decoded; `taken`: some of it just now. A buffer that holds nothing is given back, as
+    /// most connections are idle, and half of a message does not keep the whole that it came in with.
+    pub fn trim(&mut self, taken: bool) {
+        if taken || self.input.is_empty() {
+            self.input = BytesMut::from(&self.input[..]);
         }
+        self.book();
     }
 
     /// Appends a message to what waits to go out.
     pub fn push(&mut self, message: Outgoing) {
         self.output.push(message);
+        self.book();
     }
 
     /// Takes a message back of which no byte was written.
     pub fn withdraw(&mut self, key: u64) -> bool {
-        self.output.withdraw(key)
+        let found = self.output.withdraw(key);
+        self.book();
+        found
     }
 
     /// Bytes that wait to go out.
@@ -193,7 +239,9 @@
         if self.connecting || !self.writable || self.output.is_empty() {
             return Ok(());
         }
-        self.writable = self.output.flush(&mut &*self.socket, written)?;
+        let all = self.output.flush(&mut &*self.socket, written);
+        self.book();
+        self.writable = all?;
         Ok(())
     }
 
--- a/crates/deckproxy/tests/clients.rs
+++ b/crates/deckproxy/tests/clients.rs
@@ -403,6 +403,45 @@
     assert!(memory < 128 * 1024, "{memory} KB");
 }
 
+/// The smallest limits that a deployment gives: what connections hold ends by the memory, also half of messages.
+#[test]
+fn bad_clients_find_room_in_32_mb_and_256_descriptors_and_no_more() {
+    let world = World::start();
+    let mut setup = world.setup();
+    (setup.memory, setup.sockets) = (32, 256);
+    let gateway = setup.start();
+    let first = gateway.client();
+    world.origin.stall();
+    let body = vec![1u8; 48_000];
+    let mut refused = 0;
+    let mut most = (0, 0);
+    for round in 0..3 {
+        let mut clients: Vec<Client> = (0..70).map(|_| gateway.client()).collect();
+        for (at, client) in clients.iter_mut().enumerate() {
+            let (_, half) = client.encode("once", &[("lookup", OBJECT)], &body);
+            if at % 2 == 0 {
+                let _ = client.try_send(&half[..40_000]);
+                continue;
+            }
+            let _ = client.try_send(&half);
+            for _ in 0..20 {
+                let (_, bytes) = client.encode("once", &[("lookup", OBJECT)], &body);
+                let _ = client.try_send(&bytes);
+            }
+        }
+        for client in clients.iter_mut().skip(1).step_by(2) {
+            for _ in 0..21 {
+                refused += usize::from(matches!(client.answer().1, Answer::Error(word, _) if word == "Shed"));
+            }
+        }
+        let (memory, descriptors) = gateway.usage();
+        most = (memory.max(most.0), descriptors.max(most.1));
+        assert!(memory < 32 * 1024 && descriptors <= 256, "round {round}: {memory} KB, {descriptors}");
+    }
+    assert!(refused > 300, "{refused} refused, {most:?}");
+    drop(first);
+}
+
 #[test]
 fn a_flood_from_some_clients_delays_no_deadline_of_another() {
     let world = World::start();
--- a/crates/deckproxy/tests/common/mod.rs
+++ b/crates/deckproxy/tests/common/mod.rs
@@ -561,6 +561,7 @@
     pub feed: SocketAddr,
     pub listen: SocketAddr,
     pub sockets: u64,
+    pub memory: u64,
 }
 
 impl Setup {
@@ -573,12 +574,13 @@
             feed: free_address(),
             listen: free_address(),
             sockets: 1024,
+            memory: 192,
         }
     }
 
     pub fn config(&self) -> serde_json::Value {
         json!({"name": "n1", "listen": self.listen.to_string(), "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets}, "feed": self.feed.to_string(),
+            "limits": {"cores": 1.0, "memory_mb": self.memory, "sockets": self.sockets}, "feed": self.feed.to_string(),
             "flow_bytes_per_s": 310_000, "link_bytes_per_s": 1_240_000,
             "known": {"n": self.events.len(), "events": self.events}, "settings": self.settings})
     }
--- a/crates/deckproxy/tests/reload.rs
+++ b/crates/deckproxy/tests/reload.rs
@@ -73,6 +73,19 @@
     assert_eq!(feed.sub().0, 2);
 }
 
+#[test]
+fn new_limits_hold_from_then_on() {
+    let world = World::start();
+    let mut setup = world.setup();
+    let gateway = setup.start();
+    setup.sockets = 48;
+    gateway.reload(Some(&setup.config().to_string()));
+    until("it reloads", || gateway.log().contains("reload"));
+    let all: Vec<Client> = (0..40).map(|_| gateway.client()).collect();
+    until("it closes what is over the bound", || gateway.usage().1 <= 48);
+    drop(all);
+}
+
 #[test]
 fn a_reload_while_ending_is_harmless() {
     let world = World::start();
--- a/crates/deckproxy/tests/routing.rs
+++ b/crates/deckproxy/tests/routing.rs
@@ -276,3 +276,74 @@
         prop_assert_eq!(c.taken, c.served + c.refused + c.failed + c.gone);
     }
 }
+
+/// Ids, addresses' owners, clients and objects keep changing for as long as a gateway serves.
+#[test]
+fn thousands_of_generations_leave_nothing_behind() {
+    let mut router = router();
+    let mut now = NOW;
+    let mut most = BTreeMap::new();
+    let listed = |id: u64, phase: Phase, started: f64| Entry {
+        id: format!("s-{id:08x}").into(),
+        ..entry(0, phase, Some(started))
+    };
+    let mut event = 1;
+    for generation in 1..4000u64 {
+        now += 250.0;
+        event += 1;
+        let entries = vec![listed(generation, Phase::Ready, now), listed(generation - 1, Phase::Gone, now)];
+        assert!(router.feed(now, event, News::Members { whole: false, entries, dropped: 0 }, false));
+        event += 1;
+        assert!(router.feed(now, event, News::PurgeObject(generation, now), false));
+        for n in 0..20u32 {
+            let object = generation * 20 + u64::from(n);
+            let call = Call {
+                name: format!("{object:016x}").into(),
+                class: "page".into(),
+                allow: 1000.0,
+                key: None,
+                object: (format!("{object:016x}").into(), object),
+                part: None,
+                group: 0,
+                size: Some(10.0),
+                have: None,
+                body: Bytes::from_static(b"body"),
+            };
+            router.request(now, generation, n, call);
+        }
+        while let Some(effect) = router.effect() {
+            let Effect::Ask { key, call, .. } = effect else { continue };
+            // One in seven is never answered, one in five breaks.
+            match call.object.1 % 35 {
+                n if n % 7 == 0 => {}
+                n if n % 5 == 0 => router.broke(now, key, Broke::Reset),
+                _ => {
+                    let (id, word, body) = (call.name.clone(), Word::Ok, Bytes::new());
+                    router.reply(now, key, Reply { id, word, report: Vec::new(), body });
+                }
+            }
+        }
+        if generation % 3 == 0 {
+            router.client_gone(now, generation);
+        }
+        router.tick(now);
+        while let Some(effect) = router.effect() {
+            if let Effect::Withdraw { key, .. } = effect {
+                router.withdrawn(now, key, true);
+            }
+        }
+        for (name, size) in router.sizes() {
+            let seen = most.entry(name).or_insert(0);
+            *seen = size.max(*seen);
+        }
+    }
+    let bound = |name: &str| match name {
+        "objects" => 8192,
+        "timers" => 1000,
+        "requests" | "deciding" | "filling" => 150,
+        _ => 64,
+    };
+    assert!(most.iter().all(|(name, size)| *size <= bound(name)), "{most:?}");
+    assert_eq!(router.held(), 4 * router.sizes().find(|s| s.0 == "requests").unwrap().1);
+    assert_eq!(router.counters.broken, 0);
+}
