A crowd of clients finds places, the queue is told at the end, and haste is no silence

Seen: 128 clients, the bound, and none with an open request; a request's first attempt up to 1.2 s after it; members out as silent with 293 of 700 attempts cancelled. Checked: turns of 3 ms at most, members answered what reached them.

Now newcomers that have said nothing hold idle clients' places only once they are half of all, and connections told that nothing more comes go first. At a planned end all that wait in the queue are accepted and told. In the module a send taken back before it was late is taken off the unanswered.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -910,8 +910,9 @@
                 p.held.add(-1.0, self.now);
             }
             let silent = matches!(end.ending, Ending::Timeout | Ending::Cancelled | Ending::Moot);
-            if m == a.member && !silent {
-                p.unanswered = 0;
+            // What was taken back before it was late tells of no silence, nor of life.
+            if m == a.member && (!silent || self.now < a.late_at) {
+                p.unanswered = if silent { p.unanswered.saturating_sub(1) } else { 0 };
             }
         }
         end.load.into_iter().for_each(|load| self.told(a.member, load));
--- a/crates/deckproxy-control/tests/trouble.rs
+++ b/crates/deckproxy-control/tests/trouble.rs
@@ -97,6 +97,22 @@
     assert_eq!(rig.sends(), [(id, THE_ORIGIN, None)], "the origin is not left out");
 }
 
+/// Clients that had waited long for a place took their requests back at once: all members were left out as silent.
+#[test]
+fn requests_taken_back_before_they_were_late_make_no_member_silent() {
+    let mut rig = Rig::new();
+    let member = home(&mut rig, 5);
+    for _ in 0..40 {
+        let id = rig.ask(SMALL, 5, 0);
+        rig.now += 60.0;
+        rig.event(Event::Gone(id));
+        rig.end(id, 0, member, Ending::Cancelled);
+        let logged = rig.event(Event::Timer(0)).iter().any(|a| matches!(a, Action::Log(_)));
+        assert!(!logged, "{member} is left out");
+    }
+    assert_eq!(home(&mut rig, 5), member);
+}
+
 #[test]
 fn a_member_that_answers_others_is_not_silent() {
     let mut rig = Rig::new();
--- a/crates/deckproxy/src/program/clients.rs
+++ b/crates/deckproxy/src/program/clients.rs
@@ -13,25 +13,31 @@
 impl Gateway {
     pub(super) fn accept(&mut self, now: f64) {
         self.accepting = false;
-        if let Some(listener) = self.listener.take() {
-            self.accept_from(now, &listener);
+        let Some(listener) = self.listener.take() else { return };
+        let drained = self.accept_from(now, &listener);
+        if self.last_accepts && drained {
+            listener.close(&self.handle);
+        } else {
             self.listener = Some(listener);
         }
     }
 
-    pub(super) fn accept_from(&mut self, now: f64, listener: &Listener) {
+    /// Accepts some that wait. Tells whether nobody waits any more.
+    fn accept_from(&mut self, now: f64, listener: &Listener) -> bool {
         for _ in 0..ACCEPTS {
             if self.clients.len() >= self.bounds.clients && !self.make_room(now) {
                 // Those that wait stay in the kernel's queue until a place is free.
-                return self.chores.set(now + ACCEPT_AGAIN, Chore::Accept);
+                self.chores.set(now + ACCEPT_AGAIN, Chore::Accept);
+                return false;
             }
             let socket = match listener.accept() {
                 Accepted::One(socket) => socket,
-                Accepted::None => return,
+                Accepted::None => return true,
                 Accepted::Exhausted => {
                     self.line("no descriptor is left for a client");
                     self.make_room(now);
-                    return self.chores.set(now + ACCEPT_AGAIN, Chore::Accept);
+                    self.chores.set(now + ACCEPT_AGAIN, Chore::Accept);
+                    return false;
                 }
             };
             self.next += 1;
@@ -45,19 +51,23 @@
             }
         }
         self.accepting = true;
+        false
     }
 
-    /// Makes room for a new client. Who has sent nothing that can be used goes first, the oldest, if it had the
-    /// time to; while there are such, though too young, nobody else goes for them. Else the one idle for longest
-    /// goes. One with an open request never goes.
+    /// Makes room for a new client. Who was answered for good and only has to close goes first, then who had the
+    /// time to send something that can be used and did not, the oldest, then the one idle for longest. Those that
+    /// have said nothing take the place of no idle one once they hold half of all: then the next one waits until
+    /// they had their time. One with an open request never goes.
     pub(super) fn make_room(&mut self, now: f64) -> bool {
-        let mut unproven = self.clients.iter().filter(|(_, c)| !c.is_proven() && !c.is_closing()).peekable();
-        let some = unproven.peek().is_some();
         // They are numbered as they came.
-        let old = unproven.next().filter(|(_, c)| now - c.opened() > limits::CLIENT_YOUNG);
-        let idle = self.clients.iter().filter(|(_, c)| !some && c.is_idle());
-        let oldest = idle.min_by(|a, b| a.1.idle_since().total_cmp(&b.1.idle_since()));
-        let goes = old.or(oldest).map(|(id, _)| *id);
+        let mut unproven = self.clients.iter().filter(|(_, c)| !c.is_proven() && !c.is_closing()).peekable();
+        let oldest =
+            unproven.peek().filter(|(_, c)| now - c.opened() > limits::CLIENT_YOUNG).map(|(id, _)| **id);
+        let many = unproven.count() >= self.bounds.clients / 2;
+        let idle = self.clients.iter().filter(|(_, c)| !many && c.is_idle() && c.is_proven());
+        let idle = idle.min_by(|a, b| a.1.idle_since().total_cmp(&b.1.idle_since())).map(|(id, _)| *id);
+        let over = self.clients.iter().find(|(_, c)| c.is_shut()).map(|(id, _)| *id);
+        let goes = over.or(oldest).or(idle);
         if let Some(id) = goes {
             self.end_client(now, id);
         }
@@ -132,7 +142,7 @@
                     client.answer(request, &Answer::Unusable(why), false);
                     return self.dismiss(now, id, why);
                 }
-                if self.terminating.is_some() && self.listener.is_none() {
+                if self.last_accepts {
                     // The time for stragglers is over: what is refused at once is soon with another gateway.
                     self.router.counters.refused += 1;
                     client.answer(request, &Answer::Refused(0.0), false);
--- a/crates/deckproxy/src/program/gateway.rs
+++ b/crates/deckproxy/src/program/gateway.rs
@@ -84,6 +84,8 @@
     pub(super) feed_gap: Option<u64>,
     pub(super) ready: VecDeque<Peer>,
     pub(super) accepting: bool,
+    /// Nobody new is to come: what waits is accepted, and refused.
+    pub(super) last_accepts: bool,
     pub(super) next: u64,
     pub(super) bounds: Bounds,
     /// What the connections hold, by kind.
@@ -122,6 +124,7 @@
             feed_gap: None,
             ready: VecDeque::new(),
             accepting: true,
+            last_accepts: false,
             next: 0,
             bounds: Bounds::of(config.memory, config.sockets),
             from_clients: Rc::default(),
@@ -242,12 +245,8 @@
                 Chore::Connect(_) => {}
                 Chore::Feed => self.connect_feed(now),
                 Chore::Accept => self.accepting = true,
-                Chore::Stragglers => {
-                    if let Some(listener) = self.listener.take() {
-                        self.accept_from(now, &listener);
-                        listener.close(&self.handle);
-                    }
-                }
+                // What still waits in the kernel's queue is accepted and told, then nobody listens any more.
+                Chore::Stragglers => (self.last_accepts, self.accepting) = (true, true),
                 Chore::Unsent(key) => self.take_back(now, key),
                 Chore::Linger(id) => self.end_client(now, id),
                 Chore::LastCall => {
--- a/crates/deckproxy/src/transport/client.rs
+++ b/crates/deckproxy/src/transport/client.rs
@@ -163,6 +163,11 @@
         self.taken_back > limits::CLIENT_TAKEN_BACK
     }
 
+    /// Whether the other side was told that nothing more comes.
+    pub fn is_shut(&self) -> bool {
+        self.shut
+    }
+
     /// Where it is closing, nothing is owed on it and all is written, tells the other side that nothing more comes. Tells whether it
     /// did so now.
     pub fn shut(&mut self) -> bool {
--- a/crates/deckproxy/tests/lifecycle.rs
+++ b/crates/deckproxy/tests/lifecycle.rs
@@ -165,3 +165,28 @@
     gateway.signal("TERM");
     assert_eq!(gateway.ended(), Some(0));
 }
+
+/// Whoever connected in time is told, also where there was no place for it until the end.
+#[test]
+fn told_to_end_it_tells_those_that_wait_to_be_accepted() {
+    let world = World::start();
+    let mut setup = world.setup();
+    setup.sockets = 30;
+    let mut gateway = setup.start();
+    // All ten places are taken by clients with a request open.
+    let mut busy: Vec<Client> = (0..10).map(|_| gateway.client()).collect();
+    let ids: Vec<u64> = busy.iter_mut().map(|c| c.get(OBJECT)).collect();
+    let asks: Vec<(&Member, Ask)> = ids.iter().map(|_| world.ask()).collect();
+    let mut waiting: Vec<Client> = (0..20).map(|_| gateway.client()).collect();
+    let late: Vec<u64> = waiting.iter_mut().map(|c| c.get(OBJECT)).collect();
+    let start = Instant::now();
+    gateway.signal("TERM");
+    until("the time for stragglers is over", || start.elapsed() > Duration::from_millis(800));
+    for (cache, ask) in &asks {
+        cache.answer(ask, "200", b"x");
+    }
+    busy.iter_mut().zip(&ids).for_each(|(client, id)| client.served(*id, b"x"));
+    drop(busy);
+    waiting.iter_mut().zip(&late).for_each(|(client, id)| drop(client.error(*id, "Shed")));
+    assert_eq!(gateway.ended(), Some(0));
+}
