The origin, for which nobody stands in, is not left out for failing

Writes run at the origin alone, and every fill past the parents ends there. At fault: judge, which treats it as a member of a pool. Silence never left it out; failures now do not either. It could hurt where an origin that fails costs time: it is asked until clients go.

The refusals of that time remain; their cause within the module is not traced yet. Test: trouble.rs, the origin is asked on while it fails.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -413,7 +413,7 @@
         (p.trial, p.trial_out, p.fails, p.unanswered) = (true, false, 0, 0);
         if self.logs < LOGS {
             self.logs += 1;
-            let (zone, kind, span) = (p.m.zone, p.m.kind, p.out_span);
+            let (Member { kind, zone, .. }, span) = (p.m, p.out_span);
             let text = format!("member {id} (kind {kind}, zone {zone}) out for {span:.0} ms: {why}");
             self.acts.push(Action::Log(text));
         }
@@ -421,6 +421,7 @@
 
     /// Books a sign of health or trouble that the member itself caused.
     fn judge(&mut self, id: MemberId, good: bool) {
+        let only = self.origin() == Some(id);
         let Some(p) = self.peers.get_mut(&id) else { return };
         // What fails at one instant broke with one connection: that is one failure.
         let again = !good && p.failed_at == self.now && p.fails > 0;
@@ -428,9 +429,8 @@
         p.failed_at = self.now;
         if good && p.trial {
             (p.trial, p.out_span) = (false, p.out_span * 0.25);
-        } else if p.trial || p.fails >= FAILS_CERTAIN && !again {
-            let why = if p.trial { "failed its trial" } else { "failing" };
-            self.leave_out(id, why);
+        } else if !only && (p.trial || p.fails >= FAILS_CERTAIN && !again) {
+            self.leave_out(id, "failing, or failed its trial");
         }
     }
 
--- a/crates/deckproxy-control/tests/trouble.rs
+++ b/crates/deckproxy-control/tests/trouble.rs
@@ -113,6 +113,18 @@
     assert_eq!(home(&mut rig, 5), member);
 }
 
+/// Nobody stands in for the origin: left out while it was slow, it left writes with nowhere to run.
+#[test]
+fn the_origin_is_asked_on_while_it_fails() {
+    let mut rig = Rig::new();
+    for _ in 0..10 {
+        let id = rig.ask(KEYED, 5, 0);
+        assert_eq!(rig.sends(), [(id, THE_ORIGIN, None)]);
+        rig.end(id, 0, THE_ORIGIN, Ending::Reset);
+        rig.now += 50.0;
+    }
+}
+
 #[test]
 fn a_member_that_answers_others_is_not_silent() {
     let mut rig = Rig::new();
