--- /dev/null
+++ b/crates/deckproxy-operator/build.rs
@@ -0,0 +1,52 @@
+//! Compiles the schema without `protoc`; the rules on single fields are attached here, beside their names.
+
+use std::path::PathBuf;
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    println!("cargo:rerun-if-changed=proto/operator.proto");
+    let files = protox::compile(["proto/operator.proto"], ["proto"])?;
+    let out = PathBuf::from(std::env::var("OUT_DIR")?);
+    std::fs::write(out.join("operator.bin"), prost::Message::encode_to_vec(&files))?;
+    let mut config = prost_build::Config::new();
+    config.message_attribute(".", "#[derive(garde::Validate)]\n#[garde(allow_unvalidated)]");
+    let rules = [
+        ("Operator.sites", "dive"),
+        ("Sites.name", "custom(crate::rules::site_name)"),
+        ("Sites.listen", "custom(crate::rules::address_if_set)"),
+        ("Sites.peers", "length(min = 1, max = 64), dive"),
+        ("Sites.routes", "length(max = 100_000), dive"),
+        ("Sites.most_hops", "range(min = 1, max = 8)"),
+        ("Sites.cooldown_ms", "range(min = 1, max = 60_000)"),
+        ("Sites.link", "dive"),
+        ("Sites.trust", "dive"),
+        ("Sites.trust", "custom(crate::rules::lease_below_grace(&self.link))"),
+        ("Peer.site", "custom(crate::rules::site_name)"),
+        ("Peer.addresses", "length(min = 1, max = 16), inner(custom(crate::rules::address))"),
+        ("Peer.connections", "range(min = 1, max = 16)"),
+        ("Route.prefix", "custom(crate::rules::hex_prefix)"),
+        ("Route.class", "length(max = 128)"),
+        ("Route.groups", "dive"),
+        ("Route.home", "custom(crate::rules::site_name)"),
+        ("Groups.first", "range(max = 255)"),
+        ("Groups.last", "range(max = 255), custom(crate::rules::not_below(\"first\", Some(self.first)))"),
+        ("Link.heartbeat_ms", "range(min = 10, max = 60_000)"),
+        ("Link.silence_ms", "range(min = 20, max = 600_000), custom(crate::rules::twice(\"heartbeat_ms\", self.heartbeat_ms.or(Some(crate::defaults::HEARTBEAT_MS))))"),
+        ("Link.reattach_ms", "range(max = 600_000)"),
+        ("Link.chunk_kb", "range(min = 1, max = 256)"),
+        ("Link.credit_kb", "range(min = 1, max = 16_384), custom(crate::rules::not_below(\"chunk_kb\", self.chunk_kb.or(Some(crate::defaults::CHUNK_KB))))"),
+        ("Link.most_crossings", "range(min = 1, max = 1_000_000)"),
+        ("Link.waiters", "range(max = 65_536)"),
+        ("Link.retain_kb", "range(min = 64, max = 1_048_576)"),
+        ("Link.ramp_ms", "range(max = 600_000)"),
+        ("Link.repeats_share", "range(min = 0.0, max = 1.0)"),
+        ("Trust.grace_ms", "range(min = 50, max = 600_000)"),
+        ("Trust.lease_ms", "range(min = 20, max = 600_000)"),
+        ("Trust.skew_ms", "range(max = 600_000)"),
+        ("Trust.copy_life_ms", "range(max = 86_400_000)"),
+    ];
+    for (path, rule) in rules {
+        config.field_attribute(path, format!("#[garde({rule})]"));
+    }
+    config.compile_fds(files)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/deckproxy-operator/src/defaults.rs
@@ -0,0 +1,36 @@
+//! What a field that is left out stands for; the schema's comments name the same values, which a test compares.
+
+/// `Sites.most_hops`.
+pub const MOST_HOPS: u32 = 2;
+/// `Sites.cooldown_ms`.
+pub const COOLDOWN_MS: u32 = 200;
+/// `Peer.connections`.
+pub const CONNECTIONS: u32 = 2;
+/// `Link.heartbeat_ms`.
+pub const HEARTBEAT_MS: u32 = 150;
+/// `Link.silence_ms`.
+pub const SILENCE_MS: u32 = 600;
+/// `Link.reattach_ms`.
+pub const REATTACH_MS: u32 = 5000;
+/// `Link.chunk_kb`.
+pub const CHUNK_KB: u32 = 16;
+/// `Link.credit_kb`.
+pub const CREDIT_KB: u32 = 64;
+/// `Link.most_crossings`.
+pub const MOST_CROSSINGS: u32 = 10_000;
+/// `Link.waiters`.
+pub const WAITERS: u32 = 512;
+/// `Link.retain_kb`.
+pub const RETAIN_KB: u32 = 8192;
+/// `Link.ramp_ms`.
+pub const RAMP_MS: u32 = 2000;
+/// `Link.repeats_share`.
+pub const REPEATS_SHARE: f64 = 0.1;
+/// `Trust.grace_ms`.
+pub const GRACE_MS: u32 = 1000;
+/// `Trust.lease_ms`.
+pub const LEASE_MS: u32 = 700;
+/// `Trust.skew_ms`.
+pub const SKEW_MS: u32 = 250;
+/// `Trust.copy_life_ms`.
+pub const COPY_LIFE_MS: u32 = 60_000;
--- /dev/null
+++ b/crates/deckproxy-operator/src/source.rs
@@ -0,0 +1,120 @@
+//! Where in the text each field stands. The library that reads the text format stops at its first fault and keeps
+//! no places; this parser keeps them, so that all faults can be told at once, each with its line and column.
+
+use std::ops::Range;
+use winnow::combinator::{alt, delimited, opt, preceded, repeat, separated};
+use winnow::error::{ContextError, ParseError};
+use winnow::prelude::*;
+use winnow::stream::LocatingSlice;
+use winnow::token::{any, none_of, one_of, take_till, take_while};
+
+type Input<'a> = LocatingSlice<&'a str>;
+
+/// A field as it stands in the text.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Field {
+    /// Its name.
+    pub name: String,
+    /// Bytes from its name's first to its value's last.
+    pub span: Range<usize>,
+    /// What it holds.
+    pub value: Value,
+}
+
+/// A field's value.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Value {
+    /// A number, text or word.
+    Scalar,
+    /// A list of them, with their number.
+    List(usize),
+    /// A message.
+    Message(Vec<Field>),
+}
+
+fn blank(input: &mut Input<'_>) -> winnow::Result<()> {
+    let comment = ('#', take_till(0.., '\n')).void();
+    repeat(0.., alt((one_of([' ', '\t', '\r', '\n']).void(), comment))).parse_next(input)
+}
+
+fn lexeme<'a, O>(
+    inner: impl Parser<Input<'a>, O, ContextError>,
+) -> impl Parser<Input<'a>, O, ContextError> {
+    delimited(blank, inner, blank)
+}
+
+fn quoted(input: &mut Input<'_>) -> winnow::Result<()> {
+    let within = |end: char| repeat(0.., alt((('\\', any).void(), none_of([end, '\\', '\n']).void())));
+    let double = delimited('"', within('"'), '"');
+    let single = delimited('\'', within('\''), '\'');
+    alt((double, single)).parse_next(input)
+}
+
+fn scalar(input: &mut Input<'_>) -> winnow::Result<()> {
+    let texts = (quoted, repeat::<_, _, (), _, _>(0.., preceded(blank, quoted))).void();
+    let word = take_while(1.., |c: char| c.is_ascii_alphanumeric() || "_.+-".contains(c)).void();
+    alt((texts, word)).parse_next(input)
+}
+
+fn message(input: &mut Input<'_>) -> winnow::Result<Value> {
+    let braces = delimited('{', fields, '}');
+    let angles = delimited('<', fields, '>');
+    alt((braces, angles)).map(Value::Message).parse_next(input)
+}
+
+fn value(input: &mut Input<'_>) -> winnow::Result<Value> {
+    let items = separated::<_, _, Vec<()>, _, _, _, _>(0.., lexeme(scalar), ',');
+    let list = delimited('[', items, (blank, ']')).map(|all| Value::List(all.len()));
+    alt((message, list, scalar.value(Value::Scalar))).parse_next(input)
+}
+
+fn field(input: &mut Input<'_>) -> winnow::Result<Field> {
+    let name = take_while(1.., |c: char| c.is_ascii_alphanumeric() || c == '_');
+    let after = alt((preceded((blank, ':', blank), value), preceded(blank, message)));
+    let mut whole = (name, after).with_span();
+    let ((name, value), span) = whole.parse_next(input)?;
+    Ok(Field { name: name.to_string(), span, value })
+}
+
+fn fields(input: &mut Input<'_>) -> winnow::Result<Vec<Field>> {
+    let one = delimited(blank, field, (blank, opt(one_of([',', ';']))));
+    let all = repeat(0.., one).parse_next(input)?;
+    blank(input)?;
+    Ok(all)
+}
+
+/// The fields of a whole text; the error is the place at which it is no text format.
+pub fn parse(text: &str) -> Result<Vec<Field>, usize> {
+    fields.parse(LocatingSlice::new(text)).map_err(|e: ParseError<_, ContextError>| e.offset())
+}
+
+/// The field that a path like `sites.peers[1].site` names, or the innermost one round it that is there.
+pub fn find<'a>(fields: &'a [Field], path: &str) -> Option<&'a Field> {
+    let mut found = None;
+    let mut fields = fields;
+    for step in path.split('.') {
+        let (name, at) = step.split_once('[').unwrap_or((step, "0]"));
+        let at: usize = at.trim_end_matches(']').parse().unwrap_or(0);
+        let mut same = fields.iter().filter(|f| f.name == name);
+        // A list holds several values in one place.
+        let next = match same.clone().next() {
+            Some(first) if matches!(first.value, Value::List(_)) => Some(first),
+            _ => same.nth(at),
+        };
+        let Some(next) = next else { break };
+        found = Some(next);
+        fields = match &next.value {
+            Value::Message(fields) => fields,
+            _ => &[],
+        };
+    }
+    found
+}
+
+/// Line and column, from 1, of a place in the text.
+pub fn position(text: &str, at: usize) -> (usize, usize) {
+    let before = &text[..at.min(text.len())];
+    let line = before.bytes().filter(|b| *b == b'\n').count() + 1;
+    let start = before.rfind('\n').map_or(0, |i| i + 1);
+    (line, text[start..at.min(text.len())].chars().count() + 1)
+}
