--- /dev/null
+++ b/crates/deckproxy-lab/src/demo.rs
@@ -0,0 +1,122 @@
+//! `decklab demo`: the main job on an embedded default.
+
+use crate::traffic;
+use clap::Args;
+use comfy_table::Table;
+use deckproxy_standins::caller::Callers;
+use deckproxy_standins::fleet::{Site, Terms};
+use deckproxy_standins::free_address;
+use deckproxy_standins::record::{Fact, Outcome, Record};
+use deckproxy_standins::rules;
+use hdrhistogram::Histogram;
+use indicatif::{ProgressBar, ProgressStyle};
+use std::process::ExitCode;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How the demo runs.
+#[derive(Debug, Args)]
+pub struct Options {
+    /// Seconds of traffic.
+    #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u64).range(1..=600))]
+    seconds: u64,
+    /// Requests a second.
+    #[arg(long, default_value_t = 300, value_parser = clap::value_parser!(u32).range(1..=5000))]
+    rate: u32,
+    /// Clients.
+    #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u32).range(1..=200))]
+    clients: u32,
+    /// Seed of the traffic.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+/// Runs it.
+pub fn run(options: &Options) -> ExitCode {
+    let record = Record::default();
+    let site = Site::start(0, Terms::default(), &record);
+    let at = free_address();
+    println!(
+        "3 caches, a parent, an origin and the control feed run on loopback; the gateway listens on {at}"
+    );
+    let mut gateway = site.gateway("n1", at, None);
+    let draw = traffic::draw(0, 1, 2000, 0.0, 0.04);
+    let callers = Callers::start(
+        0,
+        at,
+        options.clients as usize,
+        f64::from(options.rate),
+        options.seed,
+        &draw,
+        &record,
+    );
+    let bar = ProgressBar::new(options.seconds * 10);
+    if let Ok(style) = ProgressStyle::with_template("{bar:30} {msg}") {
+        bar.set_style(style);
+    }
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(options.seconds) {
+        thread::sleep(Duration::from_millis(100));
+        bar.set_position((start.elapsed().as_millis() / 100) as u64);
+        let served = record.count(|f| matches!(f, Fact::Answered { outcome: Outcome::Served(_), .. }));
+        let hits = record.count(|f| matches!(f, Fact::Hit { .. }));
+        let fills = record.count(|f| matches!(f, Fact::Filled { .. }));
+        bar.set_message(format!("{served} served, {hits} hits in caches, {fills} fills"));
+    }
+    bar.finish_and_clear();
+    callers.finish();
+    gateway.signal("TERM");
+    let code = gateway.ended();
+    let end = record.now();
+    let facts = record.take();
+    let verdict = rules::judge(&facts, rules::Terms::default(), end);
+    let mut took = Histogram::<u64>::new(3).expect("three digits are allowed");
+    for ms in verdict.took.iter().flatten() {
+        let _ = took.record((ms * 1000.0) as u64);
+    }
+    let reads = verdict.served.max(1);
+    let caches = site.caches();
+    let in_caches = |member: &String| caches.contains(member);
+    let hits =
+        facts.iter().filter(|s| matches!(&s.fact, Fact::Hit { member, .. } if in_caches(member))).count();
+    let led =
+        facts.iter().filter(|s| matches!(&s.fact, Fact::Filled { member, .. } if in_caches(member))).count();
+    let at_origin = verdict.fills - led;
+    let misses = reads.saturating_sub(hits);
+    let mut table = Table::new();
+    table.set_header(["", ""]);
+    let rows = [
+        ("requests", verdict.requests.to_string()),
+        (
+            "served",
+            format!(
+                "{} ({:.1}%)",
+                verdict.served,
+                100.0 * verdict.served as f64 / verdict.requests.max(1) as f64
+            ),
+        ),
+        ("refused / failed", format!("{} / {}", verdict.refused, verdict.failed)),
+        ("served from a copy in a cache", format!("{hits} ({:.1}%)", 100.0 * hits as f64 / reads as f64)),
+        ("fills of caches for the other requests", format!("{led} for {misses}")),
+        ("fills of the parent from the origin", at_origin.to_string()),
+        (
+            "p50 / p99, ms",
+            format!(
+                "{:.1} / {:.1}",
+                took.value_at_quantile(0.5) as f64 / 1000.0,
+                took.value_at_quantile(0.99) as f64 / 1000.0
+            ),
+        ),
+        ("rules broken", if verdict.holds() { "none".to_string() } else { verdict.breaches.join("; ") }),
+    ];
+    for (name, value) in rows {
+        table.add_row([name.to_string(), value]);
+    }
+    println!("{table}");
+    println!(
+        "The gateway ended by itself on SIGTERM with exit code {}.",
+        code.map_or("?".into(), |c| c.to_string())
+    );
+    let good = verdict.holds() && code == Some(0) && verdict.served > 0;
+    if good { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- /dev/null
+++ b/crates/deckproxy-lab/src/drills/mod.rs
@@ -0,0 +1,102 @@
+//! `decklab drill`: the hard cases, and what independent checkers counted of them.
+
+mod sites;
+
+use clap::{Args, ValueEnum};
+use deckproxy_standins::rules::Verdict;
+use serde_json::{Value, json};
+use std::process::ExitCode;
+
+/// Which drill, and how.
+#[derive(Debug, Args)]
+pub struct Options {
+    /// The drill.
+    #[arg(value_enum)]
+    name: Name,
+    /// Seed of traffic and faults; the promises hold for any.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Seconds of traffic.
+    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(4..=3600))]
+    seconds: u64,
+    /// End with one JSON object on a line.
+    #[arg(long)]
+    json: bool,
+    /// Break a promise on purpose in what the checkers are given: the drill must object.
+    #[arg(long, value_enum, hide = true)]
+    spoil: Option<Spoil>,
+}
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum Name {
+    /// Two sites whose link is cut, purges on both sides, drains, restarts.
+    Sites,
+}
+
+/// What is put wrong in a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Spoil {
+    /// An answer from a copy older than a purge told long before.
+    Stale,
+    /// A second attempt beside the first.
+    Attempt,
+    /// An effect that comes twice.
+    Effect,
+    /// An answer that never came.
+    Answer,
+}
+
+/// What a drill found.
+pub struct Report {
+    verdict: Verdict,
+    /// Further figures.
+    figures: Value,
+    /// Promises that broke, beside the rules.
+    broken: Vec<String>,
+}
+
+/// Runs one.
+pub fn run(options: &Options) -> ExitCode {
+    let outcome = std::panic::catch_unwind(|| match options.name {
+        Name::Sites => sites::run(options),
+    });
+    let Ok(report) = outcome else {
+        eprintln!("the drill could not run");
+        return ExitCode::from(2);
+    };
+    let v = &report.verdict;
+    let ok = v.holds() && report.broken.is_empty();
+    for breach in v.breaches.iter().chain(&report.broken) {
+        eprintln!("broken: {breach}");
+    }
+    let mut all = json!({
+        "drill": format!("{:?}", options.name).to_lowercase(), "seed": options.seed, "seconds": options.seconds,
+        "requests": v.requests, "crossed": v.crossed, "served": v.served, "refused": v.refused, "failed": v.failed,
+        "killed": v.killed, "unanswered": v.unanswered, "double_answers": v.double_answers,
+        "double_attempts": v.double_attempts, "double_effects": v.double_effects,
+        "stale_after_purge": v.stale_after_purge, "sends_after_drain": v.sends_after_drain,
+        "wrong_bodies": v.wrong_bodies, "late": v.late, "cuts": v.cuts, "purges": v.purges,
+        "home_share": round(v.home_share), "crossed_share": round(v.crossed_share),
+        "home_p50_ms": round(v.quantile(0, 0.5)), "home_p99_ms": round(v.quantile(0, 0.99)),
+        "crossed_p50_ms": round(v.quantile(1, 0.5)), "crossed_p99_ms": round(v.quantile(1, 0.99)),
+    });
+    if let (Value::Object(all), Value::Object(more)) = (&mut all, report.figures) {
+        all.extend(more);
+    }
+    all["ok"] = ok.into();
+    if options.json {
+        println!("{all}");
+    } else if let Value::Object(all) = &all {
+        let mut table = comfy_table::Table::new();
+        table.set_header(["", ""]);
+        for (name, value) in all {
+            table.add_row([name.clone(), value.to_string()]);
+        }
+        println!("{table}");
+    }
+    if ok { ExitCode::SUCCESS } else { ExitCode::from(1) }
+}
+
+fn round(x: f64) -> f64 {
+    (x * 1000.0).round() / 1000.0
+}
--- /dev/null
+++ b/crates/deckproxy-lab/src/drills/sites.rs
@@ -0,0 +1,287 @@
+//! The drill of the gateway between sites.
+
+use super::{Options, Report, Spoil};
+use crate::traffic;
+use deckproxy_standins::caller::Callers;
+use deckproxy_standins::fleet::{Site, Terms};
+use deckproxy_standins::record::{Fact, Outcome, Record, Seen, Stamp};
+use deckproxy_standins::rules;
+use deckproxy_standins::shim::{Shim, State};
+use deckproxy_standins::{Gateway, free_address, until};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::json;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Share of the time for which links are cut.
+const CUT: f64 = 0.2;
+/// Objects of each site.
+const OBJECTS: usize = 400;
+/// Requests a second of each site's clients.
+const RATE: f64 = 120.0;
+const NAMES: [&str; 2] = ["north", "south"];
+
+fn operator(site: usize, listen: SocketAddr, peer: SocketAddr) -> String {
+    let other = 1 - site;
+    format!(
+        "sites {{\n name: \"{}\"\n listen: \"{listen}\"\n peers {{ site: \"{}\" addresses: \"{peer}\" }}\n \
+         routes {{ prefix: \"{other}\" home: \"{}\" }}\n \
+         # Of the other's objects, those whose number goes on with 0 to 3 may be kept here too.\n \
+         {}\n}}\n",
+        NAMES[site],
+        NAMES[other],
+        NAMES[other],
+        (0..4)
+            .map(|d| format!(
+                "routes {{ class: \"page\" prefix: \"{other}{d}\" home: \"{}\" mode: COPIES }}",
+                NAMES[other]
+            ))
+            .collect::<Vec<_>>()
+            .join("\n ")
+    )
+}
+
+/// One gateway and what starts it again.
+struct Post {
+    site: Arc<Site>,
+    listen: SocketAddr,
+    operator: String,
+    gateway: Gateway,
+}
+
+impl Post {
+    fn start(site: &Arc<Site>, listen: SocketAddr, operator: String) -> Self {
+        let gateway = site.gateway(NAMES[site.number as usize], listen, Some(&operator));
+        Post { site: site.clone(), listen, operator, gateway }
+    }
+
+    fn again(&mut self) {
+        self.gateway = self.site.gateway(NAMES[self.site.number as usize], self.listen, Some(&self.operator));
+    }
+}
+
+/// Runs it.
+pub fn run(options: &Options) -> Report {
+    let record = Record::default();
+    let sites: Vec<Arc<Site>> = (0..2)
+        .map(|n| Arc::new(Site::start(n, Terms { lingers: 2000, ..Terms::default() }, &record)))
+        .collect();
+    let links = [free_address(), free_address()];
+    // The link that a site opens goes through a shim to the other's gateway.
+    let shims = [Shim::to(links[1]), Shim::to(links[0])];
+    shims.iter().for_each(|shim| shim.delay(Duration::from_millis(4)));
+    let mut posts: Vec<Post> = (0..2)
+        .map(|n| Post::start(&sites[n], free_address(), operator(n, links[n], shims[n].address)))
+        .collect();
+    until("the links are up", || posts.iter().all(|p| p.gateway.log().contains(": up;")));
+    let callers: Vec<Callers> = (0..2)
+        .map(|n| {
+            let draw = traffic::draw(n, 2, OBJECTS, 0.5, 0.1);
+            let seed = options.seed ^ u64::from(n) << 32;
+            Callers::start(n, posts[n as usize].listen, 6, RATE, seed, &draw, &record)
+        })
+        .collect();
+    let restarts = faults(options, &record, &sites, &shims, &mut posts);
+    callers.into_iter().for_each(Callers::finish);
+    let mut broken = Vec::new();
+    for post in &mut posts {
+        post.gateway.signal("TERM");
+        let code = post.gateway.ended();
+        let log = post.gateway.log();
+        if code != Some(0) {
+            broken.push(format!("a gateway ended with {code:?}: {log}"));
+        }
+        if log.contains("broken invariant") || log.contains("panicked") {
+            broken.push(format!("a gateway's own checks failed: {log}"));
+        }
+    }
+    let end = record.now();
+    let mut facts = record.take();
+    if let Some(spoil) = options.spoil {
+        put_wrong(&mut facts, spoil);
+    }
+    let verdict = rules::judge(&facts, rules::Terms::default(), end);
+    if verdict.home_share < 0.95 {
+        broken.push(format!(
+            "{:.3} of the requests for own objects were served; 0.95 are promised",
+            verdict.home_share
+        ));
+    }
+    if verdict.crossed_share < 0.75 {
+        broken.push(format!(
+            "{:.3} of the crossing requests were served; 0.75 are promised",
+            verdict.crossed_share
+        ));
+    }
+    let cut: f64 = cut_time(&facts, end);
+    Report {
+        figures: json!({"cut_share": super::round(cut / end), "restarts": restarts, "attempts": verdict.attempts,
+            "hits": verdict.hits, "fills": verdict.fills}),
+        verdict,
+        broken,
+    }
+}
+
+/// Cuts, purges, drains and restarts until the time is over. Gives the number of restarts.
+fn faults(
+    options: &Options,
+    record: &Record,
+    sites: &[Arc<Site>],
+    shims: &[Shim; 2],
+    posts: &mut [Post],
+) -> usize {
+    let mut rng = Pcg64Mcg::seed_from_u64(options.seed.wrapping_mul(0x2545_f491_4f6c_dd1d) ^ 0xd111);
+    let start = Instant::now();
+    let length = Duration::from_secs(options.seconds);
+    let kinds = [(State::Reset, "reset"), (State::Silent, "silent"), (State::HalfOpen, "half open")];
+    let mut cut: Option<(Instant, usize)> = None;
+    let mut next_cut = start + Duration::from_millis(800);
+    let mut next_purge = start;
+    let mut next_drain = start + Duration::from_millis(1500);
+    let mut leaving: Vec<(Instant, usize, String)> = Vec::new();
+    let kill_at = start + length.mul_f64(0.45);
+    let term_at = start + length.mul_f64(0.75);
+    let (mut killed, mut ended, mut restarts) = (false, false, 0);
+    while start.elapsed() < length {
+        let now = Instant::now();
+        if let Some((until, which)) = cut.filter(|(until, _)| now >= *until) {
+            let _ = until;
+            shims[which].set(State::Whole);
+            record.note(Fact::Cut { kind: "whole", on: false });
+            cut = None;
+        }
+        if cut.is_none() && now >= next_cut {
+            let (state, kind) = kinds[rng.random_range(0..3)];
+            let lasts = rng.random_range(200..700u64);
+            let which = rng.random_range(0..2);
+            shims[which].set(state);
+            record.note(Fact::Cut { kind, on: true });
+            cut = Some((now + Duration::from_millis(lasts), which));
+            next_cut = now + Duration::from_millis((lasts as f64 / CUT) as u64);
+        }
+        if now >= next_purge {
+            next_purge = now + Duration::from_millis(rng.random_range(20..120));
+            // A popular object of either site changes; either side's feed may be the one to tell.
+            let home = rng.random_range(0..2usize);
+            let object = traffic::object(home as u32, rng.random_range(0..40));
+            for site in sites {
+                site.change(object);
+            }
+            let at = deckproxy_standins::unix_ms();
+            let teller = rng.random_range(0..2usize);
+            sites[teller].tell_purge(object, traffic::group(object), at);
+        }
+        if now >= next_drain {
+            next_drain = now + Duration::from_millis(2500);
+            let which = rng.random_range(0..2usize);
+            let caches = sites[which].caches();
+            let name = caches[rng.random_range(0..caches.len())].clone();
+            sites[which].add_cache();
+            sites[which].drain(&name);
+            leaving.push((now + Duration::from_millis(1600), which, name));
+        }
+        leaving.retain(|(due, which, name)| {
+            if now >= *due {
+                sites[*which].remove(name);
+            }
+            now < *due
+        });
+        if !killed && now >= kill_at {
+            killed = true;
+            restarts += 1;
+            posts[1].gateway.child.kill().expect("a process of our own");
+            let _ = posts[1].gateway.child.wait();
+            record.note(Fact::Killed { site: 1 });
+            posts[1].again();
+        }
+        if !ended && now >= term_at {
+            ended = true;
+            restarts += 1;
+            posts[0].gateway.signal("TERM");
+            // It goes on serving for a while; only then its place is free.
+            let _ = posts[0].gateway.ended();
+            posts[0].again();
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    shims.iter().for_each(|shim| shim.set(State::Whole));
+    if cut.is_some() {
+        record.note(Fact::Cut { kind: "whole", on: false });
+    }
+    // Links that were cut to the last come back, so that what waits is answered.
+    let _ = TcpStream::connect(posts[0].listen);
+    restarts
+}
+
+/// Milliseconds for which a link was cut.
+fn cut_time(facts: &[Seen], end: f64) -> f64 {
+    let mut since = None;
+    let mut sum = 0.0;
+    for seen in facts {
+        match seen.fact {
+            Fact::Cut { on: true, .. } => since = Some(seen.at),
+            Fact::Cut { on: false, .. } => sum += seen.at - since.take().unwrap_or(seen.at),
+            _ => {}
+        }
+    }
+    sum + since.map_or(0.0, |at| end - at)
+}
+
+/// Puts one thing wrong in a record.
+fn put_wrong(facts: &mut Vec<Seen>, spoil: Spoil) {
+    match spoil {
+        Spoil::Stale => {
+            let purge = facts.iter().find_map(|s| match &s.fact {
+                Fact::Purged { object: Some(object), at, .. } => Some((s.at, *object, *at)),
+                _ => None,
+            });
+            let Some((told, object, at)) = purge else { return };
+            let late = told + 1500.0;
+            let name = "spoilt".to_string();
+            let asked = Fact::Asked {
+                name: name.clone(),
+                site: 0,
+                home: 1,
+                class: "page",
+                object,
+                group: 0,
+                allow: 1400.0,
+            };
+            let stamp = Stamp { object, part: 0, issued: at - 1, site: 1 };
+            facts.push(Seen { at: late - 20.0, fact: asked });
+            facts.push(Seen {
+                at: late,
+                fact: Fact::Answered { name, outcome: Outcome::Served(Some(stamp)) },
+            });
+        }
+        Spoil::Attempt => {
+            let came = facts.iter().find(|s| matches!(s.fact, Fact::Came { .. })).cloned();
+            let Some(Seen { at, fact: Fact::Came { name, site, lane, .. } }) = came else { return };
+            let beside = |member: &str| Fact::Came {
+                name: name.clone(),
+                site,
+                member: member.into(),
+                lane: lane.clone(),
+            };
+            facts.push(Seen { at, fact: beside("spoilt-1") });
+            facts.push(Seen { at, fact: beside("spoilt-2") });
+            facts.push(Seen {
+                at: at + 200.0,
+                fact: Fact::Over { name: name.clone(), member: "spoilt-1".into() },
+            });
+            facts.push(Seen { at: at + 210.0, fact: Fact::Over { name, member: "spoilt-2".into() } });
+        }
+        Spoil::Effect => {
+            let ran = facts.iter().find(|s| matches!(s.fact, Fact::Ran { .. })).cloned();
+            facts.extend(ran.map(|s| Seen { at: s.at + 1.0, ..s }));
+        }
+        Spoil::Answer => {
+            let at = facts.iter().position(|s| matches!(s.fact, Fact::Answered { .. }));
+            at.map(|i| facts.remove(i));
+        }
+    }
+    facts.sort_by(|a, b| a.at.total_cmp(&b.at));
+}
--- a/crates/deckproxy-lab/src/main.rs
+++ b/crates/deckproxy-lab/src/main.rs
@@ -1,1 +1,49 @@
-fn main(){}
+//! decklab: what operators and developers try deckproxy with.
+#![forbid(unsafe_code)]
+
+mod demo;
+mod drills;
+mod traffic;
+
+use clap::{Parser, Subcommand};
+use std::process::ExitCode;
+
+/// Demo, drills and experiments around the deckproxy gateway, on this machine's loopback addresses alone.
+#[derive(Debug, Parser)]
+#[command(name = "decklab", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// The main job, seen at work: caches, parent, origin and feed, the real gateway, traffic, a table.
+    Demo(demo::Options),
+    /// The hard cases of a subsystem, on real processes and sockets; exit code 1 when a promise broke, 2 when it could
+    /// not run.
+    Drill(drills::Options),
+    /// The gateway itself: what `deckproxy` is, with its command line.
+    #[command(hide = true, disable_help_flag = true)]
+    Gateway {
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        words: Vec<std::ffi::OsString>,
+    },
+}
+
+fn main() -> ExitCode {
+    match Cli::parse().command {
+        Command::Demo(options) => demo::run(&options),
+        Command::Drill(options) => drills::run(&options),
+        Command::Gateway { words } => {
+            let words = std::iter::once("deckproxy".into()).chain(words);
+            match deckproxy::program::main(words) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(why) => {
+                    eprintln!("deckproxy: {why}");
+                    ExitCode::FAILURE
+                }
+            }
+        }
+    }
+}
--- a/crates/deckproxy-operator/build.rs
+++ b/crates/deckproxy-operator/build.rs
@@ -30,10 +30,16 @@
         ("Groups.first", "range(max = 255)"),
         ("Groups.last", "range(max = 255), custom(crate::rules::not_below(\"first\", Some(self.first)))"),
         ("Link.heartbeat_ms", "range(min = 10, max = 60_000)"),
-        ("Link.silence_ms", "range(min = 20, max = 600_000), custom(crate::rules::twice(\"heartbeat_ms\", self.heartbeat_ms.or(Some(crate::defaults::HEARTBEAT_MS))))"),
+        (
+            "Link.silence_ms",
+            "range(min = 20, max = 600_000), custom(crate::rules::twice(\"heartbeat_ms\", self.heartbeat_ms.or(Some(crate::defaults::HEARTBEAT_MS))))",
+        ),
         ("Link.reattach_ms", "range(max = 600_000)"),
         ("Link.chunk_kb", "range(min = 1, max = 256)"),
-        ("Link.credit_kb", "range(min = 1, max = 16_384), custom(crate::rules::not_below(\"chunk_kb\", self.chunk_kb.or(Some(crate::defaults::CHUNK_KB))))"),
+        (
+            "Link.credit_kb",
+            "range(min = 1, max = 16_384), custom(crate::rules::not_below(\"chunk_kb\", self.chunk_kb.or(Some(crate::defaults::CHUNK_KB))))",
+        ),
         ("Link.most_crossings", "range(min = 1, max = 1_000_000)"),
         ("Link.waiters", "range(max = 65_536)"),
         ("Link.retain_kb", "range(min = 64, max = 1_048_576)"),
--- a/crates/deckproxy-operator/src/rules.rs
+++ b/crates/deckproxy-operator/src/rules.rs
@@ -56,7 +56,9 @@
 /// Not below another field.
 pub fn not_below<T: Given>(name: &'static str, least: Option<u32>) -> impl FnOnce(&T, &()) -> Result {
     move |value, _| match (value.given(), least) {
-        (Some(value), Some(least)) if value < least => Err(Error::new(format!("below {name}, which is {least}"))),
+        (Some(value), Some(least)) if value < least => {
+            Err(Error::new(format!("below {name}, which is {least}")))
+        }
         _ => Ok(()),
     }
 }
@@ -82,7 +84,9 @@
             return Err(Error::new(format!("lease_ms ({lease}) must be below grace_ms ({grace})")));
         }
         if lease < heartbeat * 2 {
-            return Err(Error::new(format!("lease_ms ({lease}) must be twice link.heartbeat_ms ({heartbeat}) at least")));
+            return Err(Error::new(format!(
+                "lease_ms ({lease}) must be twice link.heartbeat_ms ({heartbeat}) at least"
+            )));
         }
         Ok(())
     }
--- a/crates/deckproxy-operator/src/source.rs
+++ b/crates/deckproxy-operator/src/source.rs
@@ -37,9 +37,7 @@
     repeat(0.., alt((one_of([' ', '\t', '\r', '\n']).void(), comment))).parse_next(input)
 }
 
-fn lexeme<'a, O>(
-    inner: impl Parser<Input<'a>, O, ContextError>,
-) -> impl Parser<Input<'a>, O, ContextError> {
+fn lexeme<'a, O>(inner: impl Parser<Input<'a>, O, ContextError>) -> impl Parser<Input<'a>, O, ContextError> {
     delimited(blank, inner, blank)
 }
 
--- a/crates/deckproxy-sites/src/far.rs
+++ b/crates/deckproxy-sites/src/far.rs
@@ -52,7 +52,12 @@
 enum State {
     Running(Run),
     /// Kept until it is known to be there; pieces were sent up to `sent`, more may go up to `credit`.
-    Ended { ended: Ended, sent: usize, credit: usize, at: Millis },
+    Ended {
+        ended: Ended,
+        sent: usize,
+        credit: usize,
+        at: Millis,
+    },
     /// It is not to be taken.
     Fenced(Millis),
     /// It ended, and its answer had to be dropped.
@@ -218,8 +223,12 @@
 
     /// Tells the near side how an attempt ended, if there is a connection for that, and starts on its body.
     fn tell(&mut self, now: Millis, key: &SessionKey, number: u64) {
-        let Some(attempt) = self.sessions.get_mut(key).and_then(|s| s.attempts.get_mut(&number)) else { return };
-        let (Some(conn), State::Ended { ended, sent, .. }) = (attempt.conn, &mut attempt.state) else { return };
+        let Some(attempt) = self.sessions.get_mut(key).and_then(|s| s.attempts.get_mut(&number)) else {
+            return;
+        };
+        let (Some(conn), State::Ended { ended, sent, .. }) = (attempt.conn, &mut attempt.state) else {
+            return;
+        };
         *sent = 0;
         let answer = Answer {
             number,
@@ -324,8 +333,11 @@
             let fate = Fate { number, became: became.into() };
             self.effects.push_back(Effect::Send(conn, Say::Fate(fate)));
             if became == Became::Ended {
-                if let Some(State::Ended { credit, .. }) =
-                    self.sessions.get_mut(&key).and_then(|s| s.attempts.get_mut(&number)).map(|a| &mut a.state)
+                if let Some(State::Ended { credit, .. }) = self
+                    .sessions
+                    .get_mut(&key)
+                    .and_then(|s| s.attempts.get_mut(&number))
+                    .map(|a| &mut a.state)
                 {
                     *credit = self.limits.credit.min(*credit).max(1);
                 }
@@ -338,7 +350,8 @@
     /// stays: its end is bounded by the near side's credit and time.
     fn make_room(&mut self) {
         while self.kept > self.limits.retain {
-            let all = self.sessions.iter().flat_map(|(key, s)| s.attempts.iter().map(move |(n, a)| (key, n, a)));
+            let all =
+                self.sessions.iter().flat_map(|(key, s)| s.attempts.iter().map(move |(n, a)| (key, n, a)));
             let waiting = all.filter_map(|(key, number, a)| match &a.state {
                 State::Ended { ended, at, .. } if a.conn.is_none() && !ended.body.is_empty() => {
                     Some((*at, key, *number))
--- a/crates/deckproxy-sites/src/near.rs
+++ b/crates/deckproxy-sites/src/near.rs
@@ -426,14 +426,18 @@
 
     /// The way for the next attempt: the one with least out for its part.
     fn choose(&self, now: Millis) -> Option<usize> {
-        let usable = self.ways.iter().enumerate().filter(|(_, w)| w.is_up() && w.away.is_none_or(|at| now >= at));
-        let cost = |w: &Way| (w.out.len() as f64 + 1.0) * (1.0 + w.pace.round_trip()) / w.part(now, self.limits.ramp);
+        let usable =
+            self.ways.iter().enumerate().filter(|(_, w)| w.is_up() && w.away.is_none_or(|at| now >= at));
+        let cost = |w: &Way| {
+            (w.out.len() as f64 + 1.0) * (1.0 + w.pace.round_trip()) / w.part(now, self.limits.ramp)
+        };
         usable.min_by(|a, b| cost(a.1).total_cmp(&cost(b.1))).map(|(i, _)| i)
     }
 
     /// When to come back while no way is up: past the next try to connect, spread out by the request's number.
     fn comes_back(&self, now: Millis, id: u64) -> Millis {
-        let soonest = self.ways.iter().map(|w| w.away.unwrap_or(now).max(w.next_try) - now).fold(f64::MAX, f64::min);
+        let soonest =
+            self.ways.iter().map(|w| w.away.unwrap_or(now).max(w.next_try) - now).fold(f64::MAX, f64::min);
         let spread = (id.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40) as f64 / (1u64 << 24) as f64;
         soonest.max(self.limits.cooldown) * (1.0 + spread)
     }
@@ -489,7 +493,8 @@
     /// The other side has said hello.
     pub fn up(&mut self, now: Millis, conn: Conn, hello: &Hello) {
         let reattach = self.limits.reattach;
-        let Some((at, way)) = self.ways.iter_mut().enumerate().find(|(_, w)| w.lines.contains_key(&conn)) else {
+        let Some((at, way)) = self.ways.iter_mut().enumerate().find(|(_, w)| w.lines.contains_key(&conn))
+        else {
             return;
         };
         let first = !way.is_up();
@@ -556,7 +561,8 @@
 
     /// Something came on a connection. Tells whether it belonged here.
     pub fn say(&mut self, now: Millis, clock: Millis, conn: Conn, say: Say, purges: &mut Purges) -> bool {
-        let Some((at, way)) = self.ways.iter_mut().enumerate().find(|(_, w)| w.lines.contains_key(&conn)) else {
+        let Some((at, way)) = self.ways.iter_mut().enumerate().find(|(_, w)| w.lines.contains_key(&conn))
+        else {
             return false;
         };
         let Some(line) = way.lines.get_mut(&conn).filter(|l| l.up) else { return false };
@@ -747,12 +753,16 @@
                 }
             }
             let wanted = if self.closing { 0 } else { way.connections };
+            if self.closing && self.crossings.is_empty() {
+                silent.extend(way.lines.keys().filter(|c| !silent.contains(c)).copied().collect::<Vec<_>>());
+            }
             while way.lines.len() + way.connecting < wanted && now >= way.next_try {
                 way.connecting += 1;
                 self.effects.push_back(Effect::Connect(at));
             }
             for conn in silent {
-                self.effects.push_back(Effect::Close(conn, "silent".to_string()));
+                let why = if self.closing { "no longer a peer" } else { "silent" };
+                self.effects.push_back(Effect::Close(conn, why.to_string()));
                 self.down(now, conn, &[]);
             }
         }
--- a/crates/deckproxy-sites/src/purges.rs
+++ b/crates/deckproxy-sites/src/purges.rs
@@ -135,15 +135,7 @@
             None => self.groups.entry(news.group).or_default(),
         };
         since.push((at, told));
-        self.log.push_back(Entry {
-            number,
-            object: news.object,
-            group: news.group,
-            at,
-            told,
-            path,
-            origin,
-        });
+        self.log.push_back(Entry { number, object: news.object, group: news.group, at, told, path, origin });
         while self.log.len() > KEPT {
             self.drop_first();
         }
@@ -267,7 +259,9 @@
     pub fn trust(&self, now: Millis, home: &str) -> Result<(), Doubt> {
         let books = self.books.values().filter(|b| b.site == home);
         let worst = Err(Doubt::Lease);
-        books.map(|book| self.trust_book(now, book)).fold(worst, |found, one| if found.is_ok() { found } else { one })
+        books
+            .map(|book| self.trust_book(now, book))
+            .fold(worst, |found, one| if found.is_ok() { found } else { one })
     }
 
     fn trust_book(&self, now: Millis, book: &Book) -> Result<(), Doubt> {
--- a/crates/deckproxy-sites/src/routes.rs
+++ b/crates/deckproxy-sites/src/routes.rs
@@ -113,9 +113,10 @@
             groups.sort_unstable();
             groups.dedup();
             let class = rule.class.as_deref().unwrap_or("");
-            let lost = objects.iter().flat_map(|o| groups.iter().map(move |g| (*o, *g))).find_map(|(o, g)| {
-                follow(maps, &tables, start, class, g, o, *hops).err()
-            });
+            let lost = objects
+                .iter()
+                .flat_map(|o| groups.iter().map(move |g| (*o, *g)))
+                .find_map(|(o, g)| follow(maps, &tables, start, class, g, o, *hops).err());
             if let Some(what) = lost {
                 faults.push((start, format!("sites.routes[{i}]: {what}")));
             }
@@ -259,13 +260,21 @@
     /// Bytes that the index takes beside the rules.
     pub fn size(&self) -> usize {
         let rules: usize = self.prefixes.iter().map(|p| p.rules.capacity() * 4).sum();
-        self.starts.capacity() * 8 + self.innermost.capacity() * 8
-            + self.prefixes.capacity() * size_of::<Prefix>() + rules
+        self.starts.capacity() * 8
+            + self.innermost.capacity() * 8
+            + self.prefixes.capacity() * size_of::<Prefix>()
+            + rules
     }
 }
 
 /// The same by walking over all rules: what the index is checked and measured against.
-pub fn find_plainly<'a>(own: &str, rules: &'a [Rule], class: &str, group: u32, object: u64) -> Option<&'a Rule> {
+pub fn find_plainly<'a>(
+    own: &str,
+    rules: &'a [Rule],
+    class: &str,
+    group: u32,
+    object: u64,
+) -> Option<&'a Rule> {
     let matching = rules.iter().filter(|r| r.matches(class, group, object));
     matching.max_by_key(|r| (r.digits, r.class.is_some())).filter(|r| r.home != own)
 }
--- a/crates/deckproxy-sites/src/site.rs
+++ b/crates/deckproxy-sites/src/site.rs
@@ -86,6 +86,9 @@
     setup: Setup,
     routes: Routes,
     nears: Vec<Near>,
+    /// Peers, by place, that were taken out of the settings; their crossings come to their end.
+    dropped: Vec<bool>,
+    epoch: u64,
     far: Far,
     purges: Purges,
     roles: HashMap<Conn, Role>,
@@ -99,13 +102,11 @@
 impl Site {
     /// A process that has just started. `epoch`: a number that no other process has.
     pub fn new(setup: Setup, epoch: u64, now: Millis) -> Self {
-        let near = |(i, peer): (usize, &Peer)| {
-            let session = |way: usize| mix(epoch ^ mix((i as u64) << 32 | way as u64));
-            let sessions: Vec<u64> = (0..peer.ways).map(session).collect();
-            Near::new(setup.link, peer.connections, &sessions, now)
-        };
+        let nears = setup.peers.iter().enumerate();
         Site {
-            nears: setup.peers.iter().enumerate().map(near).collect(),
+            nears: nears.map(|(i, peer)| near_to(&setup.link, epoch, i, peer, now)).collect(),
+            dropped: vec![false; setup.peers.len()],
+            epoch,
             routes: Routes::new(&setup.own, setup.rules.clone()),
             far: Far::new(setup.link),
             purges: Purges::new(&setup.own, epoch, setup.trust, now),
@@ -148,6 +149,23 @@
         self.setup.rules = rules;
     }
 
+    /// Adds a peer. Gives its place.
+    pub fn add_peer(&mut self, now: Millis, peer: Peer) -> usize {
+        let place = self.nears.len();
+        self.nears.push(near_to(&self.setup.link, self.epoch, place, &peer, now));
+        self.setup.peers.push(peer);
+        self.dropped.push(false);
+        place
+    }
+
+    /// Takes a peer out, by place: it gets nothing new, and its links close once nothing is out on them.
+    pub fn drop_peer(&mut self, peer: usize) {
+        if let Some(near) = self.nears.get_mut(peer) {
+            near.close();
+            self.dropped[peer] = true;
+        }
+    }
+
     // ---- Requests ------------------------------------------------------------------------------------------
 
     /// Where a request is served that came by those sites, the first one first; none: from our own clients.
@@ -173,7 +191,7 @@
 
     /// A request that is to cross to a site.
     pub fn request(&mut self, now: Millis, token: Token, to: &str, want: Want) {
-        let Some(i) = self.setup.peers.iter().position(|p| p.site == to) else {
+        let Some(i) = self.peer(to) else {
             let reply = Reply::Refused(self.setup.link.cooldown);
             return self.effects.push_back(Effect::Reply(token, reply));
         };
@@ -182,6 +200,11 @@
         self.carry(i);
     }
 
+    fn peer(&self, site: &str) -> Option<usize> {
+        let mut peers = self.setup.peers.iter().zip(&self.dropped);
+        peers.position(|(peer, dropped)| peer.site == site && !dropped)
+    }
+
     /// Its client gave it up.
     pub fn cancel(&mut self, token: Token) {
         if let Some(i) = self.tokens.remove(&token) {
@@ -267,7 +290,10 @@
                 self.nears[peer].down(now, conn, unsent);
                 let after = self.nears[peer].ways_up();
                 if up && after < before {
-                    let text = format!("link to {} ({way}): cut; {} of {} ways are up", self.setup.peers[peer].site, after.0, after.1);
+                    let text = format!(
+                        "link to {} ({way}): cut; {} of {} ways are up",
+                        self.setup.peers[peer].site, after.0, after.1
+                    );
                     self.effects.push_back(Effect::Log(text));
                 }
                 self.carry(peer);
@@ -284,7 +310,9 @@
     pub fn frame(&mut self, now: Millis, clock: Millis, conn: Conn, frame: Frame) {
         let Some(say) = frame.say else { return };
         match (self.roles.get(&conn).cloned(), say) {
-            (Some(Role::Near { peer, way, up: false }), Say::Hello(hello)) => self.answered(now, conn, peer, way, &hello),
+            (Some(Role::Near { peer, way, up: false }), Say::Hello(hello)) => {
+                self.answered(now, conn, peer, way, &hello)
+            }
             (Some(Role::Far { hello: None, .. }), Say::Hello(hello)) => self.greeted(now, conn, &hello),
             (Some(Role::Near { .. } | Role::Far { .. }), Say::Bye(bye)) => {
                 let why: String = bye.why.chars().take(200).collect();
@@ -319,7 +347,9 @@
             }
             (Some(Role::Far { hello: Some((_, site)), .. }), say) => {
                 let comes_by = |ask: &Ask| {
-                    ask.path.last() != Some(&site) || ask.path.contains(&self.setup.own) || ask.path.len() > 16
+                    ask.path.last() != Some(&site)
+                        || ask.path.contains(&self.setup.own)
+                        || ask.path.len() > 16
                 };
                 if matches!(&say, Say::Ask(ask) if comes_by(ask)) || !self.far.say(now, conn, say) {
                     self.close(now, conn, "a message that does not belong there");
@@ -338,14 +368,18 @@
             self.broadcast(now, number);
         }
         if self.purges.gaps > gaps {
-            self.effects.push_back(Effect::Log("purges of a peer are missing: copies are not trusted".to_string()));
+            self.effects
+                .push_back(Effect::Log("purges of a peer are missing: copies are not trusted".to_string()));
         }
     }
 
     /// What is wrong with a hello.
     fn misfit(&self, hello: &Hello, from: Option<&str>) -> Option<String> {
         if hello.version != VERSION {
-            return Some(format!("version {} of the link protocol is spoken here, not {}", VERSION, hello.version));
+            return Some(format!(
+                "version {} of the link protocol is spoken here, not {}",
+                VERSION, hello.version
+            ));
         }
         if hello.to != self.setup.own {
             return Some(format!("this is site {:?}, not {:?}", self.setup.own, hello.to));
@@ -353,7 +387,8 @@
         if hello.site == self.setup.own || hello.site.is_empty() || hello.site.len() > 63 {
             return Some(format!("site {:?} can't link to {:?}", hello.site, self.setup.own));
         }
-        from.filter(|site| *site != hello.site).map(|site| format!("site {site:?} was expected, not {:?}", hello.site))
+        from.filter(|site| *site != hello.site)
+            .map(|site| format!("site {site:?} was expected, not {:?}", hello.site))
     }
 
     /// The peer's gateway answered our hello.
@@ -429,9 +464,10 @@
         self.far.tick(now);
         self.carry_far();
         let silence = self.setup.link.silence;
-        let mute = self.roles.iter().filter(
-            |(_, role)| matches!(role, Role::Far { since, hello: None } if now - since > silence),
-        );
+        let mute = self
+            .roles
+            .iter()
+            .filter(|(_, role)| matches!(role, Role::Far { since, hello: None } if now - since > silence));
         for conn in mute.map(|(conn, _)| *conn).collect::<Vec<_>>() {
             self.close(now, conn, "no hello in time");
         }
@@ -486,6 +522,12 @@
     }
 }
 
+fn near_to(link: &LinkLimits, epoch: u64, place: usize, peer: &Peer, now: Millis) -> Near {
+    let session = |way: usize| mix(epoch ^ mix((place as u64) << 32 | way as u64));
+    let sessions: Vec<u64> = (0..peer.ways).map(session).collect();
+    Near::new(*link, peer.connections, &sessions, now)
+}
+
 /// Spreads a number's bits (the finalizer of SplitMix64).
 fn mix(n: u64) -> u64 {
     let n = (n ^ (n >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- /dev/null
+++ b/crates/deckproxy-standins/src/caller.rs
@@ -0,0 +1,219 @@
+//! Clients that run by themselves: each has a connection, asks at the times that its seed gives (open loop: a slow
+//! answer delays no later request), follows the advice on when to come back, and connects anew when it is cut off.
+
+use crate::client::fresh_name;
+use crate::record::{Fact, Outcome, Record, Stamp};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use rmpv::Value;
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// A request to be made.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish {
+    pub class: &'static str,
+    pub object: u64,
+    pub group: u32,
+    pub home: u32,
+    pub allow: u32,
+}
+
+/// Draws the next request.
+pub type Draw = Arc<dyn Fn(&mut Pcg64Mcg) -> Wish + Send + Sync>;
+
+/// A load of clients at one gateway.
+pub struct Callers {
+    running: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// Requests open on one connection, at most; the protocol allows 32.
+const OPEN: usize = 30;
+
+struct Open {
+    name: String,
+    answered: bool,
+    at: Instant,
+}
+
+/// A request asked so short a time before its connection was closed may have crossed the close.
+const CROSSED: Duration = Duration::from_millis(50);
+
+impl Callers {
+    /// Starts so many clients of a site, which together ask so many times a second.
+    pub fn start(
+        site: u32,
+        at: SocketAddr,
+        clients: usize,
+        rate: f64,
+        seed: u64,
+        draw: &Draw,
+        record: &Record,
+    ) -> Self {
+        let running = Arc::new(AtomicBool::new(true));
+        let threads = (0..clients).map(|i| {
+            let (running, draw, record) = (running.clone(), draw.clone(), record.clone());
+            let mut rng = Pcg64Mcg::seed_from_u64(seed ^ (i as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+            thread::spawn(move || {
+                while running.load(Ordering::SeqCst) {
+                    if let Ok(stream) = TcpStream::connect(at) {
+                        converse(site, &stream, rate / clients as f64, &mut rng, &draw, &record, &running);
+                    }
+                    thread::sleep(Duration::from_millis(20));
+                }
+            })
+        });
+        let threads = threads.collect();
+        Callers { running, threads }
+    }
+
+    /// Asks for nothing more, waits for what is open, and ends.
+    pub fn finish(self) {
+        self.running.store(false, Ordering::SeqCst);
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn converse(
+    site: u32,
+    stream: &TcpStream,
+    rate: f64,
+    rng: &mut Pcg64Mcg,
+    draw: &Draw,
+    record: &Record,
+    running: &Arc<AtomicBool>,
+) {
+    let _ = stream.set_nodelay(true);
+    let open: Arc<Mutex<HashMap<u64, Open>>> = Arc::default();
+    let ended = Arc::new(AtomicBool::new(false));
+    let closed: Arc<Mutex<Option<Instant>>> = Arc::default();
+    let Ok(reading) = stream.try_clone() else { return };
+    let reader = {
+        let (open, ended, closed, record) = (open.clone(), ended.clone(), closed.clone(), record.clone());
+        thread::spawn(move || {
+            let clean = read_answers(&reading, &open, &record);
+            *closed.lock().unwrap() = clean.then(Instant::now);
+            ended.store(true, Ordering::SeqCst);
+        })
+    };
+    let mut next = 1u64;
+    let mut due = Instant::now();
+    while running.load(Ordering::SeqCst) && !ended.load(Ordering::SeqCst) {
+        let gap = -(1.0 - rng.random::<f64>()).ln() / rate;
+        due += Duration::from_secs_f64(gap.min(5.0));
+        while Instant::now() < due && running.load(Ordering::SeqCst) {
+            thread::sleep((due - Instant::now()).min(Duration::from_millis(5)));
+        }
+        if open.lock().unwrap().values().filter(|o| !o.answered).count() >= OPEN {
+            continue;
+        }
+        let wish = draw(rng);
+        let name = fresh_name();
+        let bytes = encode(next, &name, &wish);
+        open.lock().unwrap().insert(next, Open { name: name.clone(), answered: false, at: Instant::now() });
+        next += 1;
+        // Noted before, so that no answer can come before the question; what can't be written was never asked.
+        record.note(Fact::Asked {
+            name,
+            site,
+            home: wish.home,
+            class: wish.class,
+            object: wish.object,
+            group: wish.group,
+            allow: f64::from(wish.allow),
+        });
+        if (&mut &*stream).write_all(&bytes).is_err() {
+            break;
+        }
+    }
+    let end = Instant::now() + Duration::from_millis(2500);
+    let waits = || open.lock().unwrap().values().any(|o| !o.answered);
+    while Instant::now() < end && !ended.load(Ordering::SeqCst) && waits() {
+        thread::sleep(Duration::from_millis(2));
+    }
+    // A moment more, in which a second answer would be seen.
+    thread::sleep(Duration::from_millis(30));
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+    let _ = reader.join();
+    for left in open.lock().unwrap().values().filter(|o| !o.answered) {
+        let name = left.name.clone();
+        let crossed = closed.lock().unwrap().is_some_and(|at| left.at + CROSSED > at);
+        record.note(if crossed { Fact::Recalled { name } } else { Fact::Lost { name } });
+    }
+}
+
+/// Notes answers until the connection ends; tells whether it was closed in good order.
+fn read_answers(mut stream: &TcpStream, open: &Mutex<HashMap<u64, Open>>, record: &Record) -> bool {
+    let mut buffer: Vec<u8> = Vec::new();
+    let mut chunk = vec![0; 64 * 1024];
+    loop {
+        let n = match stream.read(&mut chunk) {
+            Ok(0) => return true,
+            Ok(n) => n,
+            Err(_) => return false,
+        };
+        buffer.extend_from_slice(&chunk[..n]);
+        let mut used = 0;
+        loop {
+            let mut rest = &buffer[used..];
+            let Ok(value) = rmpv::decode::read_value(&mut rest) else { break };
+            used = buffer.len() - rest.len();
+            let Some((id, outcome)) = outcome(&value) else { return false };
+            let mut open = open.lock().unwrap();
+            if let Some(open) = open.get_mut(&id) {
+                open.answered = true;
+                record.note(Fact::Answered { name: open.name.clone(), outcome });
+            }
+        }
+        buffer.drain(..used);
+    }
+}
+
+fn outcome(value: &Value) -> Option<(u64, Outcome)> {
+    let parts = value.as_array()?;
+    let id = parts.get(1)?.as_u64()?;
+    if let Some(error) = parts.get(2)?.as_array() {
+        let word = error.first()?.as_str()?;
+        let cooldown = error.get(1)?.as_map()?.iter().find(|(n, _)| n.as_str() == Some("cooldown"));
+        let cooldown = cooldown.and_then(|(_, v)| v.as_str()).and_then(|v| v.parse().ok());
+        let refused = word == "Shed";
+        return Some((id, if refused { Outcome::Refused(cooldown) } else { Outcome::Failed }));
+    }
+    let result = parts.get(3)?.as_array()?;
+    let unchanged = result.get(1)?.as_map()?.iter().any(|(n, _)| n.as_str() == Some("notmod"));
+    let body = result.first()?.as_slice()?;
+    Some((id, if unchanged { Outcome::Unchanged } else { Outcome::Served(Stamp::read(body)) }))
+}
+
+fn encode(id: u64, name: &str, wish: &Wish) -> Vec<u8> {
+    let size = crate::fleet::size_of_object(wish.object) as f64 / 1024.0;
+    let mut fields = vec![
+        ("ref", name.to_string()),
+        ("allow", wish.allow.to_string()),
+        ("lookup", format!("{:016x}", wish.object)),
+        ("bucket", wish.group.to_string()),
+        ("room", format!("{size:.2}")),
+    ];
+    if wish.class == "post" {
+        fields.push(("replay", format!("k{name}")));
+    }
+    let fields = fields.into_iter().map(|(n, v)| (Value::from(n), Value::from(v))).collect();
+    let body = if wish.class == "page" { Vec::new() } else { vec![7; 200] };
+    let message = Value::Array(vec![
+        0.into(),
+        id.into(),
+        wish.class.into(),
+        Value::Array(vec![Value::Map(fields), Value::Binary(body)]),
+    ]);
+    let mut bytes = Vec::new();
+    rmpv::encode::write_value(&mut bytes, &message).expect("a vector takes all");
+    bytes
+}
--- a/crates/deckproxy/src/main.rs
+++ b/crates/deckproxy/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match deckproxy::program::run() {
+    match deckproxy::program::main(std::env::args_os()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
             // Where even that can't be written, the exit code still tells.
--- a/crates/deckproxy/src/program/clients.rs
+++ b/crates/deckproxy/src/program/clients.rs
@@ -1,6 +1,7 @@
 //! Clients: accepting them, their messages, their answers, their end.
 
 use crate::program::gateway::{ACCEPT_AGAIN, ACCEPTS, Chore, Gateway, Peer};
+use crate::program::sites::crosses;
 use crate::protocol::front::{self, Answer, Message};
 use crate::protocol::limits;
 use crate::routing::router::ClientId;
@@ -125,9 +126,10 @@
     }
 
     /// Whether connections and bodies hold as many bytes as they may.
-    fn is_full(&self) -> bool {
+    pub(super) fn is_full(&self) -> bool {
         let (clients, members) = (&self.from_clients, &self.from_members);
         let all = clients.input.get() + clients.output.get() + members.input.get() + self.router.held();
+        let all = all + self.sites.as_ref().map_or(0, |s| s.holds());
         all > self.bounds.bytes
     }
 
@@ -136,7 +138,7 @@
         let Some(client) = self.clients.get_mut(&id) else { return };
         match message {
             Message::Call(request, call) => {
-                if self.router.is_open(id, request) {
+                if self.router.is_open(id, request) || crosses(&self.sites, id, request) {
                     // Two open requests of one id: no answer could be told from the other's.
                     self.router.counters.unusable += 1;
                     self.line("a client's connection closes: two open requests of one id");
@@ -156,7 +158,10 @@
                 }
                 // What all hold is looked at before what this one may.
                 if !is_full && client.admit() {
-                    return self.router.request(now, id, request, *call);
+                    if let Some(call) = self.cross(now, id, request, *call) {
+                        self.router.request(now, id, request, call);
+                    }
+                    return;
                 }
                 self.router.counters.refused += 1;
                 client.answer(request, &Answer::Refused(0.0), false);
@@ -167,9 +172,11 @@
             }
             Message::Abort(requests) => {
                 for request in requests {
-                    if self.router.is_open(id, request) {
+                    if self.router.is_open(id, request) || crosses(&self.sites, id, request) {
+                        let Some(client) = self.clients.get_mut(&id) else { return };
                         let many = client.release();
                         self.router.abort(now, id, request);
+                        self.cross_gone(id, request..=request);
                         if many {
                             return self.dismiss(now, id, "it takes back all that it asks for");
                         }
@@ -213,6 +220,7 @@
         if let Some(client) = self.clients.remove(&id) {
             client.stream.close(&self.handle);
             self.router.client_gone(now, id);
+            self.cross_gone(id, 0..=u32::MAX);
         }
     }
 }
--- a/crates/deckproxy/src/program/gateway.rs
+++ b/crates/deckproxy/src/program/gateway.rs
@@ -1,8 +1,9 @@
 //! One gateway: its connections, the router between them, and the chores of keeping them.
 
+use crate::program::Files;
+use crate::program::sites::{LineId, Sites};
 use crate::program::usage::Usage;
 use crate::protocol::back;
-use crate::protocol::config::Config;
 use crate::protocol::limits::{self, Bounds};
 use crate::routing::counters::ENDINGS;
 use crate::routing::members::Place;
@@ -36,11 +37,14 @@
 const PEER_LINES: u32 = 50;
 
 pub(super) type LinkId = u64;
+/// From this number on, what the router takes for a client is a request that came over a link.
+pub(super) const FAR: ClientId = 1 << 62;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Peer {
     Client(ClientId),
     Link(LinkId),
+    Line(LineId),
     Feed,
 }
 
@@ -49,6 +53,7 @@
     Housekeeping,
     Summary,
     Connect(LinkId),
+    LineUp(LineId),
     Feed,
     Accept,
     Unsent(AttemptKey),
@@ -94,6 +99,8 @@
     pub(super) from_clients: Rc<Ledger>,
     pub(super) from_members: Rc<Ledger>,
     pub(super) from_feed: Rc<Ledger>,
+    /// Links to gateways of other sites, where they are switched on.
+    pub(super) sites: Option<Box<Sites>>,
     pub(super) terminating: Option<f64>,
     pub(super) done: bool,
     pub(super) peer_lines: u32,
@@ -103,8 +110,11 @@
 
 impl Gateway {
     /// A gateway that listens, knows what its configuration told it, and begins to connect to the feed.
-    pub fn new(handle: LoopHandle<'static, Gateway>, log: Logger, config: Config) -> io::Result<Self> {
+    pub fn new(handle: LoopHandle<'static, Gateway>, log: Logger, files: Files) -> io::Result<Self> {
         let now = clock::now();
+        let Files { config, operator } = files;
+        let sites = Sites::start(&handle, now, config.seed, config.sockets, &operator)?;
+        let lines = sites.as_ref().map_or(0, |s| s.most_lines);
         let alarm = Alarm::register(&handle).map_err(io::Error::other)?;
         let router = Router::new(now, config.conf, config.seed, config.known);
         let listener = Listener::bind(&handle, config.listen, |g: &mut Gateway| g.accepting = true)?;
@@ -129,10 +139,11 @@
             accept_due: false,
             last_accepts: false,
             next: 0,
-            bounds: Bounds::of(config.memory, config.sockets),
+            bounds: Bounds::of(config.memory, config.sockets - lines),
             from_clients: Rc::default(),
             from_members: Rc::default(),
             from_feed: Rc::default(),
+            sites,
             terminating: None,
             done: false,
             peer_lines: 0,
@@ -142,6 +153,7 @@
         gateway.chores.set(now + HOUSEKEEPING, Chore::Housekeeping);
         gateway.chores.set(now + SUMMARY, Chore::Summary);
         gateway.chores.set(now, Chore::Feed);
+        gateway.pump(now);
         Ok(gateway)
     }
 
@@ -163,6 +175,9 @@
         info!(self.log, "told to end"; "open" => self.router.owed(), "clients" => self.clients.len());
         self.terminating = Some(now);
         self.chores.set(now + limits::STRAGGLERS, Chore::Stragglers);
+        if let Some(sites) = &mut self.sites {
+            sites.site.go_away("a planned end", 0.0);
+        }
         let longest = self.router.conf().settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
         let last = longest.min(limits::LONGEST_COUNTED) + limits::STRAGGLERS - limits::LAST_CALL;
         self.chores.set(now + last, Chore::LastCall);
@@ -171,16 +186,18 @@
     /// Takes from a new configuration what may change while serving: where the feed is, which is asked there at
     /// once for what follows the last event, and the limits. All else needs a restart, and a configuration that
     /// can't be used changes nothing: what serves goes on. No connection of a client or member is touched.
-    pub fn reload(&mut self, now: f64, read: Result<Config, String>) {
-        let config = match read {
-            Ok(config) => config,
+    pub fn reload(&mut self, now: f64, read: Result<Files, String>) {
+        let Files { config, operator } = match read {
+            Ok(files) => files,
             Err(why) => return warn!(self.log, "reload: the configuration in force stays"; "why" => why),
         };
         info!(self.log, "reload: the feed is asked anew"; "feed" => ?config.feed, "event" => self.router.last_event());
         if config.listen != self.listen {
             warn!(self.log, "reload: listen takes a restart"; "listen" => %config.listen);
         }
-        self.bounds = Bounds::of(config.memory, config.sockets);
+        self.reload_sites(now, &operator);
+        let lines = self.sites.as_ref().map_or(0, |s| s.most_lines);
+        self.bounds = Bounds::of(config.memory, config.sockets.saturating_sub(lines));
         self.feed_at = config.feed;
         // Also where the address is the same: whoever asks for a reload doubts what is known.
         if let Some(feed) = self.feed.take() {
@@ -197,24 +214,34 @@
         if self.accepting {
             self.accept(clock::now());
         }
+        if self.sites.as_ref().is_some_and(|s| s.accepting) {
+            self.accept_lines(clock::now());
+        }
         for _ in 0..BATCH.min(self.ready.len()) {
             let Some(peer) = self.ready.pop_front() else { break };
             let now = clock::now();
             match peer {
                 Peer::Client(id) => self.serve_client(now, id),
                 Peer::Link(id) => self.serve_link(now, id),
+                Peer::Line(id) => self.serve_line(now, id),
                 Peer::Feed => self.serve_feed(now),
             }
             self.pump(now);
             self.due(now);
         }
-        if self.terminating.is_some() && self.listener.is_none() && self.router.owed() == 0 {
+        if self.terminating.is_some()
+            && self.listener.is_none()
+            && self.router.owed() == 0
+            && self.sites_settled()
+        {
             self.finish(clock::now());
         }
         self.most_sockets = self.most_sockets.max(self.clients.len() + self.links.len());
         self.longest_turn = self.longest_turn.max(clock::now() - start);
-        let next =
-            [self.router.next_due(), self.chores.next()].into_iter().flatten().fold(f64::MAX, f64::min);
+        let next = [self.router.next_due(), self.chores.next(), self.sites_due()]
+            .into_iter()
+            .flatten()
+            .fold(f64::MAX, f64::min);
         self.alarm.set(&self.handle, next)
     }
 
@@ -231,6 +258,7 @@
 
     fn due(&mut self, now: f64) {
         self.router.tick(now);
+        self.tick_sites(now);
         while let Some((_, chore)) = self.chores.due(now) {
             match chore {
                 Chore::Housekeeping => {
@@ -246,6 +274,7 @@
                     self.end_link(now, id, "connect time-out");
                 }
                 Chore::Connect(_) => {}
+                Chore::LineUp(id) => self.line_not_up(now, id),
                 Chore::Feed => self.connect_feed(now),
                 Chore::Accept => (self.accept_due, self.accepting) = (false, true),
                 // What still waits in the kernel's queue is accepted and told, then nobody listens any more.
@@ -254,6 +283,7 @@
                 Chore::Linger(id) => self.end_client(now, id),
                 Chore::LastCall => {
                     self.router.end_all(now);
+                    self.end_crossings(now);
                     let all = self.clients.keys().map(|id| Chore::Linger(*id)).collect::<Vec<_>>();
                     all.into_iter().for_each(|chore| self.chores.set(now + limits::LINGER, chore));
                 }
@@ -271,6 +301,15 @@
 
     /// Carries out what the router wants done.
     pub(super) fn pump(&mut self, now: f64) {
+        loop {
+            self.pump_router(now);
+            if !self.pump_sites(now) {
+                return;
+            }
+        }
+    }
+
+    fn pump_router(&mut self, now: f64) {
         while let Some(effect) = self.router.effect() {
             match effect {
                 Effect::Ask { key, member, place, call, orders } => {
@@ -281,7 +320,11 @@
                     self.send(now, key, member, place, &tag, None);
                 }
                 Effect::Withdraw { key, .. } => self.withdraw(now, key),
-                Effect::Answer { client, id, answer } => self.answer(now, client, id, &answer),
+                Effect::Answer { client, id, answer, copy } => match client {
+                    0..FAR => self.answer(now, client, id, &answer),
+                    FAR.. => self.run_ended(now, client - FAR, answer, copy),
+                },
+                Effect::Purged { object, group, age } => self.tell_sites(now, object, group, age),
                 Effect::Close(member) => self.close_idle(member),
                 Effect::Log(text) => self.line(&text),
             }
@@ -364,6 +407,7 @@
             "attempts" => endings.join(","), "probes" => c.probes,
             "clients" => self.clients.len(), "links" => self.links.len(), "most_sockets" => self.most_sockets,
             "sizes" => self.sizes(),
+            "sites" => self.sites_summary(),
             "feed" => self.feed.is_some(), "event" => self.router.last_event(),
             "cpu_ms" => usage.cpu, "memory_kb" => usage.memory, "descriptors" => usage.descriptors,
             "broken" => c.broken, "overdue" => c.overdue, "timer_late_ms" => format!("{:.1}", c.late),
--- a/crates/deckproxy/src/program/logging.rs
+++ b/crates/deckproxy/src/program/logging.rs
@@ -1,6 +1,7 @@
 //! The log: lines with a level and fields on standard error, written by a thread of their own so that a slow
 //! reader of the log never holds the event loop up.
 
+use crate::program::cli::{Format, Level, Log};
 use slog::{Drain, Logger, o};
 use slog_async::OverflowStrategy;
 
@@ -8,17 +9,25 @@
 const WAITING: usize = 1024;
 
 /// The log of the process, and what writes out its last lines when dropped.
-pub fn start() -> (Logger, slog_async::AsyncGuard) {
-    let plain = slog_term::PlainSyncDecorator::new(std::io::stderr());
+pub fn start(how: Log) -> (Logger, slog_async::AsyncGuard) {
     // A line that can't be written is lost; the gateway goes on, also where nobody reads its log any more.
-    let format = slog_term::FullFormat::new(plain).use_utc_timestamp().build().ignore_res();
-    let (drain, guard) = slog_async::Async::new(format)
+    let drain: Box<dyn Drain<Ok = (), Err = slog::Never> + Send> = match how.log_format {
+        Format::Text => {
+            let plain = slog_term::PlainSyncDecorator::new(std::io::stderr());
+            Box::new(slog_term::FullFormat::new(plain).use_utc_timestamp().build().ignore_res())
+        }
+        Format::Json => {
+            let json = slog_json::Json::new(std::io::stderr()).add_default_keys().build();
+            Box::new(std::sync::Mutex::new(json).ignore_res())
+        }
+    };
+    let (drain, guard) = slog_async::Async::new(drain)
         .chan_size(WAITING)
         .overflow_strategy(OverflowStrategy::DropAndReport)
         .build_with_guard();
-    let level = match std::env::var("DECKPROXY_LOG").as_deref() {
-        Ok("debug") => slog::Level::Debug,
-        Ok("warning") => slog::Level::Warning,
+    let level = match (how.log_level, std::env::var("DECKPROXY_LOG").as_deref()) {
+        (Some(Level::Debug), _) | (None, Ok("debug")) => slog::Level::Debug,
+        (Some(Level::Warning), _) | (None, Ok("warning")) => slog::Level::Warning,
         _ => slog::Level::Info,
     };
     (Logger::root(drain.filter_level(level).ignore_res(), o!()), guard)
--- a/crates/deckproxy/src/program/mod.rs
+++ b/crates/deckproxy/src/program/mod.rs
@@ -1,37 +1,79 @@
-//! Wiring: the event loop, start, reload and end of the process, logging.
+//! Wiring: the command line, the event loop, start, reload and end of the process, logging.
 
+pub mod cli;
 mod clients;
 mod feed;
 pub mod gateway;
 pub mod logging;
 mod members;
+mod sites;
 pub mod usage;
 
 use crate::protocol::config;
 use crate::transport::clock;
 use calloop::EventLoop;
 use calloop::signals::{Signal, Signals};
+use clap::Parser;
+use cli::{Cli, Command, Run};
+use deckproxy_operator::Operator;
 use gateway::Gateway;
 use slog::{Logger, info};
+use std::ffi::OsString;
+use std::path::Path;
 use std::time::Duration;
 
 /// Longest wait of the loop, as a net below the alarm.
 const LONGEST_WAIT: Duration = Duration::from_millis(500);
 
-/// Reads the configuration that the environment names, serves until told to end, and tells what went wrong.
-pub fn run() -> Result<(), String> {
+/// All that is read at the start, and again on SIGHUP.
+#[derive(Debug)]
+pub struct Files {
+    /// The platform's configuration.
+    pub config: config::Config,
+    /// What the operators switch on beside it.
+    pub operator: Operator,
+}
+
+/// Does what the command line says, and tells what went wrong.
+pub fn main(arguments: impl IntoIterator<Item = OsString>) -> Result<(), String> {
+    let cli = Cli::try_parse_from(arguments).unwrap_or_else(|e| e.exit());
+    match cli.command {
+        None => run(&Run::default(), cli.log),
+        Some(Command::Run(run)) => self::run(&run, cli.log),
+        Some(Command::Check { files }) => check(&files),
+        Some(Command::Version) => {
+            println!("deckproxy {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+    }
+}
+
+/// Reads what it is told to, and serves until told to end.
+fn run(run: &Run, log: cli::Log) -> Result<(), String> {
     // Before any thread starts, the log's too: the signals are blocked for all threads and read from a
     // descriptor. One thread that does not block them would let the first signal end the process.
     let signals =
         Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(|e| e.to_string())?;
-    let config = configuration()?;
-    let (log, _guard) = logging::start();
-    serve(&log, signals, config).map_err(|e| format!("the event loop failed: {e}"))
+    let files = files(run)?;
+    let (log, _guard) = logging::start(log);
+    serve(&log, signals, files, run.clone()).map_err(|e| format!("the event loop failed: {e}"))
+}
+
+fn files(run: &Run) -> Result<Files, String> {
+    let operator = match &run.operator {
+        None => Operator::default(),
+        Some(path) => operator(path).map_err(|faults| faults.join("\n"))?,
+    };
+    Ok(Files { config: configuration(run)?, operator })
 }
 
-fn configuration() -> Result<config::Config, String> {
-    let path = std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG is not set".to_string())?;
-    let text = std::fs::read(&path).map_err(|e| format!("cannot read the configuration {path}: {e}"))?;
+fn configuration(run: &Run) -> Result<config::Config, String> {
+    let path = match &run.config {
+        Some(path) => path.clone().into_os_string(),
+        None => std::env::var_os("GW_CONFIG").ok_or("GW_CONFIG is not set")?,
+    };
+    let shown = Path::new(&path).display().to_string();
+    let text = std::fs::read(&path).map_err(|e| format!("cannot read the configuration {shown}: {e}"))?;
     let mut config = config::read(&text)?;
     if let Ok(listen) = std::env::var("GW_LISTEN") {
         config.listen = listen.parse().map_err(|_| format!("GW_LISTEN: {listen:?} is no address"))?;
@@ -42,17 +84,57 @@
     Ok(config)
 }
 
-fn serve(log: &Logger, signals: Signals, config: config::Config) -> Result<(), String> {
+/// Reads an operator file; the error has a line for each fault.
+fn operator(path: &Path) -> Result<Operator, Vec<String>> {
+    let shown = path.display();
+    let read = || {
+        let length = std::fs::metadata(path)?.len();
+        // What is over the limit is not read, only told.
+        let most = deckproxy_operator::LARGEST as u64 + 1;
+        let mut bytes = Vec::with_capacity(length.min(most) as usize);
+        std::io::Read::read_to_end(&mut std::io::Read::take(std::fs::File::open(path)?, most), &mut bytes)?;
+        Ok::<_, std::io::Error>(bytes)
+    };
+    let bytes = read().map_err(|e| vec![format!("{shown}: cannot be read: {e}")])?;
+    deckproxy_operator::read(&bytes)
+        .map_err(|faults| faults.iter().map(|fault| format!("{shown}:{fault}")).collect())
+}
+
+fn check(paths: &[std::path::PathBuf]) -> Result<(), String> {
+    let mut faults = Vec::new();
+    let mut good = Vec::new();
+    for path in paths {
+        match operator(path) {
+            Ok(file) => good.push((path, file)),
+            Err(what) => faults.extend(what),
+        }
+    }
+    if faults.is_empty() {
+        let files: Vec<Operator> = good.iter().map(|(_, file)| file.clone()).collect();
+        let round = deckproxy_operator::check_together(&files);
+        faults.extend(round.into_iter().map(|(i, what)| format!("{}: {what}", good[i].0.display())));
+    }
+    for fault in &faults {
+        eprintln!("{fault}");
+    }
+    if faults.is_empty() { Ok(()) } else { Err(format!("{} found", counted(faults.len(), "fault"))) }
+}
+
+fn counted(n: usize, what: &str) -> String {
+    format!("{n} {what}{}", if n == 1 { "" } else { "s" })
+}
+
+fn serve(log: &Logger, signals: Signals, files: Files, run: Run) -> Result<(), String> {
     let mut events: EventLoop<'static, Gateway> = EventLoop::try_new().map_err(|e| e.to_string())?;
     let handle = events.handle();
     handle
-        .insert_source(signals, |event, _, gateway: &mut Gateway| match event.signal() {
-            Signal::SIGHUP => gateway.reload(clock::now(), configuration()),
+        .insert_source(signals, move |event, _, gateway: &mut Gateway| match event.signal() {
+            Signal::SIGHUP => gateway.reload(clock::now(), self::files(&run)),
             _ => gateway.terminate(clock::now()),
         })
         .map_err(|e| e.to_string())?;
-    let listen = config.listen;
-    let mut gateway = Gateway::new(handle, log.clone(), config).map_err(|e| format!("{listen}: {e}"))?;
+    let listen = files.config.listen;
+    let mut gateway = Gateway::new(handle, log.clone(), files).map_err(|e| format!("{listen}: {e}"))?;
     info!(log, "serving"; "listen" => %listen);
     while !gateway.is_done() {
         let wait = if gateway.is_busy() { Duration::ZERO } else { LONGEST_WAIT };
--- a/crates/deckproxy/src/protocol/back.rs
+++ b/crates/deckproxy/src/protocol/back.rs
@@ -49,6 +49,15 @@
     Alive(bool),
 }
 
+/// What an answer tells of the copy that it is from.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Copy {
+    /// The Unix millisecond at which the origin gave it out.
+    pub issued: Option<f64>,
+    /// Its tag.
+    pub tag: Box<str>,
+}
+
 /// An answer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Reply {
@@ -58,6 +67,8 @@
     pub word: Word,
     /// Names and values of a load report.
     pub report: Vec<(Box<str>, f64)>,
+    /// The copy, of one that was served.
+    pub copy: Option<Copy>,
     /// The body.
     pub body: Bytes,
 }
@@ -161,7 +172,16 @@
     let values = report.flat_map(|(_, all)| all.split(';')).filter_map(|v| v.split_once(':'));
     let number = |v: &str| v.parse::<f64>().ok().filter(|x| x.is_finite());
     let report = values.filter_map(|(name, v)| number(v).map(|v| (name.into(), v))).collect();
-    Ok(Reply { id: id.into(), word, report, body })
+    let served = matches!(word, Word::Ok | Word::Unchanged);
+    let copy = if served { copy(text(2)?) } else { None };
+    Ok(Reply { id: id.into(), word, report, copy, body })
+}
+
+fn copy(fields: &str) -> Option<Copy> {
+    let field = |name| fields.split(',').filter_map(|f| f.split_once('=')).find(|(n, _)| *n == name);
+    let issued = field("issued").and_then(|(_, v)| v.parse::<f64>().ok()).filter(|at| at.is_finite());
+    let tag = field("entity").map_or("", |(_, v)| v);
+    (issued.is_some() || !tag.is_empty()).then(|| Copy { issued, tag: tag.into() })
 }
 
 /// Encodes an attempt: what comes before its body, its body, what comes after.
--- a/crates/deckproxy/src/protocol/front.rs
+++ b/crates/deckproxy/src/protocol/front.rs
@@ -277,7 +277,7 @@
 }
 
 /// A name of 16 hex digits.
-fn hex(text: &str, field: &'static str) -> Result<(Box<str>, u64), &'static str> {
+pub(super) fn hex(text: &str, field: &'static str) -> Result<(Box<str>, u64), &'static str> {
     if text.len() != 16 || !text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f')) {
         return Err(field);
     }
@@ -300,7 +300,7 @@
 }
 
 /// A text that can stand in the members' lists of fields.
-fn word(text: &str, field: &'static str) -> Result<Box<str>, &'static str> {
+pub(super) fn word(text: &str, field: &'static str) -> Result<Box<str>, &'static str> {
     let plain = |b: u8| b.is_ascii_alphanumeric() || b"-_.:/".contains(&b);
     let fits = !text.is_empty() && text.len() <= limits::FIELD && text.bytes().all(plain);
     if fits { Ok(text.into()) } else { Err(field) }
--- a/crates/deckproxy/src/protocol/limits.rs
+++ b/crates/deckproxy/src/protocol/limits.rs
@@ -27,6 +27,17 @@
 pub const MEMBER_TEXT: usize = 4096;
 /// Longest line of the feed.
 pub const FEED_LINE: usize = 4 * 1024 * 1024;
+/// Largest frame on a link between gateways: a piece of a body at the schema's largest, and its fields.
+pub const LINK_FRAME: usize = 272 * 1024;
+/// Bytes waiting on a link's connection from which no further piece of a body is put there: what is more urgent does
+/// not stand behind much.
+pub const LINK_OUTGOING: usize = 64 * 1024;
+/// Bytes that the kernel takes for a link's connection, for the same reason.
+pub const LINK_SENDING: usize = 128 * 1024;
+/// Bytes waiting on a link's connection from which it is taken for stuck.
+pub const LINK_STUCK: usize = 16 * 1024 * 1024;
+/// Share of the descriptors that links which come in may hold, as one in so many.
+pub const LINK_SHARE: usize = 8;
 /// Share of the descriptors that clients may hold, as one in so many.
 pub const CLIENT_SHARE: usize = 3;
 /// Descriptors kept back for the loop, the listener, the feed, the log and what is accepted to be closed.
--- a/crates/deckproxy/src/protocol/mod.rs
+++ b/crates/deckproxy/src/protocol/mod.rs
@@ -5,3 +5,4 @@
 pub mod feed;
 pub mod front;
 pub mod limits;
+pub mod link;
--- a/crates/deckproxy/src/routing/counters.rs
+++ b/crates/deckproxy/src/routing/counters.rs
@@ -1,5 +1,7 @@
 //! What the summary lines tell.
 
+use crate::protocol::front::Answer;
+
 /// Counts since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Counters {
@@ -27,6 +29,17 @@
     pub late: f64,
 }
 
+impl Counters {
+    /// Counts a final answer.
+    pub fn count(&mut self, answer: &Answer) {
+        match answer {
+            Answer::Served(_) | Answer::Unchanged => self.served += 1,
+            Answer::Refused(_) => self.refused += 1,
+            Answer::Failed | Answer::Unusable(_) => self.failed += 1,
+        }
+    }
+}
+
 /// Names of the endings.
 pub const ENDINGS: [&str; 9] =
     ["ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot", "miss"];
--- a/crates/deckproxy/src/routing/router.rs
+++ b/crates/deckproxy/src/routing/router.rs
@@ -3,7 +3,7 @@
 //! It makes no choice of its own. It tells the module what happened, carries out what the module decides,
 //! ends attempts and requests whose time is over, and checks what must hold of that.
 
-use crate::protocol::back::{Orders, Reply, Word};
+use crate::protocol::back::{Copy, Orders, Reply, Word};
 use crate::protocol::feed::News;
 use crate::protocol::front::{Answer, Call};
 use crate::protocol::limits;
@@ -73,6 +73,17 @@
         id: u32,
         /// The answer.
         answer: Answer,
+        /// The copy that it is from, where that is told.
+        copy: Option<Copy>,
+    },
+    /// The feed told a purge, which other sites are to hear of: of an object or, where there is none, of a group.
+    Purged {
+        /// The object.
+        object: Option<u64>,
+        /// The group.
+        group: u32,
+        /// Time since the purge.
+        age: f64,
     },
     /// Close idle connections to a member.
     Close(MemberId),
@@ -247,13 +258,9 @@
 
     // ---- Input ---------------------------------------------------------------------------------------------
 
-    /// A request came whole.
-    pub fn request(&mut self, now: f64, client: ClientId, id: u32, call: Call) {
-        let answer = |answer| Effect::Answer { client, id, answer };
-        let Some(class) = self.classes.get(&call.class).copied() else {
-            self.counters.unusable += 1;
-            return self.effects.push_back(answer(Answer::Unusable("an unknown class")));
-        };
+    /// The class of a request, by its place in the settings; the error tells why it can't be used.
+    pub fn usable(&self, call: &Call) -> Result<usize, &'static str> {
+        let class = self.classes.get(&call.class).copied().ok_or("an unknown class")?;
         let kind = &self.conf.settings.classes[class];
         // A size that takes so long would also be learned as the class's.
         let sending = call.size.filter(|_| self.conf.settings.flow > 0.0);
@@ -266,10 +273,24 @@
             (call.allow > kind.deadline + limits::SOCKET_SLACK, "allow is over the class's longest time"),
             (sending > kind.deadline * limits::LARGEST, "room is out of range"),
         ];
-        if let Some((_, why)) = wrong.iter().find(|(wrong, _)| *wrong) {
-            self.counters.unusable += 1;
-            return self.effects.push_back(answer(Answer::Unusable(why)));
-        }
+        wrong.iter().find(|(wrong, _)| *wrong).map_or(Ok(class), |(_, why)| Err(why))
+    }
+
+    /// Another site told a purge.
+    pub fn purged(&mut self, now: f64, object: Option<u64>, group: u32, age: f64) {
+        self.tell(now, Event::Purged { object, group, age });
+    }
+
+    /// A request came whole.
+    pub fn request(&mut self, now: f64, client: ClientId, id: u32, call: Call) {
+        let answer = |answer| Effect::Answer { client, id, answer, copy: None };
+        let class = match self.usable(&call) {
+            Ok(class) => class,
+            Err(why) => {
+                self.counters.unusable += 1;
+                return self.effects.push_back(answer(Answer::Unusable(why)));
+            }
+        };
         if self.names.contains(&call.name) {
             // Attempts go by this name on the members' connections: two of one name can't be told apart.
             self.counters.unusable += 1;
@@ -344,6 +365,7 @@
             return self.tell(now, Event::Probed { member, ok: reply.word == Word::Alive(true), load });
         }
         let tagged = self.open.get(&((at / ATTEMPTS) as RequestId)).is_some_and(|o| o.call.have.is_some());
+        let copy = reply.copy;
         let (ending, answer) = match reply.word {
             Word::Ok => (Ending::Ok, Some(Answer::Served(reply.body))),
             Word::Unchanged if tagged => (Ending::Ok, Some(Answer::Unchanged)),
@@ -353,7 +375,7 @@
             // A probe's word under an attempt's id, and that a copy holds that nobody named, prove nothing.
             Word::Error | Word::Alive(_) | Word::Unchanged => (Ending::Error, None),
         };
-        self.end(now, at, ending, answer, load);
+        self.end(now, at, ending, answer.map(|answer| (answer, copy)), load);
     }
 
     /// An attempt's or a probe's connection broke.
@@ -445,11 +467,11 @@
             }
             News::PurgeObject(object, at) => {
                 let age = (now - at).max(0.0);
-                self.tell(now, Event::Purged { object: Some(object), group: 0, age });
+                self.purged_here(now, Some(object), 0, age);
             }
             News::PurgeGroup(group, at) => {
                 let age = (now - at).max(0.0);
-                self.tell(now, Event::Purged { object: None, group, age });
+                self.purged_here(now, None, group, age);
             }
             News::Unknown => {}
             News::Unreadable(why) => {
@@ -458,6 +480,11 @@
         }
     }
 
+    fn purged_here(&mut self, now: f64, object: Option<u64>, group: u32, age: f64) {
+        self.effects.push_back(Effect::Purged { object, group, age });
+        self.purged(now, object, group, age);
+    }
+
     /// Hands an event to the module and carries out what it decides, until it has nothing more to say. Events
     /// that come up meanwhile wait until the actions before them are carried out.
     fn tell(&mut self, now: f64, event: Event) {
@@ -557,14 +584,21 @@
     }
 
     /// An attempt has ended: an answer goes to the client, the module hears of it.
-    fn end(&mut self, now: f64, at: AttemptKey, ending: Ending, answer: Option<Answer>, load: Option<Load>) {
+    fn end(
+        &mut self,
+        now: f64,
+        at: AttemptKey,
+        ending: Ending,
+        answer: Option<(Answer, Option<Copy>)>,
+        load: Option<Load>,
+    ) {
         let request = (at / ATTEMPTS) as RequestId;
         let Some(open) = self.open.get_mut(&request) else { return };
         let Some(i) = open.out.iter().position(|o| key(request, o.no) == at) else { return };
         let out = open.out.remove(i);
         self.counters.endings[place_in(ending)] += 1;
-        if let Some(answer) = answer.filter(|_| !open.ended) {
-            self.finish(request, answer);
+        if let Some((answer, copy)) = answer.filter(|_| !open.ended) {
+            self.finish_with(request, answer, copy);
         }
         let finished = self.open.get(&request).is_none_or(|o| o.ended);
         let elapsed = now - out.sent;
@@ -576,6 +610,10 @@
 
     /// The final answer to a request.
     fn finish(&mut self, request: RequestId, answer: Answer) {
+        self.finish_with(request, answer, None);
+    }
+
+    fn finish_with(&mut self, request: RequestId, answer: Answer, copy: Option<Copy>) {
         let open = self.open.get_mut(&request).filter(|o| !o.ended);
         let Some(open) = open else {
             // The module's word on a request that ended meanwhile.
@@ -583,14 +621,10 @@
         };
         open.ended = true;
         let (client, id) = (open.client, open.id);
-        match &answer {
-            Answer::Served(_) | Answer::Unchanged => self.counters.served += 1,
-            Answer::Refused(_) => self.counters.refused += 1,
-            Answer::Failed | Answer::Unusable(_) => self.counters.failed += 1,
-        }
+        self.counters.count(&answer);
         let owed = self.ids.remove(&(client, id)).is_some();
         self.must(owed, "one final answer to a request");
-        self.effects.push_back(Effect::Answer { client, id, answer });
+        self.effects.push_back(Effect::Answer { client, id, answer, copy });
         self.forget(request);
     }
 
--- a/crates/deckproxy/src/transport/mod.rs
+++ b/crates/deckproxy/src/transport/mod.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod clock;
 pub mod feed;
+pub mod line;
 pub mod listener;
 pub mod member;
 pub mod outbox;
--- a/crates/deckproxy/tests/codecs.rs
+++ b/crates/deckproxy/tests/codecs.rs
@@ -268,7 +268,8 @@
         ("*3\r\n$2\r\np1\r\n$4\r\ndead\r\n$1\r\n-\r\n", false, vec![]),
         ("*4\r\n$2\r\np1\r\n$5\r\nalive\r\n$10\r\nrep=x1:0.5\r\n$0\r\n\r\n", true, vec![("x1".into(), 0.5)]),
     ] {
-        let want = Reply { id: "p1".into(), word: Word::Alive(alive), report, body: Bytes::new() };
+        let want =
+            Reply { id: "p1".into(), word: Word::Alive(alive), report, copy: None, body: Bytes::new() };
         assert_eq!(replies(text.as_bytes(), &[3, 9]), [Ok(want)]);
     }
     assert!(replies(b"*2\r\n$2\r\np1\r\n$3\r\n200\r\n", &[])[0].is_err(), "served without a body");
--- a/crates/deckproxy/tests/endings.rs
+++ b/crates/deckproxy/tests/endings.rs
@@ -67,7 +67,13 @@
 }
 
 fn reply(word: Word) -> Reply {
-    Reply { id: "0000000000000001".into(), word, report: Vec::new(), body: Bytes::from_static(b"body") }
+    Reply {
+        id: "0000000000000001".into(),
+        word,
+        report: Vec::new(),
+        copy: None,
+        body: Bytes::from_static(b"body"),
+    }
 }
 
 fn count(router: &Router, ending: &str) -> u64 {
@@ -145,7 +151,7 @@
     router.reply(NOW + 5.0, key, reply(Word::Ok));
     router.reply(NOW + 6.0, key, reply(Word::Ok));
     let answer = Answer::Served(Bytes::from_static(b"body"));
-    assert_eq!(effects(&mut router), [Effect::Answer { client: 1, id: 7, answer }]);
+    assert_eq!(effects(&mut router), [Effect::Answer { client: 1, id: 7, answer, copy: None }]);
     assert_eq!((count(&router, "ok"), router.owed()), (1, 0));
     // Nothing is left that a timer could find.
     router.tick(NOW + 100_000.0);
@@ -175,7 +181,7 @@
     begin(&mut router);
     router.request(NOW, 2, 7, call("page", 1));
     let answer = Answer::Unusable("ref is in use");
-    assert_eq!(effects(&mut router), [Effect::Answer { client: 2, id: 7, answer }]);
+    assert_eq!(effects(&mut router), [Effect::Answer { client: 2, id: 7, answer, copy: None }]);
 }
 
 #[test]
@@ -187,7 +193,7 @@
     assert!(matches!(&effects(&mut router)[..], [Effect::Withdraw { .. }]));
     router.tick(NOW + 1058.0);
     let after = effects(&mut router);
-    assert_eq!(after, [Effect::Answer { client: 1, id: 7, answer: Answer::Failed }]);
+    assert_eq!(after, [Effect::Answer { client: 1, id: 7, answer: Answer::Failed, copy: None }]);
     assert_eq!((router.counters.overdue, router.owed()), (1, 0));
 }
 
@@ -212,6 +218,6 @@
     let config = config::read(text.to_string().as_bytes()).unwrap();
     let mut router = Router::new(NOW, config.conf, config.seed, config.known);
     router.request(NOW, 1, 7, call("page", 1));
-    let refused = Effect::Answer { client: 1, id: 7, answer: Answer::Refused(0.0) };
+    let refused = Effect::Answer { client: 1, id: 7, answer: Answer::Refused(0.0), copy: None };
     assert_eq!(effects(&mut router), [refused]);
 }
--- a/crates/deckproxy/tests/routing.rs
+++ b/crates/deckproxy/tests/routing.rs
@@ -134,7 +134,7 @@
                     self.requests.get_mut(&id).unwrap().may_have_run = true;
                     self.router.withdrawn(self.now, key, true);
                 }
-                Effect::Answer { client, id, answer } => {
+                Effect::Answer { client, id, answer, .. } => {
                     let seen = self.requests.get_mut(&(client, id)).unwrap();
                     assert!(!seen.over, "a second answer");
                     assert!(self.now <= seen.due + SLACK, "{} ms late", self.now - seen.due);
@@ -142,7 +142,7 @@
                     assert!(!(refused && seen.class == 2 && seen.may_have_run), "a refusal that may do harm");
                     seen.over = true;
                 }
-                Effect::Probe { .. } | Effect::Close(_) | Effect::Log(_) => {}
+                Effect::Probe { .. } | Effect::Close(_) | Effect::Purged { .. } | Effect::Log(_) => {}
             }
         }
     }
@@ -190,7 +190,7 @@
                 let word = words[usize::from(word)];
                 let runs = matches!(word, Word::Ok | Word::Error | Word::Unchanged);
                 self.requests.get_mut(&id).unwrap().may_have_run |= runs;
-                let reply = Reply { id: "".into(), word, report: Vec::new(), body: Bytes::new() };
+                let reply = Reply { id: "".into(), word, report: Vec::new(), copy: None, body: Bytes::new() };
                 self.router.reply(self.now, key, reply);
             }
             Step::Broke(at, sent) => {
@@ -319,7 +319,7 @@
                 n if n % 5 == 0 => router.broke(now, key, Broke::Reset),
                 _ => {
                     let (id, word, body) = (call.name.clone(), Word::Ok, Bytes::new());
-                    router.reply(now, key, Reply { id, word, report: Vec::new(), body });
+                    router.reply(now, key, Reply { id, word, report: Vec::new(), copy: None, body });
                 }
             }
         }
