Links: requests wait for a way, the pace is read while bodies come, own copies bounded in age while unheard

Change: reconnecting after 25 to 250 ms and at once when the peer reaches us; requests wait up to hold_ms; the pace is the best reading while several pieces of a body come; the home serves only copies younger than the grace while a peer is unheard.

--- a/crates/deckproxy-lab/src/drills/sites.rs
+++ b/crates/deckproxy-lab/src/drills/sites.rs
@@ -30,7 +30,7 @@
         "sites {{\n name: \"{}\"\n listen: \"{listen}\"\n peers {{ site: \"{}\" addresses: \"{peer}\" }}\n \
          routes {{ prefix: \"{other}\" home: \"{}\" }}\n \
          # Of the other's objects, those whose number goes on with 0 to 3 may be kept here too.\n \
-         {}\n}}\n",
+         {}\n trust {{ known_ms: 3600000 }}\n}}\n",
         NAMES[site],
         NAMES[other],
         NAMES[other],
@@ -91,6 +91,9 @@
         post.gateway.signal("TERM");
         let code = post.gateway.ended();
         let log = post.gateway.log();
+        if std::env::var_os("DECKLAB_LOGS").is_some() {
+            eprintln!("{log}");
+        }
         if code != Some(0) {
             broken.push(format!("a gateway ended with {code:?}: {log}"));
         }
@@ -137,7 +140,7 @@
     let start = Instant::now();
     let length = Duration::from_secs(options.seconds);
     let kinds = [(State::Reset, "reset"), (State::Silent, "silent"), (State::HalfOpen, "half open")];
-    let mut cut: Option<(Instant, usize)> = None;
+    let mut cut: Option<(Instant, [bool; 2])> = None;
     let mut next_cut = start + Duration::from_millis(800);
     let mut next_purge = start;
     let mut next_drain = start + Duration::from_millis(1500);
@@ -149,15 +152,16 @@
         let now = Instant::now();
         if let Some((until, which)) = cut.filter(|(until, _)| now >= *until) {
             let _ = until;
-            shims[which].set(State::Whole);
+            which.iter().zip(shims).filter(|(hit, _)| **hit).for_each(|(_, shim)| shim.set(State::Whole));
             record.note(Fact::Cut { kind: "whole", on: false });
             cut = None;
         }
         if cut.is_none() && now >= next_cut {
             let (state, kind) = kinds[rng.random_range(0..3)];
             let lasts = rng.random_range(200..700u64);
-            let which = rng.random_range(0..2);
-            shims[which].set(state);
+            // Half of the cuts take both ways, the others one.
+            let which = [[true, true], [true, true], [true, false], [false, true]][rng.random_range(0..4)];
+            which.iter().zip(shims).filter(|(hit, _)| **hit).for_each(|(_, shim)| shim.set(state));
             record.note(Fact::Cut { kind, on: true });
             cut = Some((now + Duration::from_millis(lasts), which));
             next_cut = now + Duration::from_millis((lasts as f64 / CUT) as u64);
--- a/crates/deckproxy-operator/build.rs
+++ b/crates/deckproxy-operator/build.rs
@@ -44,6 +44,8 @@
         ("Link.waiters", "range(max = 65_536)"),
         ("Link.retain_kb", "range(min = 64, max = 1_048_576)"),
         ("Link.ramp_ms", "range(max = 600_000)"),
+        ("Link.hold_ms", "range(max = 10_000)"),
+        ("Trust.known_ms", "range(max = 86_400_000)"),
         ("Link.repeats_share", "range(min = 0.0, max = 1.0)"),
         ("Trust.grace_ms", "range(min = 50, max = 600_000)"),
         ("Trust.lease_ms", "range(min = 20, max = 600_000)"),
--- a/crates/deckproxy-operator/src/defaults.rs
+++ b/crates/deckproxy-operator/src/defaults.rs
@@ -24,6 +24,8 @@
 pub const RETAIN_KB: u32 = 8192;
 /// `Link.ramp_ms`.
 pub const RAMP_MS: u32 = 2000;
+/// `Link.hold_ms`.
+pub const HOLD_MS: u32 = 300;
 /// `Link.repeats_share`.
 pub const REPEATS_SHARE: f64 = 0.1;
 /// `Trust.grace_ms`.
--- a/crates/deckproxy-operator/src/sites.rs
+++ b/crates/deckproxy-operator/src/sites.rs
@@ -1,6 +1,6 @@
 //! The sites' part of the file: relations between its entries, and its form for `deckproxy-sites`.
 
-use crate::{Mode, Operator, Route, Sites, defaults};
+use crate::{Mode, Operator, Route, Sites, WhenCut, defaults};
 use deckproxy_sites::routes::{self, Rule};
 use deckproxy_sites::{LinkLimits, TrustLimits};
 
@@ -43,6 +43,7 @@
             waiters: link.waiters.unwrap_or(defaults::WAITERS) as usize,
             retain: link.retain_kb.unwrap_or(defaults::RETAIN_KB) as usize * 1024,
             ramp: f64::from(link.ramp_ms.unwrap_or(defaults::RAMP_MS)),
+            hold: f64::from(link.hold_ms.unwrap_or(defaults::HOLD_MS)),
             repeats: link.repeats_share.unwrap_or(defaults::REPEATS_SHARE),
             cooldown: f64::from(self.cooldown_ms.unwrap_or(defaults::COOLDOWN_MS)),
         }
@@ -52,6 +53,8 @@
     pub fn trust_limits(&self) -> TrustLimits {
         let trust = self.trust.unwrap_or_default();
         TrustLimits {
+            known: f64::from(trust.known_ms.unwrap_or(0)),
+            serve_when_cut: trust.when_cut == WhenCut::Serve as i32,
             grace: f64::from(trust.grace_ms.unwrap_or(defaults::GRACE_MS)),
             lease: f64::from(trust.lease_ms.unwrap_or(defaults::LEASE_MS)),
             skew: f64::from(trust.skew_ms.unwrap_or(defaults::SKEW_MS)),
--- a/crates/deckproxy-sites/src/lib.rs
+++ b/crates/deckproxy-sites/src/lib.rs
@@ -43,6 +43,8 @@
     pub retain: usize,
     /// Span over which a link that came back gets its part again.
     pub ramp: Millis,
+    /// For which a request waits for a way that is down, before it is refused.
+    pub hold: Millis,
     /// Repeats for each first try.
     pub repeats: f64,
     /// Until a refused client is asked back where nothing better is known.
@@ -56,6 +58,10 @@
     pub grace: Millis,
     /// For which the home's word that no purge is missing counts.
     pub lease: Millis,
+    /// Before a gateway's start, for which the purges that it knows at its start are all there were.
+    pub known: Millis,
+    /// The home serves its own objects from any copy also while a peer is not heard that may tell their purges.
+    pub serve_when_cut: bool,
     /// By which two clocks may differ.
     pub skew: Millis,
     /// After a purge, until the copies are gone by themselves.
--- a/crates/deckproxy-sites/src/near.rs
+++ b/crates/deckproxy-sites/src/near.rs
@@ -19,9 +19,13 @@
 /// Repeats saved up, at most, and at the start.
 const SAVED: f64 = 20.0;
 /// Until a connection is tried again, at first and at most, ms.
-const AGAIN: (Millis, Millis) = (50.0, 1000.0);
+const AGAIN: (Millis, Millis) = (25.0, 250.0);
+/// Until a way is used again that went away without naming a time, ms.
+const AWAY: Millis = 1000.0;
 /// Attempts out on a way that has just come back, and how many more at its full part.
 const RETURNING: (f64, f64) = (16.0, 1024.0);
+/// Until what waits for a way that has just come back is looked at again, ms.
+const UNPARK: Millis = 10.0;
 /// Time left below which nothing is sent, ms.
 const LEAST: Millis = 5.0;
 /// Largest answer that is taken, bytes.
@@ -86,6 +90,8 @@
 pub struct Counters {
     /// Requests taken.
     pub taken: u64,
+    /// Requests that waited for a way.
+    pub parked: u64,
     /// Requests that joined another one's crossing.
     pub joined: u64,
     /// Attempts sent.
@@ -124,6 +130,8 @@
     /// The head of its answer, what came of the body, and how far the other side may send.
     answer: Option<Answer>,
     body: BytesMut,
+    /// The body comes in several pieces.
+    several: bool,
     credit: usize,
     /// The tag that went along.
     have: Option<String>,
@@ -137,6 +145,8 @@
     out: Option<Out>,
     /// It went out before.
     repeated: bool,
+    /// It waits for a way until then.
+    parked: Option<Millis>,
 }
 
 type Key = (String, u64, Option<u32>);
@@ -188,6 +198,9 @@
     tokens: HashMap<Token, u64>,
     /// When requests give up, soonest first.
     expiries: BTreeSet<(u64, Token)>,
+    /// Crossings that wait for a way, the longest first.
+    parked: VecDeque<u64>,
+    unparked: Millis,
     next: u64,
     saved: f64,
     closing: bool,
@@ -229,6 +242,8 @@
             joined: HashMap::new(),
             tokens: HashMap::new(),
             expiries: BTreeSet::new(),
+            parked: VecDeque::new(),
+            unparked: now,
             next: 0,
             saved: SAVED,
             closing: false,
@@ -304,13 +319,13 @@
         self.tokens.insert(token, id);
         self.expiries.insert((order(want.expires), token));
         let waiters = VecDeque::from([Waiter { token, want }]);
-        self.crossings.insert(id, Crossing { key, waiters, out: None, repeated: false });
+        self.crossings.insert(id, Crossing { key, waiters, out: None, repeated: false, parked: None });
         self.saved = (self.saved + self.limits.repeats).min(SAVED);
         self.send(now, id);
     }
 
     /// A client gave its request up.
-    pub fn cancel(&mut self, token: Token) {
+    pub fn cancel(&mut self, now: Millis, token: Token) {
         let Some(id) = self.tokens.remove(&token) else { return };
         let Some(crossing) = self.crossings.get_mut(&id) else { return };
         if let Some(i) = crossing.waiters.iter().position(|w| w.token == token) {
@@ -318,7 +333,7 @@
             self.expiries.retain(|(_, t)| *t != gone.as_ref().map_or(token, |w| w.token));
         }
         if crossing.waiters.is_empty() {
-            self.end(id, None);
+            self.end(now, id);
         }
     }
 
@@ -334,17 +349,17 @@
     }
 
     /// Answers all that wait for a crossing, and forgets it.
-    fn answer_all(&mut self, id: u64, reply: &Reply) {
+    fn answer_all(&mut self, now: Millis, id: u64, reply: &Reply) {
         let Some(crossing) = self.crossings.get_mut(&id) else { return };
         for waiter in std::mem::take(&mut crossing.waiters) {
             self.reply(waiter, reply.clone());
         }
-        self.end(id, None);
+        self.end(now, id);
     }
 
-    /// Nobody waits for a crossing any more, or its attempt is over. `size`: bytes of the answer, if it came whole.
-    fn end(&mut self, id: u64, size: Option<usize>) {
-        self.finish(id, size, true);
+    /// Nobody waits for a crossing any more.
+    fn end(&mut self, now: Millis, id: u64) {
+        self.finish(now, id, None, true);
         if let Some(crossing) = self.crossings.remove(&id)
             && let Some(key) = crossing.key
         {
@@ -352,11 +367,15 @@
         }
     }
 
-    /// A crossing's attempt is over; the other side is told that it may forget it.
-    fn finish(&mut self, id: u64, size: Option<usize>, tell: bool) {
+    /// A crossing's attempt is over; the other side is told that it may forget it. `size`: bytes of the answer, if it
+    /// came whole.
+    fn finish(&mut self, now: Millis, id: u64, size: Option<usize>, tell: bool) {
         let Some(out) = self.crossings.get_mut(&id).and_then(|c| c.out.take()) else { return };
         let Some(way) = self.ways.get_mut(out.way) else { return };
         way.pace.over(out.awaited, size);
+        if out.several && !out.body.is_empty() {
+            way.pace.ends(now);
+        }
         way.out.remove(&out.number);
         let conn = out.conn.filter(|c| way.lines.contains_key(c));
         if let Some(line) = conn.and_then(|c| way.lines.get_mut(&c)) {
@@ -375,20 +394,21 @@
     /// Sends a crossing's attempt, or refuses it at once where that could not be in time.
     fn send(&mut self, now: Millis, id: u64) {
         let Some(crossing) = self.crossings.get(&id) else { return };
-        let Some(leader) = crossing.waiters.front() else { return self.end(id, None) };
+        let Some(leader) = crossing.waiters.front() else { return self.end(now, id) };
         let left = leader.want.expires - now;
         if left < LEAST {
             return self.lead_next(now, id, &Reply::Refused(self.limits.cooldown));
         }
-        let Some(at) = self.choose(now) else {
-            self.counters.no_way += crossing.waiters.len() as u64;
-            let back = self.comes_back(now, id);
-            return self.answer_all(id, &Reply::Refused(back));
+        let ramp = self.limits.ramp;
+        let Some(at) =
+            self.choose(now).filter(|at| self.ways[*at].out.len() < self.ways[*at].room(now, ramp))
+        else {
+            return self.park(now, id);
         };
         let rank = leader.want.rank;
         let way = &self.ways[at];
         let awaited = way.pace.expect(leader.want.ask.size);
-        if !way.pace.fits(awaited, left, rank) || way.out.len() >= way.room(now, self.limits.ramp) {
+        if !way.pace.fits(awaited, left, rank) {
             self.counters.crowded += 1;
             let wait = self.limits.cooldown.max(way.pace.wait(0.0) * 0.5);
             return self.lead_next(now, id, &Reply::Refused(wait));
@@ -399,7 +419,7 @@
         let number = way.next;
         way.next += 1;
         way.out.insert(number, id);
-        way.pace.asked(now, awaited);
+        way.pace.asked(awaited);
         if let Some(line) = way.lines.get_mut(&conn) {
             line.out += 1;
         }
@@ -416,6 +436,7 @@
             awaited,
             answer: None,
             body: BytesMut::new(),
+            several: false,
             credit: self.limits.credit,
             have: ask.have.clone(),
         });
@@ -424,6 +445,40 @@
         self.effects.push_back(Effect::Send(conn, Say::Ask(ask)));
     }
 
+    /// No way is up, or the one that came back takes no more for now: the crossing waits for a while, then it is
+    /// refused.
+    fn park(&mut self, now: Millis, id: u64) {
+        let hold = self.limits.hold;
+        let Some(crossing) = self.crossings.get_mut(&id) else { return };
+        let until = *crossing.parked.get_or_insert(now + hold);
+        if until > now {
+            self.counters.parked += crossing.waiters.len() as u64;
+            return self.parked.push_back(id);
+        }
+        self.counters.no_way += crossing.waiters.len() as u64;
+        let back = self.comes_back(now, id);
+        self.answer_all(now, id, &Reply::Refused(back));
+    }
+
+    /// Sends what waited for a way as far as there is one, and refuses what waited for too long.
+    fn unpark(&mut self, now: Millis) {
+        self.unparked = now;
+        for _ in 0..self.parked.len() {
+            let Some(id) = self.parked.pop_front() else { return };
+            let Some(crossing) = self.crossings.get_mut(&id).filter(|c| c.out.is_none()) else { continue };
+            let over = crossing.parked.is_none_or(|until| until <= now);
+            let usable = self
+                .choose(now)
+                .is_some_and(|at| self.ways[at].out.len() < self.ways[at].room(now, self.limits.ramp));
+            if usable || over {
+                self.send(now, id);
+            } else {
+                self.parked.push_front(id);
+                return;
+            }
+        }
+    }
+
     /// The way for the next attempt: the one with least out for its part.
     fn choose(&self, now: Millis) -> Option<usize> {
         let usable =
@@ -446,15 +501,15 @@
     /// something saved for a repeat.
     fn lead_next(&mut self, now: Millis, id: u64, reply: &Reply) {
         let Some(crossing) = self.crossings.get_mut(&id) else { return };
-        let Some(leader) = crossing.waiters.pop_front() else { return self.end(id, None) };
+        let Some(leader) = crossing.waiters.pop_front() else { return self.end(now, id) };
         let many = !crossing.waiters.is_empty();
         crossing.repeated = true;
         self.reply(leader, reply.clone());
         if !many {
-            return self.end(id, None);
+            return self.end(now, id);
         }
         if self.saved < 1.0 {
-            return self.answer_all(id, &Reply::Refused(self.limits.cooldown));
+            return self.answer_all(now, id, &Reply::Refused(self.limits.cooldown));
         }
         self.saved -= 1.0;
         self.send(now, id);
@@ -463,11 +518,12 @@
     /// The same request goes again, where a repeat does no harm and something is saved for one.
     fn again(&mut self, now: Millis, id: u64) {
         if self.saved < 1.0 {
-            return self.answer_all(id, &Reply::Refused(self.limits.cooldown));
+            return self.answer_all(now, id, &Reply::Refused(self.limits.cooldown));
         }
         self.saved -= 1.0;
         if let Some(crossing) = self.crossings.get_mut(&id) {
             crossing.repeated = true;
+            crossing.parked = None;
         }
         self.send(now, id);
     }
@@ -521,6 +577,14 @@
             let numbers = way.lost.iter().copied().collect();
             self.effects.push_back(Effect::Send(conn, Say::Resume(Numbers { numbers })));
         }
+        self.unpark(now);
+    }
+
+    /// Whatever the other site's gateways were, they may be there again: connections are tried at once.
+    pub fn try_now(&mut self, now: Millis) {
+        for way in self.ways.iter_mut().filter(|w| !w.is_up()) {
+            (way.next_try, way.wait) = (now, AGAIN.0);
+        }
     }
 
     /// A connection has ended. `unsent`: attempts of which no byte was written to it.
@@ -535,6 +599,7 @@
         }
         let mut never = Vec::new();
         let mut lost = Vec::new();
+        let mut broken = 0;
         for (number, id) in &way.out {
             let Some(out) = self.crossings.get_mut(id).and_then(|c| c.out.as_mut()) else { continue };
             if out.conn != Some(conn) {
@@ -542,19 +607,22 @@
             }
             out.conn = None;
             out.answer = None;
+            broken += usize::from(out.several && !out.body.is_empty());
             out.body.clear();
+            out.several = false;
             match unsent.contains(number) {
                 true => never.push((*number, *id)),
                 false => lost.push(*number),
             }
         }
+        (0..broken).for_each(|_| way.pace.ends(now));
         way.lost.extend(&lost);
         if let Some(other) = way.best().filter(|_| !lost.is_empty()) {
             let numbers = Numbers { numbers: lost };
             self.effects.push_back(Effect::Send(other, Say::Resume(numbers)));
         }
         for (_, id) in never {
-            self.finish(id, None, false);
+            self.finish(now, id, None, false);
             self.again(now, id);
         }
     }
@@ -584,7 +652,7 @@
             Say::Fate(fate) => self.fate(now, at, conn, &fate),
             Say::GoAway(away) => {
                 // It serves what it has; when no time is named, it will be another process that comes back.
-                let wait = if away.cooldown > 0.0 { away.cooldown } else { AGAIN.1 };
+                let wait = if away.cooldown > 0.0 { away.cooldown } else { AWAY };
                 way.away = Some(now + wait);
             }
             _ => return false,
@@ -618,12 +686,15 @@
         let credit = self.limits.credit;
         let mut grant = None;
         let mut whole = None;
+        let mut begins = false;
         if let Some((id, out)) = self.awaited(way, conn, piece.number) {
             let length = out.answer.as_ref().map_or(0, |a| a.length as usize);
             let fits = piece.at as usize == out.body.len() && out.body.len() + piece.bytes.len() <= length;
             if !fits {
                 return false;
             }
+            begins = out.body.is_empty() && piece.bytes.len() < length;
+            out.several |= begins;
             out.body.extend_from_slice(&piece.bytes);
             if out.body.len() == length {
                 whole = Some(id);
@@ -633,7 +704,12 @@
             }
         }
         if let Some(way) = self.ways.get_mut(way) {
-            way.pace.came(now, piece.bytes.len());
+            // What came with the first piece was on its way before.
+            if begins {
+                way.pace.begins(now);
+            } else {
+                way.pace.came(now, piece.bytes.len());
+            }
         }
         if let Some(grant) = grant {
             self.effects.push_back(Effect::Send(conn, Say::Credit(grant)));
@@ -649,13 +725,17 @@
         let Some(crossing) = self.crossings.get_mut(&id) else { return };
         let Some(out) = crossing.out.as_mut() else { return };
         let Some(answer) = out.answer.take() else { return };
+        let several = out.several;
         let body = std::mem::take(&mut out.body).freeze();
+        if let Some(way) = self.ways.get_mut(out.way).filter(|_| several) {
+            way.pace.ends(now);
+        }
         let (sent, have) = (out.sent, out.have.clone());
-        self.finish(id, Some(body.len()), true);
+        self.finish(now, id, Some(body.len()), true);
         // The copy was no older than that when the attempt went out, so it was given out then at the earliest.
         let issued = answer.age.map(|age| sent - age);
         let Some(leader) = self.crossings.get(&id).and_then(|c| c.waiters.front()) else {
-            return self.end(id, None);
+            return self.end(now, id);
         };
         let (object, group, repeat) = (leader.want.object, leader.want.ask.group, leader.want.repeat);
         let fresh = issued.is_none_or(|at| purges.may_answer(now, object, group, at));
@@ -664,7 +744,7 @@
                 self.counters.stale += 1;
                 self.again(now, id);
             }
-            Word::Served => self.answer_all(id, &Reply::Served(body, issued, answer.tag)),
+            Word::Served => self.answer_all(now, id, &Reply::Served(body, issued, answer.tag)),
             Word::Unchanged => {
                 // It holds for those that have the same copy; the others go on.
                 let Some(crossing) = self.crossings.get_mut(&id) else { return };
@@ -677,11 +757,11 @@
                 }
                 match waiting {
                     true => self.again(now, id),
-                    false => self.end(id, None),
+                    false => self.end(now, id),
                 }
             }
-            Word::Refused => self.answer_all(id, &Reply::Refused(answer.cooldown)),
-            Word::Unusable => self.answer_all(id, &Reply::Unusable),
+            Word::Refused => self.answer_all(now, id, &Reply::Refused(answer.cooldown)),
+            Word::Unusable => self.answer_all(now, id, &Reply::Unusable),
             Word::Failed => self.lead_next(now, id, &Reply::Failed),
         }
     }
@@ -705,14 +785,14 @@
             }
             // It can't come any more: the same as if it had never been sent.
             Became::Never => {
-                self.finish(id, None, true);
+                self.finish(now, id, None, true);
                 self.again(now, id);
             }
             Became::Unknown => {
-                self.finish(id, None, true);
+                self.finish(now, id, None, true);
                 match safe {
                     true => self.again(now, id),
-                    false => self.answer_all(id, &Reply::Failed),
+                    false => self.answer_all(now, id, &Reply::Failed),
                 }
             }
         }
@@ -722,13 +802,15 @@
     pub fn tick(&mut self, now: Millis, clock: Millis, purges: &Purges) {
         while let Some((at, token)) = self.expiries.first().copied().filter(|(at, _)| *at <= order(now)) {
             self.expiries.remove(&(at, token));
-            self.expire(token);
+            self.expire(now, token);
         }
+        self.unpark(now);
         let (heartbeat, silence) = (self.limits.heartbeat, self.limits.silence);
         let mut unknown = Vec::new();
         for at in 0..self.ways.len() {
             let way = &mut self.ways[at];
             let epoch = way.epoch;
+            way.pace.tick(now);
             if way.cut.is_some_and(|cut| now - cut > way.reattach) && !way.lost.is_empty() {
                 unknown.extend(std::mem::take(&mut way.lost).into_iter().map(|number| (at, number)));
             }
@@ -772,7 +854,7 @@
     }
 
     /// A request's time is over.
-    fn expire(&mut self, token: Token) {
+    fn expire(&mut self, now: Millis, token: Token) {
         let Some(id) = self.tokens.get(&token).copied() else { return };
         let Some(crossing) = self.crossings.get_mut(&id) else { return };
         let Some(i) = crossing.waiters.iter().position(|w| w.token == token) else { return };
@@ -780,7 +862,7 @@
         let last = crossing.waiters.is_empty();
         self.reply(waiter, Reply::Failed);
         if last {
-            self.end(id, None);
+            self.end(now, id);
         }
     }
 
@@ -796,7 +878,12 @@
             });
             beats.chain(missing.then_some(w.next_try)).chain(lost).collect::<Vec<_>>()
         });
-        ways.chain(expiry).min_by(f64::total_cmp)
+        let parked = self.parked.front().and_then(|id| self.crossings.get(id)).and_then(|c| c.parked);
+        // A way that has just come back takes more from one moment to the next.
+        let parked = parked.map(|until| {
+            if self.ways.iter().any(Way::is_up) { until.min(self.unparked + UNPARK) } else { until }
+        });
+        ways.chain(expiry).chain(parked).min_by(f64::total_cmp)
     }
 
     /// Something was heard that is no business of this side.
--- a/crates/deckproxy-sites/src/pace.rs
+++ b/crates/deckproxy-sites/src/pace.rs
@@ -2,13 +2,13 @@
 
 use crate::Millis;
 
-/// Weight of a new reading of the round trip, and of the pace.
+/// Weight of a new reading of the round trip.
 const TRIP_WEIGHT: f64 = 0.2;
-const PACE_WEIGHT: f64 = 0.3;
-/// Span over which the pace is read, ms.
-const SPAN: f64 = 100.0;
-/// Bytes that must be awaited all the time for a span to tell the pace: less says only how little was asked for.
-const BUSY: usize = 32 * 1024;
+/// Bytes that make a reading of the pace.
+const READING: f64 = 64.0 * 1024.0;
+/// The pace is the best reading of this span and the one before, ms. A poorer reading says only that something else
+/// held up; after two spans without any, nothing is known.
+const SPAN: Millis = 5000.0;
 /// Size that is awaited where none is told, bytes; learned from what comes.
 const USUAL: f64 = 8.0 * 1024.0;
 /// Below this part of the time left, the answer of a request of middling worth has to be awaited; see `fits`.
@@ -18,18 +18,32 @@
 #[derive(Clone, Debug)]
 pub struct Pace {
     trip: Option<Millis>,
-    /// Bytes a millisecond while it was busy; none: never seen busy.
-    pace: Option<f64>,
+    /// The best readings, bytes a millisecond, of this span and the one before, and when this one began.
+    best: [Option<f64>; 2],
+    since: Millis,
     usual: f64,
     /// Bytes that are awaited.
     awaited: f64,
-    /// The span being read: since when, bytes in it, whether it was busy throughout.
-    span: Option<(Millis, f64)>,
+    /// Bodies of which a part is here. While there is one, what comes tells the pace of the way: the other side has the
+    /// rest at hand.
+    receiving: usize,
+    /// Since when, and the time and bytes of the reading so far.
+    begun: Millis,
+    reading: (Millis, f64),
 }
 
 impl Default for Pace {
     fn default() -> Self {
-        Pace { trip: None, pace: None, usual: USUAL, awaited: 0.0, span: None }
+        Pace {
+            trip: None,
+            best: [None; 2],
+            since: 0.0,
+            usual: USUAL,
+            awaited: 0.0,
+            receiving: 0,
+            begun: 0.0,
+            reading: (0.0, 0.0),
+        }
     }
 }
 
@@ -44,9 +58,9 @@
         self.trip.unwrap_or(0.0)
     }
 
-    /// The pace in bytes a millisecond, where it was seen.
+    /// The pace in bytes a millisecond, where it was seen lately.
     pub fn bytes_per_ms(&self) -> Option<f64> {
-        self.pace
+        self.best.iter().flatten().copied().max_by(f64::total_cmp)
     }
 
     /// Bytes to be awaited of an answer; told in KB or not.
@@ -55,9 +69,8 @@
     }
 
     /// An attempt went out.
-    pub fn asked(&mut self, now: Millis, bytes: f64) {
+    pub fn asked(&mut self, bytes: f64) {
         self.awaited += bytes;
-        self.begin(now);
     }
 
     /// An attempt is over, of which so many bytes were awaited; `size`: those that its answer had, where it came.
@@ -66,33 +79,49 @@
         if let Some(size) = size {
             self.usual += 0.05 * (size as f64 - self.usual);
         }
-        if self.awaited < BUSY as f64 {
-            self.span = None;
+    }
+
+    /// A body begins to come that will take several pieces.
+    pub fn begins(&mut self, now: Millis) {
+        if self.receiving == 0 {
+            self.begun = now;
+        }
+        self.receiving += 1;
+    }
+
+    /// One of those is whole, or given up.
+    pub fn ends(&mut self, now: Millis) {
+        self.receiving = self.receiving.saturating_sub(1);
+        if self.receiving == 0 {
+            self.reading.0 += now - self.begun;
         }
     }
 
     /// Bytes of answers came.
     pub fn came(&mut self, now: Millis, bytes: usize) {
-        let Some((since, sum)) = &mut self.span else { return };
-        *sum += bytes as f64;
-        let took = now - *since;
-        if took >= SPAN {
-            let seen = *sum / took;
-            self.pace = Some(self.pace.map_or(seen, |old| old + PACE_WEIGHT * (seen - old)));
-            self.span = None;
-            self.begin(now);
+        if self.receiving == 0 {
+            return;
+        }
+        self.reading.1 += bytes as f64;
+        let took = self.reading.0 + now - self.begun;
+        if self.reading.1 >= READING && took > 0.0 {
+            let seen = self.reading.1 / took.max(0.1);
+            self.best[0] = Some(self.best[0].map_or(seen, |best| best.max(seen)));
+            (self.begun, self.reading) = (now, (0.0, 0.0));
         }
     }
 
-    fn begin(&mut self, now: Millis) {
-        if self.span.is_none() && self.awaited >= BUSY as f64 {
-            self.span = Some((now, 0.0));
+    /// Forgets readings that are too old.
+    pub fn tick(&mut self, now: Millis) {
+        if now - self.since >= SPAN {
+            self.best = [None, self.best[0]];
+            self.since = now;
         }
     }
 
     /// The time until an answer of that size is here.
     pub fn wait(&self, bytes: f64) -> Millis {
-        self.round_trip() + self.pace.map_or(0.0, |pace| (self.awaited + bytes) / pace.max(1e-3))
+        self.round_trip() + self.bytes_per_ms().map_or(0.0, |pace| (self.awaited + bytes) / pace.max(1e-3))
     }
 
     /// Whether an answer could be in time. What is worth more may use more of what is left, so that on a crowded way
@@ -102,8 +131,8 @@
         self.wait(bytes) <= left * part.clamp(0.5, 1.0)
     }
 
-    /// All that was awaited is gone: the way was cut.
+    /// The way was cut: what had begun to come begins anew.
     pub fn cut(&mut self) {
-        self.span = None;
+        (self.receiving, self.reading) = (0, (0.0, 0.0));
     }
 }
--- a/crates/deckproxy-sites/src/purges.rs
+++ b/crates/deckproxy-sites/src/purges.rs
@@ -94,7 +94,7 @@
             limits,
             own: own.to_string(),
             epoch,
-            since: now,
+            since: now - limits.known,
             next: 1,
             log: VecDeque::new(),
             seen: HashSet::new(),
--- a/crates/deckproxy-sites/src/site.rs
+++ b/crates/deckproxy-sites/src/site.rs
@@ -8,6 +8,9 @@
 use crate::{LinkLimits, Millis, TrustLimits};
 use std::collections::{HashMap, VecDeque};
 
+/// Part of the grace after which the bound on copies' ages is set anew; see `Site::bound`.
+const REBOUND: f64 = 0.2;
+
 /// A connection, by the caller's number.
 pub type Conn = u64;
 
@@ -67,6 +70,8 @@
     Withdraw(Run),
     /// A purge that another site told.
     Purged(News),
+    /// Purges may have been told that did not come: no copy may answer that is older than this.
+    Bound(Millis),
     /// A line for the operators.
     Log(String),
 }
@@ -95,6 +100,10 @@
     /// Which near side holds a request.
     tokens: HashMap<Token, usize>,
     effects: VecDeque<Effect>,
+    /// When the age of this site's own copies was bounded last, and whether it is.
+    bounded: Option<Millis>,
+    /// Times at which that was done.
+    pub bounds: u64,
     /// Requests for copies that went to the home, by why the copies were not trusted.
     pub doubts: [u64; 3],
 }
@@ -113,6 +122,8 @@
             roles: HashMap::new(),
             tokens: HashMap::new(),
             effects: VecDeque::new(),
+            bounded: None,
+            bounds: 0,
             setup,
             doubts: [0; 3],
         }
@@ -206,9 +217,9 @@
     }
 
     /// Its client gave it up.
-    pub fn cancel(&mut self, token: Token) {
+    pub fn cancel(&mut self, now: Millis, token: Token) {
         if let Some(i) = self.tokens.remove(&token) {
-            self.nears[i].cancel(token);
+            self.nears[i].cancel(now, token);
             self.carry(i);
         }
     }
@@ -434,6 +445,10 @@
         self.catch_up(now, conn, from);
         self.far.up(now, conn, hello);
         self.carry_far();
+        // Who reaches us can most likely be reached.
+        if let Some(peer) = self.peer(&hello.site) {
+            self.nears[peer].try_now(now);
+        }
     }
 
     fn catch_up(&mut self, now: Millis, conn: Conn, from: u64) {
@@ -463,6 +478,7 @@
         }
         self.far.tick(now);
         self.carry_far();
+        self.bound(now);
         let silence = self.setup.link.silence;
         let mute = self
             .roles
@@ -473,6 +489,33 @@
         }
     }
 
+    /// While a peer is not heard that may have told purges of this site's objects, only copies may answer that are
+    /// younger than the grace: whatever was told longer ago than that, they come after it.
+    fn bound(&mut self, now: Millis) {
+        let peers = self.setup.peers.iter().zip(&self.dropped).filter(|(_, dropped)| !**dropped);
+        let trusted = |site: &str| !matches!(self.purges.trust(now, site), Err(Doubt::Lease | Doubt::Missed));
+        let unheard = peers.map(|(peer, _)| &*peer.site).find(|site| !trusted(site)).map(str::to_string);
+        let Some(site) = unheard.filter(|_| !self.setup.trust.serve_when_cut) else {
+            if self.bounded.take().is_some() {
+                let text = "all peers are heard: own copies may be of any age again".to_string();
+                self.effects.push_back(Effect::Log(text));
+            }
+            return;
+        };
+        let grace = self.setup.trust.grace;
+        if self.bounded.is_none() {
+            let text = format!(
+                "site {site} is not heard, or purges of its may be missing: own copies may be {grace:.0} ms old at most"
+            );
+            self.effects.push_back(Effect::Log(text));
+        }
+        if self.bounded.is_none_or(|at| now - at >= grace * REBOUND) {
+            self.bounded = Some(now);
+            self.bounds += 1;
+            self.effects.push_back(Effect::Bound(grace * (1.0 - 2.0 * REBOUND)));
+        }
+    }
+
     /// When `tick` is to be called next, at the latest.
     pub fn next_due(&self) -> Option<Millis> {
         self.nears.iter().filter_map(Near::next_due).min_by(f64::total_cmp)
--- a/crates/deckproxy/src/program/clients.rs
+++ b/crates/deckproxy/src/program/clients.rs
@@ -176,7 +176,7 @@
                         let Some(client) = self.clients.get_mut(&id) else { return };
                         let many = client.release();
                         self.router.abort(now, id, request);
-                        self.cross_gone(id, request..=request);
+                        self.cross_gone(now, id, request..=request);
                         if many {
                             return self.dismiss(now, id, "it takes back all that it asks for");
                         }
@@ -220,7 +220,7 @@
         if let Some(client) = self.clients.remove(&id) {
             client.stream.close(&self.handle);
             self.router.client_gone(now, id);
-            self.cross_gone(id, 0..=u32::MAX);
+            self.cross_gone(now, id, 0..=u32::MAX);
         }
     }
 }
--- a/crates/deckproxy/src/program/sites.rs
+++ b/crates/deckproxy/src/program/sites.rs
@@ -192,14 +192,14 @@
     }
 
     /// A client has given up requests of these ids, or its connection has ended.
-    pub(super) fn cross_gone(&mut self, client: ClientId, ids: RangeInclusive<u32>) {
+    pub(super) fn cross_gone(&mut self, now: f64, client: ClientId, ids: RangeInclusive<u32>) {
         let Some(sites) = &mut self.sites else { return };
         let keys = (client, *ids.start())..=(client, *ids.end());
         let gone: Vec<_> = sites.tokens.range(keys).map(|(key, token)| (*key, *token)).collect();
         for (key, token) in gone {
             sites.tokens.remove(&key);
             sites.owners.remove(&token);
-            sites.site.cancel(token);
+            sites.site.cancel(now, token);
             self.router.counters.gone += 1;
         }
     }
@@ -286,7 +286,7 @@
         let all: Vec<Token> = sites.owners.keys().copied().collect();
         for token in all {
             if let Some(sites) = &mut self.sites {
-                sites.site.cancel(token);
+                sites.site.cancel(now, token);
             }
             self.crossed(now, token, Reply::Failed);
         }
@@ -467,11 +467,16 @@
                     Effect::Withdraw(run) => match sites.forwarded.remove(&run) {
                         Some(token) => {
                             sites.owners.remove(&token);
-                            sites.site.cancel(token);
+                            sites.site.cancel(now, token);
                         }
                         None => self.router.abort(now, FAR + run, 0),
                     },
                     Effect::Purged(news) => self.router.purged(now, news.object, news.group, news.age),
+                    Effect::Bound(age) => {
+                        for group in 0..limits::GROUPS {
+                            self.router.purged(now, None, group, age);
+                        }
+                    }
                     Effect::Log(text) => info!(self.log, "sites"; "what" => text),
                 }
             } else if let Some(id) = sites.touched.pop_first() {
@@ -550,8 +555,8 @@
             let (c, [crossings, _, lost], (up, all)) = (near.counters, near.sizes(), near.ways_up());
             format!(
                 "{name}[ways:{up}/{all},open:{crossings},lost:{lost},taken:{},joined:{},attempts:{},repeats:{},\
-                 no_way:{},crowded:{},full:{},stale:{},cuts:{}]",
-                c.taken, c.joined, c.attempts, c.repeats, c.no_way, c.crowded, c.full, c.stale, c.cuts
+                 parked:{},no_way:{},crowded:{},full:{},stale:{},cuts:{}]",
+                c.taken, c.joined, c.attempts, c.repeats, c.parked, c.no_way, c.crowded, c.full, c.stale, c.cuts
             )
         });
         let [runs, sessions, lines, kept] = site.far().sizes();
@@ -566,7 +571,7 @@
             site.purges().gaps
         );
         let [lease, missed, clock] = site.doubts;
-        let doubts = format!("untrusted[lease:{lease},missed:{missed},clock:{clock}]");
+        let doubts = format!("untrusted[lease:{lease},missed:{missed},clock:{clock},bounds:{}]", site.bounds);
         peers.chain([far, purges, doubts]).collect::<Vec<_>>().join(",")
     }
 }
