Crossings under thousands of seeded schedules: a floor on numbers, and purges obeyed at half the grace

Need: what a cut leaves open has to hold under any order of events. 2,000 schedules of resets, silence, late bytes, restarts and purges on both sides, judged by a model of what is owed, found answers kept at the far side for good when the word that they were not needed was lost, and a copy served 210 ms after a purge because the news had been on its way. Change: heartbeats carry the lowest number that is open, below which the far side forgets and takes nothing; relayed purges are obeyed after half the grace; iteration is in order, so that a seed replays.

--- a/crates/deckproxy-sites/src/far.rs
+++ b/crates/deckproxy-sites/src/far.rs
@@ -8,7 +8,7 @@
 use crate::frame::{Answer, Ask, Became, Bye, Credit, Fate, Hello, Numbers, Piece, Say, Word};
 use crate::{LinkLimits, Millis};
 use bytes::Bytes;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 /// A connection, by the caller's number.
 pub type Conn = u64;
@@ -59,7 +59,7 @@
         at: Millis,
     },
     /// It is not to be taken.
-    Fenced(Millis),
+    Fenced,
     /// It ended, and its answer had to be dropped.
     Dropped,
 }
@@ -94,9 +94,9 @@
 #[derive(Debug)]
 pub struct Far {
     limits: LinkLimits,
-    sessions: HashMap<SessionKey, Session>,
-    peers: HashMap<Conn, Peer>,
-    runs: HashMap<Run, (SessionKey, u64)>,
+    sessions: BTreeMap<SessionKey, Session>,
+    peers: BTreeMap<Conn, Peer>,
+    runs: BTreeMap<Run, (SessionKey, u64)>,
     next: Run,
     /// Bytes of answers that are kept.
     kept: usize,
@@ -113,9 +113,9 @@
     pub fn new(limits: LinkLimits) -> Self {
         Far {
             limits,
-            sessions: HashMap::new(),
-            peers: HashMap::new(),
-            runs: HashMap::new(),
+            sessions: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            runs: BTreeMap::new(),
             next: 0,
             kept: 0,
             away: None,
@@ -138,7 +138,7 @@
     /// A peer has said who it is, and fits.
     pub fn up(&mut self, now: Millis, conn: Conn, hello: &Hello) {
         let key = (hello.site.clone(), hello.session);
-        let credit = (hello.credit as usize).clamp(1024, 1 << 30);
+        let credit = (hello.credit as usize).clamp(1, 1 << 30);
         let fresh = || Session { attempts: BTreeMap::new(), floor: hello.next, cut: None, credit };
         let session = self.sessions.entry(key.clone()).or_insert_with(fresh);
         session.cut = None;
@@ -171,7 +171,7 @@
             Say::Credit(credit) => self.credit(conn, &credit),
             Say::Done(numbers) => {
                 for number in numbers.numbers.into_iter().take(NUMBERS) {
-                    self.done(now, conn, number);
+                    self.done(conn, number);
                 }
             }
             Say::Resume(numbers) => self.resume(now, conn, numbers),
@@ -282,7 +282,7 @@
     }
 
     /// The near side needs nothing more of an attempt.
-    fn done(&mut self, now: Millis, conn: Conn, number: u64) {
+    fn done(&mut self, conn: Conn, number: u64) {
         let Some(peer) = self.peers.get(&conn) else { return };
         let Some(session) = self.sessions.get_mut(&peer.key) else { return };
         if number < session.floor {
@@ -291,17 +291,17 @@
         match session.attempts.remove(&number).map(|a| a.state) {
             // It was given up before it came: the ask may still be on another connection.
             None => {
-                let state = State::Fenced(now);
+                let state = State::Fenced;
                 session.attempts.insert(number, Attempt { conn: None, state });
             }
             Some(State::Running(run)) => {
                 self.runs.remove(&run);
                 self.effects.push_back(Effect::Withdraw(run));
-                let state = State::Fenced(now);
+                let state = State::Fenced;
                 session.attempts.insert(number, Attempt { conn: None, state });
             }
             Some(State::Ended { ended, .. }) => self.kept -= ended.body.len(),
-            Some(fenced @ State::Fenced(_)) => {
+            Some(fenced @ State::Fenced) => {
                 session.attempts.insert(number, Attempt { conn: None, state: fenced });
             }
             Some(State::Dropped) => {}
@@ -316,7 +316,7 @@
             let became = match known {
                 None if number < session.floor => Became::Unknown,
                 None => {
-                    let fenced = Attempt { conn: None, state: State::Fenced(now) };
+                    let fenced = Attempt { conn: None, state: State::Fenced };
                     session.attempts.insert(number, fenced);
                     Became::Never
                 }
@@ -325,7 +325,7 @@
                     match attempt.state {
                         State::Running(_) => Became::Running,
                         State::Ended { .. } => Became::Ended,
-                        State::Fenced(_) => Became::Never,
+                        State::Fenced => Became::Never,
                         State::Dropped => Became::Unknown,
                     }
                 }
@@ -333,13 +333,12 @@
             let fate = Fate { number, became: became.into() };
             self.effects.push_back(Effect::Send(conn, Say::Fate(fate)));
             if became == Became::Ended {
-                if let Some(State::Ended { credit, .. }) = self
-                    .sessions
-                    .get_mut(&key)
-                    .and_then(|s| s.attempts.get_mut(&number))
-                    .map(|a| &mut a.state)
+                // It begins anew, with the credit that a new answer has.
+                let all = session.credit;
+                if let Some(State::Ended { credit, .. }) =
+                    session.attempts.get_mut(&number).map(|a| &mut a.state)
                 {
-                    *credit = self.limits.credit.min(*credit).max(1);
+                    *credit = all;
                 }
                 self.tell(now, &key, number);
             }
@@ -371,8 +370,7 @@
         }
     }
 
-    /// Ends connections that are silent, forgets sessions that were cut for too long and fences that nothing can meet
-    /// any more.
+    /// Ends connections that are silent, and forgets sessions that were cut for too long.
     pub fn tick(&mut self, now: Millis) {
         let silence = self.limits.silence;
         let silent = self.peers.iter().filter(|(_, p)| now - p.heard > silence).map(|(conn, _)| *conn);
@@ -386,20 +384,31 @@
         for key in over {
             let Some(session) = self.sessions.remove(&key) else { continue };
             for attempt in session.attempts.into_values() {
-                match attempt.state {
-                    State::Running(run) => {
-                        self.runs.remove(&run);
-                        self.effects.push_back(Effect::Withdraw(run));
-                    }
-                    State::Ended { ended, .. } => self.kept -= ended.body.len(),
-                    State::Fenced(_) | State::Dropped => {}
-                }
+                self.forget(attempt.state);
             }
         }
-        // A connection that could still bring a fenced number has spoken within the silence, or is closed.
-        for session in self.sessions.values_mut() {
-            let life = 2.0 * silence + self.limits.reattach;
-            session.attempts.retain(|_, a| !matches!(a.state, State::Fenced(at) if now - at > life));
+    }
+
+    /// Attempts with lower numbers are over for the near side, whatever was said of them before: they are forgotten,
+    /// and should one still come on some connection, it is not taken.
+    pub fn floor(&mut self, conn: Conn, floor: u64) {
+        let Some(session) = self.peers.get(&conn).and_then(|p| self.sessions.get_mut(&p.key)) else { return };
+        session.floor = session.floor.max(floor);
+        let open = session.attempts.split_off(&session.floor);
+        let over = std::mem::replace(&mut session.attempts, open);
+        for attempt in over.into_values() {
+            self.forget(attempt.state);
+        }
+    }
+
+    fn forget(&mut self, state: State) {
+        match state {
+            State::Running(run) => {
+                self.runs.remove(&run);
+                self.effects.push_back(Effect::Withdraw(run));
+            }
+            State::Ended { ended, .. } => self.kept -= ended.body.len(),
+            State::Fenced | State::Dropped => {}
         }
     }
 
--- a/crates/deckproxy-sites/src/frame.rs
+++ b/crates/deckproxy-sites/src/frame.rs
@@ -123,6 +123,9 @@
     /// The last of the other end's purges that the sender has.
     #[prost(uint64, tag = "4")]
     pub has: u64,
+    /// From the near end: attempts with lower numbers are over, and the far end may forget them.
+    #[prost(uint64, tag = "5")]
+    pub floor: u64,
 }
 
 /// An attempt.
--- a/crates/deckproxy-sites/src/near.rs
+++ b/crates/deckproxy-sites/src/near.rs
@@ -381,9 +381,9 @@
         if let Some(line) = conn.and_then(|c| way.lines.get_mut(&c)) {
             line.out = line.out.saturating_sub(1);
         }
-        // Where its connection was cut it may run still: the other side hears that nobody waits when one is up.
-        let still = way.lost.remove(&out.number);
-        if let Some(conn) = conn.filter(|_| tell).or(way.best().filter(|_| still)) {
+        way.lost.remove(&out.number);
+        // This word may get lost; the next heartbeats tell from which number on attempts are open still.
+        if let Some(conn) = conn.or_else(|| way.best()).filter(|_| tell) {
             let numbers = vec![out.number];
             self.effects.push_back(Effect::Send(conn, Say::Done(Numbers { numbers })));
         }
@@ -810,6 +810,7 @@
         for at in 0..self.ways.len() {
             let way = &mut self.ways[at];
             let epoch = way.epoch;
+            let floor = way.out.keys().next().copied().unwrap_or(way.next);
             way.pace.tick(now);
             if way.cut.is_some_and(|cut| now - cut > way.reattach) && !way.lost.is_empty() {
                 unknown.extend(std::mem::take(&mut way.lost).into_iter().map(|number| (at, number)));
@@ -830,6 +831,7 @@
                         clock,
                         purges: purges.last(),
                         has: epoch.map_or(0, |epoch| purges.has(epoch)),
+                        floor,
                     };
                     self.effects.push_back(Effect::Send(*conn, Say::Ping(beat)));
                 }
--- a/crates/deckproxy-sites/src/purges.rs
+++ b/crates/deckproxy-sites/src/purges.rs
@@ -11,6 +11,9 @@
 
 /// Purges kept, at most; should more come within their life, the peers that lack the dropped ones find the gap.
 const KEPT: usize = 65_536;
+/// Part of the grace after which a purge is obeyed: the news of it was on its way for a time that is not known, and the
+/// lease ends before that is as long as the rest.
+const OBEY: f64 = 0.5;
 /// Weight of a new reading of a clock's difference.
 const SKEW_WEIGHT: f64 = 0.2;
 
@@ -293,10 +296,9 @@
         self.books.get(&epoch).map_or(0, |b| b.has)
     }
 
-    /// Whether a copy that the origin gave out at that time, or later, may answer now: no purge of it was told longer
-    /// ago than the grace.
+    /// Whether a copy that the origin gave out at that time, or later, may answer now: no purge of it is to be obeyed.
     pub fn may_answer(&self, now: Millis, object: u64, group: u32, issued: Millis) -> bool {
-        let due = now - self.limits.grace;
+        let due = now - self.limits.grace * OBEY;
         let voids = |all: Option<&Vec<(Millis, Millis)>>| {
             all.is_some_and(|all| all.iter().any(|(at, told)| *at > issued && *told <= due))
         };
--- a/crates/deckproxy-sites/src/site.rs
+++ b/crates/deckproxy-sites/src/site.rs
@@ -6,7 +6,7 @@
 use crate::purges::{Doubt, News, Purges};
 use crate::routes::{Routes, Rule};
 use crate::{LinkLimits, Millis, TrustLimits};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 /// Part of the grace after which the bound on copies' ages is set anew; see `Site::bound`.
 const REBOUND: f64 = 0.2;
@@ -96,7 +96,7 @@
     epoch: u64,
     far: Far,
     purges: Purges,
-    roles: HashMap<Conn, Role>,
+    roles: BTreeMap<Conn, Role>,
     /// Which near side holds a request.
     tokens: HashMap<Token, usize>,
     effects: VecDeque<Effect>,
@@ -119,7 +119,7 @@
             routes: Routes::new(&setup.own, setup.rules.clone()),
             far: Far::new(setup.link),
             purges: Purges::new(&setup.own, epoch, setup.trust, now),
-            roles: HashMap::new(),
+            roles: BTreeMap::new(),
             tokens: HashMap::new(),
             effects: VecDeque::new(),
             bounded: None,
@@ -341,12 +341,15 @@
             }
             (Some(Role::Far { hello: Some((epoch, _)), .. }), Say::Ping(beat)) => {
                 self.far.heard(now, conn);
+                self.far.floor(conn, beat.floor);
+                self.carry_far();
                 // What is sent on this connection comes there in order: all purges up to that number before it.
                 let pong = Beat {
                     number: beat.number,
                     clock,
                     purges: self.purges.last(),
                     has: self.purges.has(epoch),
+                    floor: 0,
                 };
                 self.effects.push_back(Effect::Send(conn, Say::Pong(pong).into()));
             }
