--- a/crates/deckproxy-operator/src/source.rs
+++ b/crates/deckproxy-operator/src/source.rs
@@ -2,8 +2,8 @@
 //! no places; this parser keeps them, so that all faults can be told at once, each with its line and column.
 
 use std::ops::Range;
-use winnow::combinator::{alt, delimited, opt, preceded, repeat, separated};
-use winnow::error::{ContextError, ParseError};
+use winnow::combinator::{alt, cut_err, delimited, opt, preceded, repeat, separated};
+use winnow::error::{ContextError, ErrMode, ParseError};
 use winnow::prelude::*;
 use winnow::stream::LocatingSlice;
 use winnow::token::{any, none_of, one_of, take_till, take_while};
@@ -32,49 +32,51 @@
     Message(Vec<Field>),
 }
 
-fn blank(input: &mut Input<'_>) -> winnow::Result<()> {
+fn blank(input: &mut Input<'_>) -> ModalResult<()> {
     let comment = ('#', take_till(0.., '\n')).void();
     repeat(0.., alt((one_of([' ', '\t', '\r', '\n']).void(), comment))).parse_next(input)
 }
 
-fn lexeme<'a, O>(inner: impl Parser<Input<'a>, O, ContextError>) -> impl Parser<Input<'a>, O, ContextError> {
+fn lexeme<'a, O>(
+    inner: impl Parser<Input<'a>, O, ErrMode<ContextError>>,
+) -> impl Parser<Input<'a>, O, ErrMode<ContextError>> {
     delimited(blank, inner, blank)
 }
 
-fn quoted(input: &mut Input<'_>) -> winnow::Result<()> {
+fn quoted(input: &mut Input<'_>) -> ModalResult<()> {
     let within = |end: char| repeat(0.., alt((('\\', any).void(), none_of([end, '\\', '\n']).void())));
-    let double = delimited('"', within('"'), '"');
-    let single = delimited('\'', within('\''), '\'');
+    let double = delimited('"', within('"'), cut_err('"'));
+    let single = delimited('\'', within('\''), cut_err('\''));
     alt((double, single)).parse_next(input)
 }
 
-fn scalar(input: &mut Input<'_>) -> winnow::Result<()> {
+fn scalar(input: &mut Input<'_>) -> ModalResult<()> {
     let texts = (quoted, repeat::<_, _, (), _, _>(0.., preceded(blank, quoted))).void();
     let word = take_while(1.., |c: char| c.is_ascii_alphanumeric() || "_.+-".contains(c)).void();
     alt((texts, word)).parse_next(input)
 }
 
-fn message(input: &mut Input<'_>) -> winnow::Result<Value> {
-    let braces = delimited('{', fields, '}');
-    let angles = delimited('<', fields, '>');
+fn message(input: &mut Input<'_>) -> ModalResult<Value> {
+    let braces = delimited('{', fields, cut_err('}'));
+    let angles = delimited('<', fields, cut_err('>'));
     alt((braces, angles)).map(Value::Message).parse_next(input)
 }
 
-fn value(input: &mut Input<'_>) -> winnow::Result<Value> {
+fn value(input: &mut Input<'_>) -> ModalResult<Value> {
     let items = separated::<_, _, Vec<()>, _, _, _, _>(0.., lexeme(scalar), ',');
-    let list = delimited('[', items, (blank, ']')).map(|all| Value::List(all.len()));
+    let list = delimited('[', items, cut_err((blank, ']'))).map(|all| Value::List(all.len()));
     alt((message, list, scalar.value(Value::Scalar))).parse_next(input)
 }
 
-fn field(input: &mut Input<'_>) -> winnow::Result<Field> {
+fn field(input: &mut Input<'_>) -> ModalResult<Field> {
     let name = take_while(1.., |c: char| c.is_ascii_alphanumeric() || c == '_');
-    let after = alt((preceded((blank, ':', blank), value), preceded(blank, message)));
-    let mut whole = (name, after).with_span();
+    let after = alt((preceded((blank, ':', blank), cut_err(value)), preceded(blank, message)));
+    let mut whole = (name, cut_err(after)).with_span();
     let ((name, value), span) = whole.parse_next(input)?;
     Ok(Field { name: name.to_string(), span, value })
 }
 
-fn fields(input: &mut Input<'_>) -> winnow::Result<Vec<Field>> {
+fn fields(input: &mut Input<'_>) -> ModalResult<Vec<Field>> {
     let one = delimited(blank, field, (blank, opt(one_of([',', ';']))));
     let all = repeat(0.., one).parse_next(input)?;
     blank(input)?;
@@ -83,9 +85,38 @@
 
 /// The fields of a whole text; the error is the place at which it is no text format.
 pub fn parse(text: &str) -> Result<Vec<Field>, usize> {
+    if let Some(at) = too_deep(text) {
+        return Err(at);
+    }
     fields.parse(LocatingSlice::new(text)).map_err(|e: ParseError<_, ContextError>| e.offset())
 }
 
+/// Messages within messages that are read; the schema has fewer.
+const DEEPEST: usize = 16;
+
+/// Where a message stands that is too deep inside others to be read.
+fn too_deep(text: &str) -> Option<usize> {
+    let (mut depth, mut quote, mut comment, mut escaped) = (0usize, None, false, false);
+    for (at, c) in text.char_indices() {
+        match (comment, quote, c) {
+            (true, ..) => comment = c != '\n',
+            (_, Some(_), _) if escaped => escaped = false,
+            (_, Some(_), '\\') => escaped = true,
+            (_, Some(q), _) if c == q || c == '\n' => quote = None,
+            (_, Some(_), _) => {}
+            (_, None, '#') => comment = true,
+            (_, None, '"' | '\'') => quote = Some(c),
+            (_, None, '{' | '<') => depth += 1,
+            (_, None, '}' | '>') => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        if depth > DEEPEST {
+            return Some(at);
+        }
+    }
+    None
+}
+
 /// The field that a path like `sites.peers[1].site` names, or the innermost one round it that is there.
 pub fn find<'a>(fields: &'a [Field], path: &str) -> Option<&'a Field> {
     let mut found = None;
--- /dev/null
+++ b/crates/deckproxy-operator/tests/files.rs
@@ -0,0 +1,118 @@
+//! Operator files: all faults in one go, each in its place; the defaults; the example.
+
+use deckproxy_operator::{Fault, LARGEST, defaults, read};
+
+fn faults(text: &str) -> Vec<String> {
+    read(text.as_bytes()).unwrap_err().iter().map(Fault::to_string).collect()
+}
+
+const GOOD: &str = r#"sites {
+  name: "north" # this one
+  peers { site: "south" addresses: ["127.0.0.1:7302", "127.0.0.1:7303"] }
+  routes { class: 'page' prefix: "7f" groups { first: 3 last: 9 } home: "south" mode: COPIES }
+  link < heartbeat_ms: 100; silence_ms: 200, >
+}
+"#;
+
+#[test]
+fn a_good_file_is_read_with_its_defaults() {
+    let sites = read(GOOD.as_bytes()).unwrap().sites.unwrap();
+    let rules = sites.rules();
+    assert_eq!((rules[0].prefix, rules[0].digits, rules[0].groups), (0x7f << 56, 2, (3, 9)));
+    assert!(rules[0].copies);
+    let link = sites.link_limits();
+    assert_eq!(
+        (link.heartbeat, link.silence, link.reattach),
+        (100.0, 200.0, f64::from(defaults::REATTACH_MS))
+    );
+    assert_eq!(sites.trust_limits().grace, f64::from(defaults::GRACE_MS));
+    assert_eq!(read(b"").unwrap().sites, None, "nothing is on");
+}
+
+#[test]
+fn the_example_is_good() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/sites.example.textproto");
+    read(&std::fs::read(path).unwrap()).unwrap();
+}
+
+#[test]
+fn the_schemas_comments_name_the_defaults() {
+    let schema = include_str!("../proto/operator.proto");
+    let source = include_str!("../src/defaults.rs");
+    let constants = source.lines().filter_map(|l| l.strip_prefix("pub const "));
+    let mut seen = 0;
+    for line in constants {
+        let (name, value) = line.split_once(": ").unwrap();
+        let value = value.split_once("= ").unwrap().1.trim_end_matches(';').replace('_', "");
+        let field = format!(" {} = ", name.to_lowercase());
+        let at = schema.find(&field).unwrap_or_else(|| panic!("no field {field}"));
+        let comment = &schema[schema[..at].rfind("Default ").unwrap()..at];
+        assert!(comment.starts_with(&format!("Default {value}.")), "{name}: {comment}");
+        seen += 1;
+    }
+    assert!(seen > 10);
+}
+
+#[test]
+fn unknown_doubled_and_wrong_fields_are_all_told_at_once() {
+    let text = "sites {\n  nmae: \"x\"\n  name: 5\n  listen: \"a\" listen: \"b\"\n  routes { mode: SOMETIMES }\n}\nlink {}\n";
+    let told = faults(text);
+    assert_eq!(told.len(), 5, "{told:#?}");
+    assert!(told[0].starts_with("2:3: sites.nmae: no such field"));
+    assert!(told[1].starts_with("3:3: sites.name: "));
+    assert!(told[2].starts_with("4:15: sites.listen: given twice"));
+    assert!(told[3].starts_with("5:12: sites.routes[0].mode: "));
+    assert!(told[4].starts_with("7:1: link: no such field"));
+}
+
+#[test]
+fn values_and_relations_are_all_told_at_once() {
+    let text = r#"sites {
+  name: "North"
+  listen: "127.0.0.1:1"
+  peers { site: "north" addresses: "127.0.0.1:1" connections: 0 }
+  peers { site: "south" }
+  peers { site: "south" addresses: "300.0.0.1:2" }
+  routes { prefix: "7G" home: "south" }
+  routes { home: "west" groups { first: 9 last: 300 } }
+  routes { home: "west" groups { first: 9 last: 8 } }
+  routes { class: "page" home: "south" groups { first: 0 last: 10 } }
+  routes { class: "page" home: "south" groups { first: 10 last: 20 } }
+  link { heartbeat_ms: 100 silence_ms: 150 chunk_kb: 64 credit_kb: 32 repeats_share: 1.5 }
+  trust { grace_ms: 500 lease_ms: 500 }
+}"#;
+    let told = faults(text);
+    for want in [
+        "2:3: sites.name: ",
+        "4:25: sites.peers[0].addresses[0]: \"127.0.0.1:1\" is this gateway's own listen",
+        "4:50: sites.peers[0].connections: ",
+        "5:3: sites.peers[1].addresses: ",
+        "6:11: sites.peers[2].site: \"south\" is a peer already",
+        "6:25: sites.peers[2].addresses[0]: ",
+        "7:12: sites.routes[0].prefix: ",
+        "8:12: sites.routes[1].home: no peer is named \"west\"",
+        "8:43: sites.routes[1].groups.last: ",
+        "9:43: sites.routes[2].groups.last: below first",
+        "sites.routes[4].prefix: matches the same as sites.routes[3]",
+        "12:28: sites.link.silence_ms: 150 is below twice heartbeat_ms",
+        "sites.link.credit_kb: below chunk_kb",
+        "sites.link.repeats_share: ",
+        "13:3: sites.trust: lease_ms (500) must be below grace_ms (500)",
+    ] {
+        assert!(told.iter().any(|line| line.contains(want)), "{want} is not in {told:#?}");
+    }
+}
+
+#[test]
+fn text_that_is_none_is_told_with_its_place() {
+    assert!(faults("sites {\n  name: \"north\n}")[0].starts_with("2:"));
+    assert!(faults("sites {\n  name: \"a\"\n")[0].contains("the text ends"));
+    assert!(faults("sites }")[0].starts_with("1:"));
+    let bytes = read(b"# caf\xe9\n").unwrap_err();
+    assert_eq!((bytes[0].line, bytes[0].column, &*bytes[0].what), (1, 6, "not UTF-8"));
+    let large = vec![b'#'; LARGEST + 1];
+    assert!(read(&large).unwrap_err()[0].what.contains("1000000 are the most"));
+    // However deep it goes, it is an error and no overflow.
+    let deep = "sites {".repeat(100_000);
+    assert!(read(deep.as_bytes()).is_err());
+}
--- a/crates/deckproxy-sites/src/near.rs
+++ b/crates/deckproxy-sites/src/near.rs
@@ -177,7 +177,8 @@
     credit: usize,
     /// Attempts out, by number.
     out: BTreeMap<u64, u64>,
-    lost: BTreeSet<u64>,
+    /// Attempts whose connection was cut, each with the connection on which its fate is asked.
+    lost: BTreeMap<u64, Option<Conn>>,
     cut: Option<Millis>,
     /// When it came back; its part grows from there.
     back: Millis,
@@ -227,7 +228,7 @@
             reattach: limits.reattach,
             credit: limits.credit,
             out: BTreeMap::new(),
-            lost: BTreeSet::new(),
+            lost: BTreeMap::new(),
             cut: Some(now),
             back: now,
             away: None,
@@ -570,12 +571,12 @@
             way.cut = None;
         }
         if forgotten {
-            for number in std::mem::take(&mut way.lost) {
+            for number in std::mem::take(&mut way.lost).into_keys() {
                 self.fate(now, at, conn, &Fate { number, became: Became::Unknown.into() });
             }
-        } else if !way.lost.is_empty() {
-            let numbers = way.lost.iter().copied().collect();
-            self.effects.push_back(Effect::Send(conn, Say::Resume(Numbers { numbers })));
+        } else {
+            let resume = way.resume(conn);
+            self.effects.extend(resume);
         }
         self.unpark(now);
     }
@@ -616,11 +617,11 @@
             }
         }
         (0..broken).for_each(|_| way.pace.ends(now));
-        way.lost.extend(&lost);
-        if let Some(other) = way.best().filter(|_| !lost.is_empty()) {
-            let numbers = Numbers { numbers: lost };
-            self.effects.push_back(Effect::Send(other, Say::Resume(numbers)));
-        }
+        // A fate that was asked on this connection is asked again on another one.
+        way.lost.values_mut().filter(|asked| **asked == Some(conn)).for_each(|asked| *asked = None);
+        way.lost.extend(lost.into_iter().map(|number| (number, None)));
+        let resume = way.best().and_then(|other| way.resume(other));
+        self.effects.extend(resume);
         for (_, id) in never {
             self.finish(now, id, None, false);
             self.again(now, id);
@@ -649,7 +650,11 @@
             }
             Say::Answer(answer) => return self.head(now, at, conn, answer, purges),
             Say::Piece(piece) => return self.body(now, at, conn, &piece, purges),
-            Say::Fate(fate) => self.fate(now, at, conn, &fate),
+            Say::Fate(fate) => {
+                if way.lost.get(&fate.number) == Some(&Some(conn)) {
+                    self.fate(now, at, conn, &fate);
+                }
+            }
             Say::GoAway(away) => {
                 // It serves what it has; when no time is named, it will be another process that comes back.
                 let wait = if away.cooldown > 0.0 { away.cooldown } else { AWAY };
@@ -813,7 +818,7 @@
             let floor = way.out.keys().next().copied().unwrap_or(way.next);
             way.pace.tick(now);
             if way.cut.is_some_and(|cut| now - cut > way.reattach) && !way.lost.is_empty() {
-                unknown.extend(std::mem::take(&mut way.lost).into_iter().map(|number| (at, number)));
+                unknown.extend(std::mem::take(&mut way.lost).into_keys().map(|number| (at, number)));
             }
             if way.away.is_some_and(|until| now >= until) {
                 way.away = None;
@@ -916,6 +921,18 @@
         self.lines.values().any(|l| l.up)
     }
 
+    /// Asks on a connection for the fates that are asked on none.
+    fn resume(&mut self, conn: Conn) -> Option<Effect> {
+        let open = self.lost.iter_mut().filter(|(_, asked)| asked.is_none());
+        let numbers: Vec<u64> = open
+            .map(|(number, asked)| {
+                *asked = Some(conn);
+                *number
+            })
+            .collect();
+        (!numbers.is_empty()).then(|| Effect::Send(conn, Say::Resume(Numbers { numbers })))
+    }
+
     /// The connection with least out.
     fn best(&self) -> Option<Conn> {
         let up = self.lines.iter().filter(|(_, l)| l.up);
--- a/crates/deckproxy-sites/tests/schedules.rs
+++ b/crates/deckproxy-sites/tests/schedules.rs
@@ -109,6 +109,7 @@
     /// The age that the home's copies may have, and since when.
     cut_until: f64,
     served: usize,
+    failed: usize,
 }
 
 impl World {
@@ -131,6 +132,7 @@
             purges: BTreeMap::new(),
             cut_until: 0.0,
             served: 0,
+            failed: 0,
         }
     }
 
@@ -254,7 +256,7 @@
                 );
             }
             Reply::Refused(_) => assert!(owed.safe || owed.runs == 0, "{name}: refused, and it ran"),
-            Reply::Failed | Reply::Unusable => {}
+            Reply::Failed | Reply::Unusable => self.failed += 1,
             Reply::Unchanged(..) => panic!("nobody named a copy"),
         }
     }
@@ -499,7 +501,7 @@
     }
 }
 
-fn play(seed: u64) -> usize {
+fn play(seed: u64) -> [usize; 2] {
     let _told = Told(seed);
     let mut world = World::new(seed);
     for _ in 0..600 {
@@ -519,7 +521,7 @@
         assert_eq!((runs, kept), (0, 0), "something is left on the far side");
     }
     assert!(world.tokens.is_empty() && world.running.is_empty());
-    world.served
+    [world.served, world.failed]
 }
 
 #[test]
@@ -528,13 +530,20 @@
     let schedules = std::env::var("DECKPROXY_SCHEDULES").ok().and_then(|n| n.parse().ok()).unwrap_or(2000);
     let threads = std::thread::available_parallelism().map_or(4, usize::from) as u64;
     let played = std::thread::scope(|scope| {
-        let part = |t| move || (t..schedules).step_by(threads as usize).map(play).sum::<usize>();
+        let part = |t| move || (t..schedules).step_by(threads as usize).map(play).fold([0, 0], sum);
         let all: Vec<_> = (0..threads).map(|t| scope.spawn(part(t))).collect();
         all.into_iter()
             .map(|thread| thread.join().expect("a schedule broke something: see above"))
-            .sum::<usize>()
+            .fold([0, 0], sum)
     });
-    assert!(played as u64 > schedules * 100, "too little was served to mean anything: {played}");
+    let [served, failed] = played;
+    assert!(served as u64 > schedules * 100, "too little was served to mean anything: {served}");
+    // Some fail on purpose or as the time is over; many more would mean that something is waited for in vain.
+    assert!(failed * 4 < served, "{failed} failed beside {served} served");
+}
+
+fn sum(a: [usize; 2], b: [usize; 2]) -> [usize; 2] {
+    [a[0] + b[0], a[1] + b[1]]
 }
 
 /// A frame of each kind that a far side must not take from a stranger, or before the hello.
--- a/crates/deckproxy-standins/src/gateway.rs
+++ b/crates/deckproxy-standins/src/gateway.rs
@@ -44,6 +44,8 @@
     pub feed: SocketAddr,
     pub listen: SocketAddr,
     pub sockets: u64,
+    /// The operator file, if there is one.
+    pub operator: Option<String>,
     pub memory: u64,
 }
 
@@ -57,6 +59,7 @@
             feed: free_address(),
             listen: free_address(),
             sockets: 1024,
+            operator: None,
             memory: 192,
         }
     }
@@ -74,7 +77,10 @@
 
     /// Starts it after a shell's command that sets its limits.
     pub fn start_under(&self, limit: &str) -> Gateway {
-        let gateway = Gateway::spawn_under(&self.config().to_string(), self.listen, limit);
+        let gateway = match &self.operator {
+            None => Gateway::spawn_under(&self.config().to_string(), self.listen, limit),
+            Some(text) => Gateway::spawn_operated(&self.config().to_string(), self.listen, text),
+        };
         until("the gateway is ready", || TcpStream::connect(self.listen).is_ok());
         let mut client = Client::connect(self.listen);
         let id = client.ping();
@@ -104,6 +110,7 @@
     pub address: SocketAddr,
     /// Its configuration file.
     pub path: PathBuf,
+    operator: Option<PathBuf>,
     log: Arc<Mutex<String>>,
     unheard: Arc<AtomicBool>,
 }
@@ -121,6 +128,30 @@
         Self::spawn_with(&path, address, limit, &[])
     }
 
+    /// Starts it with an operator file, which `Gateway::operate` changes.
+    pub fn spawn_operated(config: &str, address: SocketAddr, operator: &str) -> Self {
+        let name = format!("deckproxy-test-{}-{}", std::process::id(), next_number());
+        let path = std::env::temp_dir().join(format!("{name}.json"));
+        let file = std::env::temp_dir().join(format!("{name}.textproto"));
+        std::fs::write(&path, config).unwrap();
+        std::fs::write(&file, operator).unwrap();
+        let words = ["run".to_string(), "--operator".to_string(), file.display().to_string()];
+        let mut gateway = Self::spawn_with(&path, address, "true", &words);
+        gateway.operator = Some(file);
+        gateway
+    }
+
+    /// Its operator file.
+    pub fn operator_file(&self) -> &Path {
+        self.operator.as_deref().expect("it was started with one")
+    }
+
+    /// Replaces its operator file and tells it so.
+    pub fn operate(&self, text: &str) {
+        std::fs::write(self.operator.as_ref().unwrap(), text).unwrap();
+        self.signal("HUP");
+    }
+
     /// Starts it with a configuration file and further words on its command line.
     pub fn spawn_with(path: &Path, address: SocketAddr, limit: &str, words: &[String]) -> Self {
         let (program, first) = program();
@@ -148,7 +179,7 @@
             }
             let _ = std::fs::remove_file(file);
         });
-        Gateway { child, address, path, log, unheard }
+        Gateway { child, address, path, operator: None, log, unheard }
     }
 
     pub fn client(&self) -> Client {
@@ -209,6 +240,9 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if let Some(file) = &self.operator {
+            let _ = std::fs::remove_file(file);
+        }
         if thread::panicking() {
             eprintln!("the gateway's log:\n{}", self.log());
         }
--- a/crates/deckproxy-standins/src/shim.rs
+++ b/crates/deckproxy-standins/src/shim.rs
@@ -168,8 +168,8 @@
         while waiting.front().is_some_and(|(due, _)| *due <= Instant::now() && free <= Instant::now()) {
             let Some((_, bytes)) = waiting.pop_front() else { break };
             let pace = all.pace.load(Ordering::SeqCst);
-            if pace > 0 {
-                free = free.max(Instant::now()) + Duration::from_micros(bytes.len() as u64 * 1000 / pace);
+            if let Some(took) = (bytes.len() as u64 * 1000).checked_div(pace) {
+                free = free.max(Instant::now()) + Duration::from_micros(took);
             }
             if to.write_all(&bytes).is_err() {
                 return;
--- /dev/null
+++ b/crates/deckproxy/tests/links.rs
@@ -0,0 +1,116 @@
+//! The codec of links: every frame however it is split, and bytes that mean nothing.
+
+use bytes::{Bytes, BytesMut};
+use deckproxy::protocol::link::{self, Decoder};
+use deckproxy::protocol::{front, limits};
+use deckproxy_sites::frame::{Answer, Ask, Beat, Credit, Frame, Numbers, Piece, Purge, Say};
+use proptest::prelude::*;
+
+fn frames() -> impl Strategy<Value = Vec<Frame>> {
+    let ask = (
+        any::<u64>(),
+        "[0-9a-f]{16}",
+        prop::option::of("[a-z0-9]{1,20}"),
+        prop::collection::vec(any::<u8>(), 0..300),
+    )
+        .prop_map(|(number, name, key, body)| {
+            Say::Ask(Ask {
+                number,
+                object: name.clone(),
+                name,
+                key,
+                body: body.into(),
+                allow: 10.0,
+                ..Ask::default()
+            })
+        });
+    let piece = (any::<u64>(), any::<u32>(), prop::collection::vec(any::<u8>(), 0..2000))
+        .prop_map(|(number, at, bytes)| Say::Piece(Piece { number, at, bytes: bytes.into() }));
+    let small = prop_oneof![
+        any::<u64>().prop_map(|number| Say::Ping(Beat { number, ..Beat::default() })),
+        any::<u64>().prop_map(|number| Say::Answer(Answer { number, age: Some(1.5), ..Answer::default() })),
+        any::<u32>().prop_map(|up_to| Say::Credit(Credit { number: 1, up_to })),
+        prop::collection::vec(any::<u64>(), 0..50).prop_map(|numbers| Say::Done(Numbers { numbers })),
+        any::<u64>().prop_map(|object| Say::Purge(Purge { object: Some(object), ..Purge::default() })),
+    ];
+    let one = prop_oneof![ask, piece, small];
+    prop::collection::vec(one.prop_map(Frame::from), 0..12)
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 300,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(16),
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn frames_are_read_however_they_are_split(frames in frames(), cuts in prop::collection::vec(1usize..700, 1..60)) {
+        let bytes: Vec<u8> = frames.iter().flat_map(|f| link::frame(f).to_vec()).collect();
+        let (mut buffer, mut read, mut rest) = (BytesMut::new(), Vec::new(), &bytes[..]);
+        for cut in cuts.iter().cycle() {
+            let (now, later) = rest.split_at(rest.len().min(*cut));
+            buffer.extend_from_slice(now);
+            rest = later;
+            while let Some(frame) = Decoder.next(&mut buffer).unwrap() {
+                read.push(frame);
+            }
+            let lacks = Decoder.lacks(&buffer);
+            prop_assert!(lacks > 0 && lacks <= limits::LINK_FRAME + 4, "{}", lacks);
+            if rest.is_empty() {
+                break;
+            }
+        }
+        prop_assert_eq!(read, frames);
+        prop_assert!(buffer.is_empty());
+    }
+
+    #[test]
+    fn any_bytes_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let mut buffer = BytesMut::from(&bytes[..]);
+        let mut steps = 0;
+        while let Ok(Some(_)) = Decoder.next(&mut buffer) {
+            steps += 1;
+            prop_assert!(steps <= bytes.len());
+        }
+    }
+
+    #[test]
+    fn an_ask_is_a_call_or_refused(name in ".{0,20}", class in ".{0,200}", allow in any::<f64>(), group in any::<u32>(), size in prop::option::of(any::<f64>())) {
+        let object = "00000000000000aa".to_string();
+        let ask = Ask { name, class, allow, group, size, object, ..Ask::default() };
+        if let Ok(call) = link::call(ask) {
+            prop_assert!(call.allow.is_finite() && call.allow > 0.0);
+            prop_assert!(call.group < limits::GROUPS && call.name.len() == 16 && call.class.len() <= limits::FIELD);
+            prop_assert!(call.size.is_none_or(|kb| kb.is_finite() && kb > 0.0));
+        }
+    }
+}
+
+#[test]
+fn a_call_crosses_and_comes_out_the_same() {
+    let call = front::Call {
+        name: "9b1f03aa5c7e2d41".into(),
+        class: "post".into(),
+        allow: 1234.0,
+        key: Some("k-1".into()),
+        object: ("7f3a9c21e0b4d655".into(), 0x7f3a_9c21_e0b4_d655),
+        part: Some(3),
+        group: 17,
+        size: Some(412.5),
+        have: Some("t1".into()),
+        body: Bytes::from_static(b"write"),
+    };
+    assert_eq!(link::call(link::ask(&call, vec!["north".into()])), Ok(call));
+}
+
+#[test]
+fn a_length_over_the_limit_is_refused_before_room_is_made() {
+    let mut buffer = BytesMut::from(&(limits::LINK_FRAME as u32 + 1).to_be_bytes()[..]);
+    assert!(Decoder.next(&mut buffer).is_err());
+    assert!(buffer.capacity() < 1024);
+}
