--- a/crates/deckproxy-lab/src/drills/sites.rs
+++ b/crates/deckproxy-lab/src/drills/sites.rs
@@ -120,6 +120,9 @@
         ));
     }
     let cut: f64 = cut_time(&facts, end);
+    if std::env::var_os("DECKLAB_LOGS").is_some() {
+        timeline(&facts, end);
+    }
     Report {
         figures: json!({"cut_share": super::round(cut / end), "restarts": restarts, "attempts": verdict.attempts,
             "hits": verdict.hits, "fills": verdict.fills}),
@@ -141,7 +144,8 @@
     let length = Duration::from_secs(options.seconds);
     let kinds = [(State::Reset, "reset"), (State::Silent, "silent"), (State::HalfOpen, "half open")];
     let mut cut: Option<(Instant, [bool; 2])> = None;
-    let mut next_cut = start + Duration::from_millis(800);
+    let mut cut_sum = 0.0;
+    let mut next_cut = start + Duration::from_millis(1500);
     let mut next_purge = start;
     let mut next_drain = start + Duration::from_millis(1500);
     let mut leaving: Vec<(Instant, usize, String)> = Vec::new();
@@ -164,7 +168,10 @@
             which.iter().zip(shims).filter(|(hit, _)| **hit).for_each(|(_, shim)| shim.set(state));
             record.note(Fact::Cut { kind, on: true });
             cut = Some((now + Duration::from_millis(lasts), which));
-            next_cut = now + Duration::from_millis((lasts as f64 / CUT) as u64);
+            // The next one comes when all of them together are that share of the time again.
+            cut_sum += lasts as f64;
+            let rest = cut_sum / CUT - start.elapsed().as_secs_f64() * 1000.0;
+            next_cut = now + Duration::from_millis(lasts + rest.max(100.0) as u64 + rng.random_range(0..300));
         }
         if now >= next_purge {
             next_purge = now + Duration::from_millis(rng.random_range(20..120));
@@ -220,6 +227,31 @@
     restarts
 }
 
+/// Prints what became of requests, in each half second: for a look at a drill that lost many.
+fn timeline(facts: &[Seen], end: f64) {
+    let mut asked = std::collections::HashMap::new();
+    let mut rows = vec![[0usize; 6]; (end / 500.0) as usize + 1];
+    for seen in facts {
+        match &seen.fact {
+            Fact::Asked { name, site, home, .. } => drop(asked.insert(name, (seen.at, site != home))),
+            Fact::Answered { name, outcome } => {
+                let Some((at, crosses)) = asked.get(name) else { continue };
+                let kind = match outcome {
+                    Outcome::Served(_) | Outcome::Unchanged => 0,
+                    Outcome::Refused(_) => 1,
+                    Outcome::Failed => 2,
+                };
+                rows[(*at / 500.0) as usize][kind + 3 * usize::from(*crosses)] += 1;
+            }
+            Fact::Cut { .. } | Fact::Killed { .. } => eprintln!("{:.0} {:?}", seen.at, seen.fact),
+            _ => {}
+        }
+    }
+    for (i, row) in rows.iter().enumerate() {
+        eprintln!("{:6} own served, refused, failed: {:?} crossing: {:?}", i * 500, &row[..3], &row[3..]);
+    }
+}
+
 /// Milliseconds for which a link was cut.
 fn cut_time(facts: &[Seen], end: f64) -> f64 {
     let mut since = None;
--- a/crates/deckproxy-lab/src/main.rs
+++ b/crates/deckproxy-lab/src/main.rs
@@ -3,6 +3,7 @@
 
 mod demo;
 mod drills;
+mod measure;
 mod traffic;
 
 use clap::{Parser, Subcommand};
@@ -23,6 +24,8 @@
     /// The hard cases of a subsystem, on real processes and sockets; exit code 1 when a promise broke, 2 when it could
     /// not run.
     Drill(drills::Options),
+    /// Measurements on this machine; each compares in one run.
+    Measure(measure::Options),
     /// The gateway itself: what `deckproxy` is, with its command line.
     #[command(hide = true, disable_help_flag = true)]
     Gateway {
@@ -35,6 +38,7 @@
     match Cli::parse().command {
         Command::Demo(options) => demo::run(&options),
         Command::Drill(options) => drills::run(&options),
+        Command::Measure(options) => measure::run(&options),
         Command::Gateway { words } => {
             let words = std::iter::once("deckproxy".into()).chain(words);
             match deckproxy::program::main(words) {
--- /dev/null
+++ b/crates/deckproxy-lab/src/measure/mod.rs
@@ -0,0 +1,47 @@
+//! `decklab measure`: figures for docs/results.md, each beside a baseline in the same run.
+
+mod routes;
+mod sites;
+
+use clap::{Args, ValueEnum};
+use std::process::ExitCode;
+
+/// What is measured.
+#[derive(Debug, Args)]
+pub struct Options {
+    #[arg(value_enum)]
+    name: Name,
+    /// Seconds of each part.
+    #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u64).range(2..=120))]
+    seconds: u64,
+    /// Seed of the traffic.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum Name {
+    /// The gateway between sites.
+    Sites,
+    /// The index of routes beside a plain list.
+    Routes,
+}
+
+/// Measures.
+pub fn run(options: &Options) -> ExitCode {
+    match options.name {
+        Name::Sites => sites::run(options),
+        Name::Routes => routes::run(options),
+    }
+    ExitCode::SUCCESS
+}
+
+/// Prints a table.
+fn show(head: &[&str], rows: &[Vec<String>]) {
+    let mut table = comfy_table::Table::new();
+    table.set_header(head.iter().copied());
+    for row in rows {
+        table.add_row(row.iter().cloned());
+    }
+    println!("{table}");
+}
--- /dev/null
+++ b/crates/deckproxy-lab/tests/drill.rs
@@ -0,0 +1,51 @@
+//! The drills hold, and object when a promise is broken.
+
+use std::process::{Command, Output};
+
+fn drill(words: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_decklab"));
+    command.args(["drill", "sites", "--seconds", "8", "--json"]).args(words);
+    command.output().expect("decklab starts")
+}
+
+fn last_line(output: &Output) -> serde_json::Value {
+    let text = String::from_utf8_lossy(&output.stdout);
+    let line = text.lines().last().unwrap_or_default();
+    serde_json::from_str(line)
+        .unwrap_or_else(|e| panic!("{e}: {line}\n{}", String::from_utf8_lossy(&output.stderr)))
+}
+
+#[test]
+fn the_drill_of_sites_holds_and_sees_what_is_put_wrong() {
+    let spoils = [
+        ("stale", "stale_after_purge"),
+        ("attempt", "double_attempts"),
+        ("effect", "double_effects"),
+        ("answer", "unanswered"),
+    ];
+    std::thread::scope(|scope| {
+        let good = scope.spawn(|| drill(&["--seed", "3"]));
+        let bad = spoils
+            .map(|(spoil, wrong)| (scope.spawn(move || drill(&["--seed", "3", "--spoil", spoil])), wrong));
+        let good = good.join().unwrap();
+        let report = last_line(&good);
+        assert!(good.status.success(), "{report} {}", String::from_utf8_lossy(&good.stderr));
+        assert_eq!(report["ok"], true);
+        assert!(report["crossed"].as_u64() > Some(300) && report["cuts"].as_u64() > Some(1), "{report}");
+        for (output, wrong) in bad {
+            let output = output.join().unwrap();
+            let report = last_line(&output);
+            assert_eq!(output.status.code(), Some(1), "{wrong}: {report}");
+            assert!(report[wrong].as_u64() >= Some(1) && report["ok"] == false, "{wrong}: {report}");
+        }
+    });
+}
+
+#[test]
+fn the_demo_serves_and_ends() {
+    let output =
+        Command::new(env!("CARGO_BIN_EXE_decklab")).args(["demo", "--seconds", "2"]).output().unwrap();
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{text}");
+    assert!(text.contains("rules broken") && text.contains("none"), "{text}");
+}
--- a/crates/deckproxy-operator/build.rs
+++ b/crates/deckproxy-operator/build.rs
@@ -13,7 +13,7 @@
         ("Operator.sites", "dive"),
         ("Sites.name", "custom(crate::rules::site_name)"),
         ("Sites.listen", "custom(crate::rules::address_if_set)"),
-        ("Sites.peers", "length(min = 1, max = 64), dive"),
+        ("Sites.peers", "length(max = 64), dive"),
         ("Sites.routes", "length(max = 100_000), dive"),
         ("Sites.most_hops", "range(min = 1, max = 8)"),
         ("Sites.cooldown_ms", "range(min = 1, max = 60_000)"),
--- a/crates/deckproxy-operator/src/sites.rs
+++ b/crates/deckproxy-operator/src/sites.rs
@@ -67,6 +67,9 @@
 pub(crate) fn check(operator: &Operator) -> Vec<(String, String)> {
     let Some(sites) = &operator.sites else { return Vec::new() };
     let mut out = Vec::new();
+    if sites.listen.is_none() && sites.peers.is_empty() {
+        out.push(("sites".to_string(), "neither listen nor peers: nothing would be linked".to_string()));
+    }
     for (i, peer) in sites.peers.iter().enumerate() {
         if peer.site == sites.name {
             out.push((format!("sites.peers[{i}].site"), "this site itself".to_string()));
--- a/crates/deckproxy-operator/tests/files.rs
+++ b/crates/deckproxy-operator/tests/files.rs
@@ -107,6 +107,7 @@
 fn text_that_is_none_is_told_with_its_place() {
     assert!(faults("sites {\n  name: \"north\n}")[0].starts_with("2:"));
     assert!(faults("sites {\n  name: \"a\"\n")[0].contains("the text ends"));
+    assert!(faults("sites { name: \"a\" }")[0].contains("nothing would be linked"));
     assert!(faults("sites }")[0].starts_with("1:"));
     let bytes = read(b"# caf\xe9\n").unwrap_err();
     assert_eq!((bytes[0].line, bytes[0].column, &*bytes[0].what), (1, 6, "not UTF-8"));
--- a/crates/deckproxy-standins/src/caller.rs
+++ b/crates/deckproxy-standins/src/caller.rs
@@ -27,6 +27,18 @@
 /// Draws the next request.
 pub type Draw = Arc<dyn Fn(&mut Pcg64Mcg) -> Wish + Send + Sync>;
 
+/// What a client does when it is refused.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Patience {
+    /// Nothing: the request is over.
+    #[default]
+    None,
+    /// It comes again when it was told to, while there is time left.
+    Advised,
+    /// It comes again at once, while there is time left.
+    Hasty,
+}
+
 /// A load of clients at one gateway.
 pub struct Callers {
     running: Arc<AtomicBool>,
@@ -40,8 +52,14 @@
     name: String,
     answered: bool,
     at: Instant,
+    wish: Wish,
+    /// When the first try gives up.
+    until: Instant,
 }
 
+/// Refused requests that are to come again, with when, and when they are over.
+type Again = Arc<Mutex<Vec<(Instant, Wish, Instant)>>>;
+
 /// A request asked so short a time before its connection was closed may have crossed the close.
 const CROSSED: Duration = Duration::from_millis(50);
 
@@ -55,6 +73,21 @@
         seed: u64,
         draw: &Draw,
         record: &Record,
+    ) -> Self {
+        Self::patient(site, at, clients, rate, seed, draw, record, Patience::None)
+    }
+
+    /// The same with clients that come again.
+    #[allow(clippy::too_many_arguments)]
+    pub fn patient(
+        site: u32,
+        at: SocketAddr,
+        clients: usize,
+        rate: f64,
+        seed: u64,
+        draw: &Draw,
+        record: &Record,
+        patience: Patience,
     ) -> Self {
         let running = Arc::new(AtomicBool::new(true));
         let threads = (0..clients).map(|i| {
@@ -63,7 +96,16 @@
             thread::spawn(move || {
                 while running.load(Ordering::SeqCst) {
                     if let Ok(stream) = TcpStream::connect(at) {
-                        converse(site, &stream, rate / clients as f64, &mut rng, &draw, &record, &running);
+                        converse(
+                            site,
+                            &stream,
+                            rate / clients as f64,
+                            &mut rng,
+                            &draw,
+                            &record,
+                            &running,
+                            patience,
+                        );
                     }
                     thread::sleep(Duration::from_millis(20));
                 }
@@ -82,6 +124,7 @@
     }
 }
 
+#[allow(clippy::too_many_arguments)]
 fn converse(
     site: u32,
     stream: &TcpStream,
@@ -90,7 +133,9 @@
     draw: &Draw,
     record: &Record,
     running: &Arc<AtomicBool>,
+    patience: Patience,
 ) {
+    let again = Again::default();
     let _ = stream.set_nodelay(true);
     let open: Arc<Mutex<HashMap<u64, Open>>> = Arc::default();
     let ended = Arc::new(AtomicBool::new(false));
@@ -98,8 +143,9 @@
     let Ok(reading) = stream.try_clone() else { return };
     let reader = {
         let (open, ended, closed, record) = (open.clone(), ended.clone(), closed.clone(), record.clone());
+        let again = again.clone();
         thread::spawn(move || {
-            let clean = read_answers(&reading, &open, &record);
+            let clean = read_answers(&reading, &open, &record, &again, patience);
             *closed.lock().unwrap() = clean.then(Instant::now);
             ended.store(true, Ordering::SeqCst);
         })
@@ -107,18 +153,37 @@
     let mut next = 1u64;
     let mut due = Instant::now();
     while running.load(Ordering::SeqCst) && !ended.load(Ordering::SeqCst) {
-        let gap = -(1.0 - rng.random::<f64>()).ln() / rate;
-        due += Duration::from_secs_f64(gap.min(5.0));
-        while Instant::now() < due && running.load(Ordering::SeqCst) {
-            thread::sleep((due - Instant::now()).min(Duration::from_millis(5)));
-        }
-        if open.lock().unwrap().values().filter(|o| !o.answered).count() >= OPEN {
+        let now = Instant::now();
+        let back = {
+            let mut again = again.lock().unwrap();
+            let at = again.iter().position(|(due, ..)| *due <= now);
+            at.map(|i| again.swap_remove(i))
+        };
+        let (wish, until) = match back {
+            Some((_, wish, until)) => (wish, until),
+            None if now >= due => {
+                let gap = -(1.0 - rng.random::<f64>()).ln() / rate;
+                due += Duration::from_secs_f64(gap.min(5.0));
+                if open.lock().unwrap().values().filter(|o| !o.answered).count() >= OPEN {
+                    continue;
+                }
+                let wish = draw(rng);
+                (wish, now + Duration::from_millis(u64::from(wish.allow)))
+            }
+            None => {
+                let next = again.lock().unwrap().iter().map(|(due, ..)| *due).fold(due, Instant::min);
+                thread::sleep((next - now).min(Duration::from_millis(2)));
+                continue;
+            }
+        };
+        let left = u32::try_from((until - now).as_millis()).unwrap_or(0);
+        if left < 10 {
             continue;
         }
-        let wish = draw(rng);
+        let wish = Wish { allow: left, ..wish };
         let name = fresh_name();
         let bytes = encode(next, &name, &wish);
-        open.lock().unwrap().insert(next, Open { name: name.clone(), answered: false, at: Instant::now() });
+        open.lock().unwrap().insert(next, Open { name: name.clone(), answered: false, at: now, wish, until });
         next += 1;
         // Noted before, so that no answer can come before the question; what can't be written was never asked.
         record.note(Fact::Asked {
@@ -151,7 +216,13 @@
 }
 
 /// Notes answers until the connection ends; tells whether it was closed in good order.
-fn read_answers(mut stream: &TcpStream, open: &Mutex<HashMap<u64, Open>>, record: &Record) -> bool {
+fn read_answers(
+    mut stream: &TcpStream,
+    open: &Mutex<HashMap<u64, Open>>,
+    record: &Record,
+    again: &Again,
+    patience: Patience,
+) -> bool {
     let mut buffer: Vec<u8> = Vec::new();
     let mut chunk = vec![0; 64 * 1024];
     loop {
@@ -169,6 +240,15 @@
             let Some((id, outcome)) = outcome(&value) else { return false };
             let mut open = open.lock().unwrap();
             if let Some(open) = open.get_mut(&id) {
+                if let (Outcome::Refused(wait), false) =
+                    (outcome, open.answered || patience == Patience::None)
+                {
+                    let wait = if patience == Patience::Advised { wait.unwrap_or(0.0) } else { 0.0 };
+                    let due = Instant::now() + Duration::from_secs_f64(wait / 1000.0);
+                    if due < open.until {
+                        again.lock().unwrap().push((due, open.wish, open.until));
+                    }
+                }
                 open.answered = true;
                 record.note(Fact::Answered { name: open.name.clone(), outcome });
             }
--- a/crates/deckproxy-standins/src/fleet.rs
+++ b/crates/deckproxy-standins/src/fleet.rs
@@ -197,8 +197,20 @@
 
     /// Starts a gateway, with an operator file if there is one, and waits until it serves.
     pub fn gateway(&self, name: &str, listen: SocketAddr, operator: Option<&str>) -> Gateway {
-        let config = self.folder.join(format!("{name}-{}.json", next_number()));
-        std::fs::write(&config, self.config(name, listen).to_string()).unwrap();
+        self.gateway_of(&self.config(name, listen), name, listen, operator)
+    }
+
+    /// The same from a configuration that was changed.
+    pub fn gateway_of(
+        &self,
+        config: &Value,
+        name: &str,
+        listen: SocketAddr,
+        operator: Option<&str>,
+    ) -> Gateway {
+        let path = self.folder.join(format!("{name}-{}.json", next_number()));
+        std::fs::write(&path, config.to_string()).unwrap();
+        let config = path;
         let mut words = Vec::new();
         if let Some(text) = operator {
             let path = self.folder.join(format!("{name}-{}.textproto", next_number()));
--- a/crates/deckproxy-standins/src/shim.rs
+++ b/crates/deckproxy-standins/src/shim.rs
@@ -45,6 +45,7 @@
     /// Starts one to an address.
     pub fn to(target: SocketAddr) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        narrow(&socket2::SockRef::from(&listener));
         let address = listener.local_addr().unwrap();
         listener.set_nonblocking(true).unwrap();
         let shared = Arc::new(Shared {
@@ -67,7 +68,7 @@
                     reset(&near);
                     continue;
                 }
-                match TcpStream::connect_timeout(&target, Duration::from_millis(300)) {
+                match connect(target) {
                     Ok(far) => join(&all, near, far),
                     Err(_) => reset(&near),
                 }
@@ -115,6 +116,21 @@
     }
 }
 
+/// Segments as on a real network, and little that the kernel holds for the relay: loopback's own segments of 64 KB
+/// would hide what a narrow link does.
+fn narrow(socket: &socket2::Socket) {
+    let _ = socket.set_tcp_mss(1400);
+    let _ = socket.set_recv_buffer_size(32 * 1024);
+    let _ = socket.set_send_buffer_size(32 * 1024);
+}
+
+fn connect(target: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = socket2::Socket::new(socket2::Domain::for_address(target), socket2::Type::STREAM, None)?;
+    narrow(&socket);
+    socket.connect_timeout(&target.into(), Duration::from_millis(300))?;
+    Ok(socket.into())
+}
+
 fn reset(stream: &TcpStream) {
     let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
     let _ = stream.shutdown(Shutdown::Both);
@@ -152,7 +168,9 @@
             continue;
         }
         let held: usize = waiting.iter().map(|(_, bytes)| bytes.len()).sum();
-        if held < 256 * 1024 {
+        // A throttled link has a short queue: what waits longer waits at who sends it.
+        let most = if all.pace.load(Ordering::SeqCst) > 0 { 16 * 1024 } else { 256 * 1024 };
+        if held < most {
             match from.read(&mut chunk) {
                 Ok(0) => return,
                 Ok(n) => {
--- a/crates/deckproxy/src/protocol/limits.rs
+++ b/crates/deckproxy/src/protocol/limits.rs
@@ -31,9 +31,9 @@
 pub const LINK_FRAME: usize = 272 * 1024;
 /// Bytes waiting on a link's connection from which no further piece of a body is put there: what is more urgent does
 /// not stand behind much.
-pub const LINK_OUTGOING: usize = 64 * 1024;
+pub const LINK_OUTGOING: usize = 32 * 1024;
 /// Bytes that the kernel takes for a link's connection, for the same reason.
-pub const LINK_SENDING: usize = 128 * 1024;
+pub const LINK_SENDING: usize = 64 * 1024;
 /// Bytes waiting on a link's connection from which it is taken for stuck.
 pub const LINK_STUCK: usize = 16 * 1024 * 1024;
 /// Share of the descriptors that links which come in may hold, as one in so many.
