--- /dev/null
+++ b/crates/deckproxy-flow/tests/meter.rs
@@ -0,0 +1,165 @@
+//! The meter: sums are exact whatever is folded, memory is bounded, and a sketch is as good as it says.
+
+use deckproxy_flow::meter::{Flow, Key, Limits, Meter, Outcome, Reason, Top, Update};
+use proptest::prelude::*;
+use std::collections::HashMap;
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 200,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(17),
+        ..ProptestConfig::default()
+    }
+}
+
+fn v4(n: u32) -> IpAddr {
+    Ipv4Addr::from(n).into()
+}
+
+fn served(out: u64) -> Update {
+    Update { out, back: 3, requests: 1, latency: Some(700) }
+}
+
+fn sums<'a>(flows: impl IntoIterator<Item = &'a Flow>) -> [u64; 3] {
+    let add = |s: [u64; 3], f: &Flow| [s[0] + f.counts.out, s[1] + f.counts.back, s[2] + f.counts.requests];
+    flows.into_iter().fold([0; 3], add)
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Against a map without a bound: the sums by class and outcome are the same, however little room there is.
+    #[test]
+    fn sums_are_exact_however_much_is_folded(
+        steps in prop::collection::vec((any::<u32>(), 1u32..4, 0u32..5, 0u64..1 << 34, 0u64..400), 1..600),
+        entries in 16usize..64,
+    ) {
+        let mut meter = Meter::new(Limits { entries, active: 500, idle: 100, ..Limits::default() });
+        let mut plain: HashMap<u32, [u64; 3]> = HashMap::new();
+        let (mut told, mut now) = (Vec::new(), 1000u64);
+        for (client, class, member, out, later) in steps {
+            // Now and then the clock steps back.
+            now = if later > 390 { now.saturating_sub(300) } else { now + later / 10 };
+            let client = if client % 5 == 0 { IpAddr::from(Ipv6Addr::from(u128::from(client) << 90)) } else { v4(client) };
+            let outcome = if out % 2 == 0 { Outcome::Served } else { Outcome::Cut };
+            meter.count(now, meter.key(client, class, member, 0, outcome), &served(out));
+            let sum = plain.entry(class).or_default();
+            *sum = [sum[0] + out, sum[1] + 3, sum[2] + 1];
+            prop_assert!(meter.len() <= entries);
+            meter.tell(now, 3, &mut told);
+        }
+        told.extend(meter.end());
+        prop_assert!(meter.is_empty());
+        let all = plain.values().fold([0; 3], |a, b| [a[0] + b[0], a[1] + b[1], a[2] + b[2]]);
+        prop_assert_eq!(sums(&told), all);
+        if meter.overflows == 0 {
+            for (class, sum) in plain {
+                prop_assert_eq!(sums(told.iter().filter(|f| f.key.class == class)), sum);
+            }
+        }
+    }
+
+    #[test]
+    fn a_sum_of_the_sketch_is_off_by_what_it_says(adds in prop::collection::vec((0u32..60, 1u64..1000), 1..800), places in 1usize..40) {
+        let mut top = Top::new(places);
+        let mut plain: HashMap<u32, u64> = HashMap::new();
+        for (key, amount) in adds {
+            top.add(key, amount);
+            *plain.entry(key).or_default() += amount;
+        }
+        let total: u64 = plain.values().sum();
+        for (key, sum, error) in top.top(places) {
+            prop_assert!(sum >= plain[&key] && sum - error <= plain[&key]);
+            prop_assert!(error <= total / places as u64);
+        }
+        // Who has more than a place's even part is there.
+        let found: Vec<u32> = top.top(places).into_iter().map(|(k, ..)| k).collect();
+        for (key, sum) in &plain {
+            prop_assert!(*sum <= total / places as u64 || found.contains(key));
+        }
+    }
+}
+
+#[test]
+fn a_scan_of_addresses_grows_nothing_and_loses_nothing() {
+    let mut meter = Meter::new(Limits { entries: 1000, ..Limits::default() });
+    // One that asks for much among 65,536 that ask once.
+    let busy = meter.key(v4(0x7f00_0001), 1, 0, 0, Outcome::Served);
+    let mut most = 0;
+    for n in 0..65_536u32 {
+        meter.count(10, meter.key(v4(0x0a00_0000 + n * 256), 1, 0, 0, Outcome::Served), &served(100));
+        meter.count(10, busy, &served(1000));
+        most = most.max(meter.size());
+    }
+    assert!(meter.len() <= 1000);
+    assert!(most < 1000 * 1000, "{most} bytes for 1000 entries");
+    let flows = meter.end();
+    assert_eq!(sums(&flows), [65_536 * 1100, 65_536 * 2 * 3, 65_536 * 2]);
+    let kept = flows.iter().find(|f| f.key == busy).expect("who uses most is not folded");
+    assert_eq!(kept.counts.requests, 65_536);
+    assert!(flows.iter().filter(|f| f.key.folded == 1).count() > 100, "the others by wider prefixes");
+}
+
+#[test]
+fn a_burst_of_short_requests_is_counted_to_the_last() {
+    let mut meter = Meter::new(Limits::default());
+    for n in 0..100_000u64 {
+        let key = meter.key(v4((n % 5000) as u32), 2, (n % 7) as u32, 0, Outcome::Served);
+        meter.count(1_000_000 + n / 100, key, &Update { out: 40, back: 60, requests: 1, latency: Some(100) });
+    }
+    let flows = meter.end();
+    assert_eq!(sums(&flows), [4_000_000, 6_000_000, 100_000]);
+}
+
+#[test]
+fn flows_are_told_when_they_rest_when_they_last_and_at_the_end() {
+    let mut meter = Meter::new(Limits { active: 1000, idle: 100, ..Limits::default() });
+    let key = |n: u32| Key { ..meter_key(n) };
+    let reasons =
+        |flows: &[Flow]| flows.iter().map(|f| (f.key, f.reason, f.counts.requests)).collect::<Vec<_>>();
+    meter.count(0, key(1), &served(10));
+    meter.count(50, key(2), &served(10));
+    let mut told = Vec::new();
+    assert!(meter.tell(100, 10, &mut told), "it came round");
+    assert_eq!(reasons(&told), [(key(1), Reason::Idle, 1)]);
+    for now in (60..1060).step_by(50) {
+        meter.count(now, key(2), &served(10));
+    }
+    told.clear();
+    meter.tell(1055, 10, &mut told);
+    assert_eq!(reasons(&told), [(key(2), Reason::Active, 21)]);
+    meter.count(1056, key(2), &served(1 << 40));
+    meter.count(1056, key(2), &served(1 << 40));
+    let end = meter.end();
+    assert_eq!(reasons(&end), [(key(2), Reason::End, 2)]);
+    assert_eq!(end[0].counts.out, 2 << 40, "beyond 2^32");
+}
+
+fn meter_key(n: u32) -> Key {
+    Meter::new(Limits::default()).key(v4(n), 1, 0, 0, Outcome::Served)
+}
+
+#[test]
+fn a_clock_that_steps_back_ends_no_flow_before_it_began() {
+    let mut meter = Meter::new(Limits { active: 1000, idle: 100, ..Limits::default() });
+    meter.count(1_000_000, meter_key(1), &served(10));
+    meter.count(5_000, meter_key(1), &served(10));
+    meter.count(900_000, meter_key(2), &served(10));
+    let mut told = Vec::new();
+    meter.tell(5_000, 10, &mut told);
+    meter.tell(5_200, 10, &mut told);
+    assert_eq!(sums(&told)[2] + sums(&meter.end())[2], 3);
+    assert!(told.iter().all(|f| f.counts.first <= f.counts.last));
+}
+
+#[test]
+fn the_percentile_is_at_most_twice_too_much() {
+    let mut meter = Meter::new(Limits::default());
+    for n in 0..1000u64 {
+        let latency = if n < 985 { 900 } else { 50_000 };
+        meter.count(0, meter_key(1), &Update { latency: Some(latency), requests: 1, ..Update::default() });
+    }
+    let p99 = meter.end()[0].counts.p99();
+    assert!((50_000..=100_000).contains(&p99), "{p99}");
+}
--- a/crates/deckproxy-sites/src/near.rs
+++ b/crates/deckproxy-sites/src/near.rs
@@ -199,8 +199,9 @@
     tokens: HashMap<Token, u64>,
     /// When requests give up, soonest first.
     expiries: BTreeSet<(u64, Token)>,
-    /// Crossings that wait for a way, the longest first.
-    parked: VecDeque<u64>,
+    /// Crossings that wait for a way: by worth and then by age, and by when they are refused.
+    parked: BTreeSet<(u32, u64)>,
+    waiting: BTreeSet<(u64, u64)>,
     unparked: Millis,
     next: u64,
     saved: f64,
@@ -215,6 +216,11 @@
     (at.max(0.0) * 1000.0) as u64
 }
 
+/// A rank as a key, the greatest first.
+fn below(rank: f64) -> u32 {
+    ((1.0 - rank.clamp(0.0, 1.0)) * f64::from(u32::MAX)) as u32
+}
+
 impl Near {
     /// No way is up yet. `sessions`: a number for the session of each way, such as no other process has.
     pub fn new(limits: LinkLimits, connections: usize, sessions: &[u64], now: Millis) -> Self {
@@ -243,7 +249,8 @@
             joined: HashMap::new(),
             tokens: HashMap::new(),
             expiries: BTreeSet::new(),
-            parked: VecDeque::new(),
+            parked: BTreeSet::new(),
+            waiting: BTreeSet::new(),
             unparked: now,
             next: 0,
             saved: SAVED,
@@ -452,30 +459,34 @@
         let hold = self.limits.hold;
         let Some(crossing) = self.crossings.get_mut(&id) else { return };
         let until = *crossing.parked.get_or_insert(now + hold);
-        if until > now {
+        if order(until) > order(now) {
+            let rank = crossing.waiters.iter().map(|w| w.want.rank).fold(0.0, f64::max);
             self.counters.parked += crossing.waiters.len() as u64;
-            return self.parked.push_back(id);
+            self.parked.insert((below(rank), id));
+            self.waiting.insert((order(until), id));
+            return;
         }
         self.counters.no_way += crossing.waiters.len() as u64;
         let back = self.comes_back(now, id);
         self.answer_all(now, id, &Reply::Refused(back));
     }
 
-    /// Sends what waited for a way as far as there is one, and refuses what waited for too long.
+    /// Refuses what waited for a way for too long, and sends the others as far as there is one.
     fn unpark(&mut self, now: Millis) {
         self.unparked = now;
-        for _ in 0..self.parked.len() {
-            let Some(id) = self.parked.pop_front() else { return };
-            let Some(crossing) = self.crossings.get_mut(&id).filter(|c| c.out.is_none()) else { continue };
-            let over = crossing.parked.is_none_or(|until| until <= now);
-            let usable = self
-                .choose(now)
-                .is_some_and(|at| self.ways[at].out.len() < self.ways[at].room(now, self.limits.ramp));
-            if usable || over {
+        // What has gone out or ended meanwhile is passed over.
+        while let Some((until, id)) = self.waiting.first().copied().filter(|(until, _)| *until <= order(now))
+        {
+            self.waiting.remove(&(until, id));
+            if self.crossings.get(&id).is_some_and(|c| c.out.is_none() && c.parked.is_some()) {
+                self.send(now, id);
+            }
+        }
+        let ramp = self.limits.ramp;
+        while self.choose(now).is_some_and(|at| self.ways[at].out.len() < self.ways[at].room(now, ramp)) {
+            let Some((_, id)) = self.parked.pop_first() else { return };
+            if self.crossings.get(&id).is_some_and(|c| c.out.is_none() && c.parked.is_some()) {
                 self.send(now, id);
-            } else {
-                self.parked.push_front(id);
-                return;
             }
         }
     }
@@ -885,7 +896,7 @@
             });
             beats.chain(missing.then_some(w.next_try)).chain(lost).collect::<Vec<_>>()
         });
-        let parked = self.parked.front().and_then(|id| self.crossings.get(id)).and_then(|c| c.parked);
+        let parked = self.waiting.first().map(|(until, _)| (*until + 1) as f64 / 1000.0);
         // A way that has just come back takes more from one moment to the next.
         let parked = parked.map(|until| {
             if self.ways.iter().any(Way::is_up) { until.min(self.unparked + UNPARK) } else { until }
--- a/crates/deckproxy-sites/tests/ends.rs
+++ b/crates/deckproxy-sites/tests/ends.rs
@@ -246,6 +246,27 @@
     assert!(sent(&side.effects()).is_some());
 }
 
+#[test]
+fn what_waits_goes_by_worth_and_a_way_that_came_back_takes_little_at_once() {
+    let link = LinkLimits { ramp: 1000.0, crossings: 100, ..LINK };
+    let mut near = Near::new(link, 1, &[9], 0.0);
+    for token in 0..40 {
+        let rank = if token % 2 == 0 { 0.2 } else { 0.8 };
+        near.request(10.0, token, Want { rank, ..want(token, Repeat::Safe, 900.0) });
+    }
+    near.connected(20.0, 0, 1);
+    near.up(30.0, 1, &hello(77));
+    let sent: Vec<String> = std::iter::from_fn(|| near.effect())
+        .filter_map(|e| match e {
+            near::Effect::Send(_, Say::Ask(ask)) => Some(ask.name),
+            _ => None,
+        })
+        .collect();
+    let all: Vec<String> = (0..16).map(|n| format!("{:016x}", 2 * n + 1)).collect();
+    assert_eq!(sent[..16], all, "those of worth, the oldest first");
+    assert!(sent.len() < 40, "not all at once: {}", sent.len());
+}
+
 #[test]
 fn what_is_open_has_a_bound() {
     let mut side = Side::up();
