Ways to a site take over from one another: tests; what never went out is refused, not failed

Need: several links to one site were built and not tested. Change: tests of sharing, going away, taking over, slow return, and of a killed second gateway on sockets; a request whose time ends before it ever went out is refused, as trying again is harmless.

--- a/crates/deckproxy-sites/src/near.rs
+++ b/crates/deckproxy-sites/src/near.rs
@@ -878,7 +878,9 @@
         let Some(i) = crossing.waiters.iter().position(|w| w.token == token) else { return };
         let Some(waiter) = crossing.waiters.remove(i) else { return };
         let last = crossing.waiters.is_empty();
-        self.reply(waiter, Reply::Failed);
+        // What never went out has not run: trying again is harmless.
+        let never = crossing.out.is_none() && !crossing.repeated;
+        self.reply(waiter, if never { Reply::Refused(self.limits.cooldown) } else { Reply::Failed });
         if last {
             self.end(now, id);
         }
--- a/crates/deckproxy-sites/tests/ends.rs
+++ b/crates/deckproxy-sites/tests/ends.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use deckproxy_sites::far::{self, Ended, Far};
-use deckproxy_sites::frame::{Answer, Ask, Became, Credit, Fate, Hello, Numbers, Piece, Say, Word};
+use deckproxy_sites::frame::{Answer, Ask, Became, Credit, Fate, GoAway, Hello, Numbers, Piece, Say, Word};
 use deckproxy_sites::near::{self, Near, Repeat, Reply, Want};
 use deckproxy_sites::purges::Purges;
 use deckproxy_sites::{LinkLimits, TrustLimits};
@@ -267,6 +267,62 @@
     assert!(sent.len() < 40, "not all at once: {}", sent.len());
 }
 
+/// Two ways, each with one connection: 1 and 2.
+fn two_ways(ramp: f64) -> Near {
+    let mut near = Near::new(LinkLimits { ramp, crossings: 1000, ..LINK }, 1, &[9, 10], 0.0);
+    for (way, conn) in [(0, 1), (1, 2)] {
+        near.connected(0.0, way, conn);
+        near.up(0.0, conn, &hello(70 + conn));
+    }
+    while near.effect().is_some() {}
+    near
+}
+
+/// The connections on which so many requests go out, one after another.
+fn goes(near: &mut Near, now: f64, objects: std::ops::Range<u64>) -> Vec<u64> {
+    objects.clone().for_each(|n| near.request(now, n, want(n, Repeat::Safe, now + 900.0)));
+    let asked = |e: near::Effect| match e {
+        near::Effect::Send(conn, Say::Ask(_)) => Some(conn),
+        _ => None,
+    };
+    std::iter::from_fn(|| near.effect()).filter_map(asked).collect()
+}
+
+#[test]
+fn ways_share_the_requests_and_take_over_from_one_another() {
+    let mut near = two_ways(0.0);
+    let went = goes(&mut near, 10.0, 0..40);
+    assert_eq!(went.iter().filter(|c| **c == 1).count(), 20, "{went:?}");
+    // One is told to go away: everything new takes the other.
+    let mut purges = Purges::new("a", 1, TRUST, 0.0);
+    let away = GoAway { why: "a planned end".into(), cooldown: 100.0 };
+    near.say(20.0, 20.0, 1, Say::GoAway(away), &mut purges);
+    assert_eq!(goes(&mut near, 30.0, 100..120), [2; 20]);
+    // It is back, and the other one is cut: what was out there waits, what is new takes the first.
+    near.down(140.0, 2, &[]);
+    near.tick(140.0, 140.0, &purges);
+    assert_eq!(goes(&mut near, 141.0, 200..220), [1; 20]);
+    assert_eq!(near.sizes()[2], 40, "their fate is not known");
+    assert_eq!(near.ways_up(), (1, 2));
+}
+
+#[test]
+fn a_way_that_comes_back_gets_its_part_slowly() {
+    let mut near = two_ways(1000.0);
+    // Long enough up to have their full parts.
+    near.down(2000.0, 2, &[]);
+    near.connected(2050.0, 1, 3);
+    near.up(2050.0, 3, &hello(72));
+    let part = |near: &mut Near, now: f64, objects: std::ops::Range<u64>| {
+        let went = goes(near, now, objects);
+        went.iter().filter(|c| **c == 3).count() as f64 / went.len() as f64
+    };
+    let first = part(&mut near, 2060.0, 0..60);
+    assert!(first < 0.1, "{first}");
+    let later = part(&mut near, 3100.0, 100..300);
+    assert!((0.45..0.7).contains(&later), "{later}");
+}
+
 #[test]
 fn what_is_open_has_a_bound() {
     let mut side = Side::up();
--- a/crates/deckproxy/tests/sites.rs
+++ b/crates/deckproxy/tests/sites.rs
@@ -197,6 +197,33 @@
     two.client.served(id, b"again");
 }
 
+/// The south has two gateways in front of the same caches; one of them is killed.
+#[test]
+fn a_second_way_takes_over_at_once() {
+    let [first, second] = [free_address(), free_address()];
+    let south = Site::start(format!("sites {{ name: \"south\" listen: \"{first}\" }}"));
+    let mut setup = south.world.setup();
+    setup.operator = Some(format!("sites {{ name: \"south\" listen: \"{second}\" }}"));
+    let mut other = setup.start();
+    let north = file("north", free_address(), &[("south", first)], &[("b", "south", "")]);
+    let north = Site::start(
+        north.replace(&format!("addresses: \"{first}\""), &format!("addresses: [\"{first}\", \"{second}\"]")),
+    );
+    until("both ways are up", || north.gateway.log().contains("2 of 2 ways are up"));
+    other.child.kill().unwrap();
+    other.child.wait().unwrap();
+    until("one is cut", || {
+        north.gateway.log().contains("1 of 2 ways are up") && north.gateway.log().contains(": cut")
+    });
+    let mut client = north.gateway.client();
+    for n in 0..5 {
+        let id = client.get(&format!("b00000000000000{n}"));
+        let (cache, ask) = south.world.ask();
+        cache.answer(&ask, "200", b"by the other way");
+        client.served(id, b"by the other way");
+    }
+}
+
 #[test]
 fn a_body_that_was_cut_off_comes_whole() {
     let mut two = Two::start();
