A slow link is not taken for a cut one: bytes count as a word, not whole frames alone

Cause: a piece of 16 KB on a link of 24 KB/s takes longer than the silence after which a connection counts as cut, so both ends closed it again and again while it was well. Change: any bytes that come count. The stand-in link passes little at a time, as a real one does.

--- a/crates/deckproxy-sites/src/site.rs
+++ b/crates/deckproxy-sites/src/site.rs
@@ -317,6 +317,16 @@
         }
     }
 
+    /// Bytes came on a connection, though perhaps no whole frame: on a slow link one piece of a body can take longer
+    /// than the silence that counts as a cut.
+    pub fn alive(&mut self, now: Millis, conn: Conn) {
+        match self.roles.get(&conn) {
+            Some(Role::Near { peer, up: true, .. }) => self.nears[*peer].heard(now, conn),
+            Some(Role::Far { hello: Some(_), .. }) => self.far.heard(now, conn),
+            _ => {}
+        }
+    }
+
     /// A frame came. `clock`: Unix time.
     pub fn frame(&mut self, now: Millis, clock: Millis, conn: Conn, frame: Frame) {
         let Some(say) = frame.say else { return };
--- a/crates/deckproxy-standins/src/shim.rs
+++ b/crates/deckproxy-standins/src/shim.rs
@@ -168,10 +168,12 @@
             continue;
         }
         let held: usize = waiting.iter().map(|(_, bytes)| bytes.len()).sum();
-        // A throttled link has a short queue: what waits longer waits at who sends it.
-        let most = if all.pace.load(Ordering::SeqCst) > 0 { 16 * 1024 } else { 256 * 1024 };
+        // A throttled link has a short queue, and passes little at a time: what waits longer waits at who sends it.
+        let pace = all.pace.load(Ordering::SeqCst) as usize;
+        let (most, piece) =
+            if pace > 0 { (16 * 1024, (pace * 5).clamp(256, 16 * 1024)) } else { (256 * 1024, 16 * 1024) };
         if held < most {
-            match from.read(&mut chunk) {
+            match from.read(&mut chunk[..piece]) {
                 Ok(0) => return,
                 Ok(n) => {
                     let due = Instant::now() + Duration::from_micros(all.delay.load(Ordering::SeqCst));
--- a/crates/deckproxy/src/program/sites.rs
+++ b/crates/deckproxy/src/program/sites.rs
@@ -384,8 +384,12 @@
             }
         }
         sites.touched.insert(id);
+        let before = held.line.stream.input.len();
         let readable = held.line.stream.is_readable();
         let progress = if readable { held.line.read() } else { Progress::Drained };
+        if held.line.stream.input.len() > before {
+            sites.site.alive(now, id);
+        }
         loop {
             let Some(sites) = &mut self.sites else { return };
             let Some(held) = sites.lines.get_mut(&id) else { return };
--- a/crates/deckproxy/tests/sites.rs
+++ b/crates/deckproxy/tests/sites.rs
@@ -257,6 +257,20 @@
     two.client.served(first, &large);
 }
 
+#[test]
+fn a_slow_link_is_not_taken_for_a_cut_one() {
+    let mut two = Two::start();
+    until("its round trip is known", || two.north.gateway.log().contains("all peers are heard"));
+    // One piece of 16 KB takes three times the silence.
+    two.shim.throttle(24);
+    let body = vec![5; 20_000];
+    let id = two.client.call("page", &[("lookup", SOUTHERN), ("room", "20")], b"");
+    let (cache, ask) = two.south.world.ask();
+    cache.answer(&ask, "200", &body);
+    two.client.served(id, &body);
+    assert!(!two.north.gateway.log().contains(": cut"), "{}", two.north.gateway.log());
+}
+
 #[test]
 fn while_the_link_is_down_requests_wait_for_a_moment_and_are_then_refused_with_advice() {
     let mut two = Two::start();
