--- a/crates/deckproxy-flow/src/codec/elements.rs
+++ b/crates/deckproxy-flow/src/codec/elements.rs
@@ -82,7 +82,7 @@
     pub units: u16,
 }
 
-/// What was asked: the member (cache, parent, origin), by its id; empty: the flow is a client's.
+/// What was asked: the member (cache, parent, origin), by its id; empty: none.
 pub const MEMBER: Own = Own { id: 1, name: "deckproxyMember", kind: 13, semantics: 0, units: 0 };
 /// The site at the other end of a link; empty: none was crossed.
 pub const SITE: Own = Own { id: 2, name: "deckproxySite", kind: 13, semantics: 0, units: 0 };
@@ -93,8 +93,11 @@
 /// How coarse the flow's key is: 0 as set, 1 by wider prefix, 2 by class alone.
 pub const FOLDED: Own = Own { id: 5, name: "deckproxyFolded", kind: 1, semantics: 0, units: 0 };
 
+/// Between whom the bytes went: "client", "member" or "link".
+pub const LEG: Own = Own { id: 6, name: "deckproxyLeg", kind: 13, semantics: 0, units: 0 };
+
 /// All of them, as they are told to collectors.
-pub const OWN: [Own; 5] = [MEMBER, SITE, RESULT, P99, FOLDED];
+pub const OWN: [Own; 6] = [MEMBER, SITE, RESULT, P99, FOLDED, LEG];
 
 impl Own {
     /// The element under an enterprise number.
--- a/crates/deckproxy-flow/src/codec/encode.rs
+++ b/crates/deckproxy-flow/src/codec/encode.rs
@@ -68,6 +68,12 @@
         self.sequence
     }
 
+    /// What was finished from that number on was never sent: the numbers go on from there.
+    pub fn rewind(&mut self, sequence: u32) {
+        debug_assert!(self.message.is_empty(), "no message is open");
+        self.sequence = sequence;
+    }
+
     /// Whether nothing waits in an open message.
     pub fn is_empty(&self) -> bool {
         self.message.is_empty()
--- a/crates/deckproxy-flow/src/export.rs
+++ b/crates/deckproxy-flow/src/export.rs
@@ -6,7 +6,7 @@
 
 use crate::codec::elements::{self, OWN};
 use crate::codec::{Element, Encoder, Field, Template, VARIABLE, Value, Version};
-use crate::meter::{Flow, Outcome, Reason};
+use crate::meter::{Flow, Leg, Outcome, Reason};
 use crate::spool::{Loss, Spool};
 use bytes::Bytes;
 use std::collections::VecDeque;
@@ -79,6 +79,8 @@
 #[derive(Debug)]
 struct Pending {
     number: u64,
+    /// The sequence number in its header.
+    sequence: u32,
     bytes: usize,
     flows: Vec<Flow>,
     loss: Loss,
@@ -99,6 +101,22 @@
     filled: Millis,
 }
 
+impl Collector {
+    fn new(transport: Transport, encoder: Encoder, now: Millis) -> Self {
+        Collector {
+            transport,
+            state: State::Down { next: now },
+            wait: AGAIN.0,
+            encoder,
+            told: None,
+            pending: VecDeque::new(),
+            moved: now,
+            tokens: 1000,
+            filled: now,
+        }
+    }
+}
+
 /// Counts since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counters {
@@ -162,6 +180,7 @@
             field(own(elements::RESULT), text(8)),
             field(own(elements::P99), 4),
             field(own(elements::FOLDED), 1),
+            field(own(elements::LEG), text(8)),
         ],
     };
     let lost = Template {
@@ -196,17 +215,7 @@
     pub fn new(settings: Settings, collectors: &[Transport], sequence: u32, now: Millis) -> Self {
         let (templates, options) = templates(&settings);
         let encoder = Encoder::new(settings.version, settings.domain, settings.largest, sequence, now);
-        let collector = |transport: &Transport| Collector {
-            transport: *transport,
-            state: State::Down { next: now },
-            wait: AGAIN.0,
-            encoder: encoder.clone(),
-            told: None,
-            pending: VecDeque::new(),
-            moved: now,
-            tokens: 1000,
-            filled: now,
-        };
+        let collector = |transport: &Transport| Collector::new(*transport, encoder.clone(), now);
         let spools = if settings.copies { collectors.len() } else { 1 };
         Exporter {
             settings,
@@ -250,6 +259,60 @@
         self.collectors.iter().filter(|c| c.state == State::Up).count()
     }
 
+    /// Takes another list of collectors. `same` has for each of them its place in the old list, if it was there: its
+    /// connection goes on, and where every collector gets all, what waits for it stays its own. Who takes the place of
+    /// one that is gone takes what waited there. Where the list got shorter, what waited for the last ones alone ends.
+    pub fn replace(&mut self, settings: Settings, collectors: &[(Transport, Option<Place>)], now: Millis) {
+        let fixed = |s: &Settings| (s.version, s.domain, s.enterprise, s.largest, s.copies);
+        debug_assert!(fixed(&settings) == fixed(&self.settings), "these take a restart");
+        let kept = |place: Place| collectors.iter().any(|(_, same)| *same == Some(place));
+        for place in (0..self.collectors.len()).filter(|p| !kept(*p)) {
+            // The gateway closes its connection; what it did not write waits again.
+            self.broke(now, place);
+        }
+        let mut old: Vec<Option<Collector>> =
+            std::mem::take(&mut self.collectors).into_iter().map(Some).collect();
+        let mut spools: Vec<Option<Spool>> = std::mem::take(&mut self.spools).into_iter().map(Some).collect();
+        for (i, (transport, same)) in collectors.iter().enumerate() {
+            let from = same.or(Some(i).filter(|i| !kept(*i)));
+            let before = from.and_then(|place| old.get_mut(place)).and_then(Option::take);
+            let next = |c: &Collector| c.encoder.sequence();
+            let collector = match before {
+                Some(collector) if same.is_some() => collector,
+                other => {
+                    let sequence = other.as_ref().map_or(0, next);
+                    let s = &settings;
+                    let encoder = Encoder::new(s.version, s.domain, s.largest, sequence, now);
+                    Collector::new(*transport, encoder, now)
+                }
+            };
+            self.collectors.push(collector);
+            if settings.copies {
+                let spool = from.and_then(|place| spools.get_mut(place)).and_then(Option::take);
+                self.spools.push(spool.unwrap_or_else(|| Spool::new(settings.spool)));
+            }
+        }
+        if !settings.copies {
+            self.spools.extend(spools.into_iter().flatten());
+        }
+        self.settings = settings;
+    }
+
+    /// Whether nothing waits to be told.
+    pub fn is_settled(&self) -> bool {
+        self.waiting() == (0, 0) && self.untold().is_none()
+    }
+
+    /// Collectors, and for each whether it is up.
+    pub fn states(&self) -> impl Iterator<Item = bool> {
+        self.collectors.iter().map(|c| c.state == State::Up)
+    }
+
+    /// Flows merged in the spools so far.
+    pub fn merged(&self) -> u64 {
+        self.spools.iter().map(|s| s.merged).sum()
+    }
+
     fn spool(&self, place: Place) -> usize {
         if self.settings.copies { place } else { 0 }
     }
@@ -280,6 +343,9 @@
         collector.wait = (collector.wait * 2).min(AGAIN.1);
         // Messages that were not written never counted: the numbers go on from the first of them.
         let unsent = std::mem::take(&mut collector.pending);
+        if let Some(first) = unsent.front() {
+            collector.encoder.rewind(first.sequence);
+        }
         for pending in &unsent {
             self.spools[at].untold(pending.loss);
         }
@@ -422,13 +488,14 @@
             }
             flows.extend(spool.pop());
         }
+        let sequence = collector.encoder.sequence();
         let Some(bytes) = collector.encoder.finish(now) else { return };
         collector.tokens = collector.tokens.saturating_sub(1000);
         if collector.pending.is_empty() {
             collector.moved = now;
         }
         self.next += 1;
-        collector.pending.push_back(Pending { number: self.next, bytes: bytes.len(), flows, loss });
+        collector.pending.push_back(Pending { number: self.next, sequence, bytes: bytes.len(), flows, loss });
         self.effects.push_back(Effect::Send(place, self.next, bytes));
     }
 
@@ -474,6 +541,12 @@
         Some(Outcome::Refused) => "refused",
         Some(Outcome::Failed) => "failed",
         Some(Outcome::Cut) => "cut",
+        Some(Outcome::Unusable) => "unusable",
+    };
+    let leg = match flow.key.leg {
+        Leg::Client => "client",
+        Leg::Member => "member",
+        Leg::Link => "link",
     };
     let reason = match flow.reason {
         Reason::Idle => 1,
@@ -496,5 +569,6 @@
         Value::text(outcome),
         Value::Number(counts.p99()),
         Value::Number(u64::from(flow.key.folded)),
+        Value::text(leg),
     ]
 }
--- a/crates/deckproxy-flow/src/meter.rs
+++ b/crates/deckproxy-flow/src/meter.rs
@@ -46,16 +46,35 @@
     Failed,
     /// Cut off, or given up by the client.
     Cut,
+    /// Turned away, as it could not be used.
+    Unusable,
 }
 
+/// Between whom the bytes went. Bytes of one leg are never summed with another's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Leg {
+    /// A client and the gateway.
+    Client,
+    /// The gateway and a cache, parent or origin: one flow for each that was asked, so that repeats show.
+    Member,
+    /// The gateway and one of another site.
+    Link,
+}
+
+/// How many legs there are, and which.
+const LEGS: usize = 3;
+const LEGS_IN_ORDER: [Leg; LEGS] = [Leg::Client, Leg::Member, Leg::Link];
+
 /// What tells flows apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Key {
+    /// Between whom.
+    pub leg: Leg,
     /// The client, as a prefix; none: all.
     pub client: Option<IpNet>,
     /// The class; 0: all.
     pub class: Name,
-    /// The member that was asked; 0: the flow is a client's.
+    /// The member that was asked; 0: none.
     pub member: Name,
     /// The site at the other end of the link; 0: none was crossed.
     pub site: Name,
@@ -65,8 +84,17 @@
     pub folded: u8,
 }
 
-/// The one entry that is always there.
-const REST: Key = Key { client: None, class: 0, member: 0, site: 0, outcome: None, folded: 3 };
+impl Key {
+    /// All of a leg.
+    pub const fn of(leg: Leg) -> Self {
+        Key { leg, client: None, class: 0, member: 0, site: 0, outcome: None, folded: 0 }
+    }
+
+    /// The entry of a leg that is always there.
+    const fn rest(leg: Leg) -> Self {
+        Key { folded: 3, ..Key::of(leg) }
+    }
+}
 
 /// What is counted at one time.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -182,8 +210,8 @@
     limits: Limits,
     index: HashMap<Key, u32>,
     entries: Vec<Entry>,
-    /// What found no place.
-    rest: Option<Counts>,
+    /// What found no place, by leg.
+    rest: [Option<Counts>; LEGS],
     /// Where the next look for something to fold, and the next look for flows to tell, begins.
     hand: usize,
     teller: usize,
@@ -219,7 +247,7 @@
             limits,
             index: HashMap::new(),
             entries: Vec::new(),
-            rest: None,
+            rest: [None; LEGS],
             hand: 0,
             teller: 0,
             folds: 0,
@@ -227,10 +255,9 @@
         }
     }
 
-    /// The key of what a client did.
-    pub fn key(&self, client: IpAddr, class: Name, member: Name, site: Name, outcome: Outcome) -> Key {
-        let client = Some(prefix(client, self.limits.bits));
-        Key { client, class, member, site, outcome: Some(outcome), folded: 0 }
+    /// The prefix by which a client is told from others.
+    pub fn client(&self, address: IpAddr) -> IpNet {
+        prefix(address.to_canonical(), self.limits.bits)
     }
 
     /// How many entries there are.
@@ -240,7 +267,7 @@
 
     /// Whether nothing is counted.
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty() && self.rest.is_none()
+        self.entries.is_empty() && self.rest.iter().all(Option::is_none)
     }
 
     /// Bytes that the table takes.
@@ -262,14 +289,14 @@
         }
         // No place: the coarser entry for it, where there is one.
         let mut coarse = Some(key);
-        while let Some(key) = coarse {
-            if let Some(at) = self.index.get(&key) {
+        while let Some(wider) = coarse {
+            if let Some(at) = self.index.get(&wider) {
                 return self.entries[*at as usize].counts.add(now, update);
             }
-            coarse = self.coarser(&key);
+            coarse = self.coarser(&wider);
         }
         self.overflows += 1;
-        self.rest.get_or_insert_with(|| Counts::new(now)).add(now, update);
+        self.rest[key.leg as usize].get_or_insert_with(|| Counts::new(now)).add(now, update);
     }
 
     fn insert(&mut self, key: Key, counts: Counts) {
@@ -326,10 +353,12 @@
 
     /// Looks at some entries in turn, and hands over the flows that are to be told. Tells whether it came round.
     pub fn tell(&mut self, now: Millis, looks: usize, out: &mut Vec<Flow>) -> bool {
-        if self.teller == 0
-            && let Some(counts) = self.rest.take_if(|c| now.saturating_sub(c.first) >= self.limits.active)
-        {
-            out.push(Flow { key: REST, counts, reason: Reason::Active });
+        if self.teller == 0 {
+            for (leg, rest) in LEGS_IN_ORDER.into_iter().zip(&mut self.rest) {
+                if let Some(counts) = rest.take_if(|c| now.saturating_sub(c.first) >= self.limits.active) {
+                    out.push(Flow { key: Key::rest(leg), counts, reason: Reason::Active });
+                }
+            }
         }
         for _ in 0..looks {
             let Some(entry) = self.entries.get(self.teller) else {
@@ -358,7 +387,8 @@
     pub fn end(&mut self) -> Vec<Flow> {
         self.index.clear();
         let all = std::mem::take(&mut self.entries).into_iter().map(|e| (e.key, e.counts));
-        let all = all.chain(self.rest.take().map(|counts| (REST, counts)));
+        let rest = LEGS_IN_ORDER.into_iter().zip(std::mem::take(&mut self.rest));
+        let all = all.chain(rest.filter_map(|(leg, counts)| counts.map(|c| (Key::rest(leg), c))));
         all.map(|(key, counts)| Flow { key, counts, reason: Reason::End }).collect()
     }
 }
--- a/crates/deckproxy-flow/src/spool.rs
+++ b/crates/deckproxy-flow/src/spool.rs
@@ -23,6 +23,12 @@
         *self == Loss::default()
     }
 
+    /// One flow.
+    pub fn of(flow: &Flow) -> Self {
+        let c = &flow.counts;
+        Loss { flows: 1, octets: c.out + c.back, requests: c.requests }
+    }
+
     /// Adds another loss.
     pub fn add(&mut self, other: Loss) {
         self.flows += other.flows;
@@ -78,8 +84,7 @@
 
     fn drop_first(&mut self) {
         if let Some(flow) = self.queue.pop_front() {
-            let c = flow.counts;
-            self.loss.add(Loss { flows: 1, octets: c.out + c.back, requests: c.requests });
+            self.loss.add(Loss::of(&flow));
         }
     }
 
--- a/crates/deckproxy-flow/tests/export.rs
+++ b/crates/deckproxy-flow/tests/export.rs
@@ -4,8 +4,8 @@
 use deckproxy_flow::codec::elements::{self, EXAMPLE_ENTERPRISE};
 use deckproxy_flow::codec::{Decoder, Element, Limits, Value, Version};
 use deckproxy_flow::export::{Effect, Exporter, Settings, Transport};
-use deckproxy_flow::meter::{Flow, Limits as MeterLimits, Meter, Outcome, Update};
-use std::net::Ipv4Addr;
+use deckproxy_flow::meter::{Flow, Key, Leg, Limits as MeterLimits, Meter, Outcome, Update};
+use std::net::{IpAddr, Ipv4Addr};
 
 const SETTINGS: Settings = Settings {
     version: Version::Ipfix,
@@ -24,11 +24,17 @@
     ["", "page", "s-00c41f7a"][n as usize]
 }
 
+/// The key of what a client did: of its own leg, or of a member's where one is named.
+fn key(meter: &Meter, client: IpAddr, class: u32, member: u32, outcome: Outcome) -> Key {
+    let leg = if member == 0 { Leg::Client } else { Leg::Member };
+    Key { client: Some(meter.client(client)), class, member, outcome: Some(outcome), ..Key::of(leg) }
+}
+
 /// Flows of clients with numbers from one on, each of one request and 100 bytes out, 7 back.
 fn flows(clients: std::ops::Range<u32>) -> Vec<Flow> {
     let mut meter = Meter::new(MeterLimits { entries: 100_000, ..MeterLimits::default() });
     for n in clients {
-        let key = meter.key(Ipv4Addr::from(0x0a00_0000 + n).into(), 1, 2, 0, Outcome::Served);
+        let key = key(&meter, Ipv4Addr::from(0x0a00_0000 + n).into(), 1, 2, Outcome::Served);
         meter.count(1_764_576_000_000, key, &Update { out: 100, back: 7, requests: 1, latency: Some(900) });
     }
     meter.end()
--- a/crates/deckproxy-flow/tests/meter.rs
+++ b/crates/deckproxy-flow/tests/meter.rs
@@ -1,6 +1,6 @@
 //! The meter: sums are exact whatever is folded, memory is bounded, and a sketch is as good as it says.
 
-use deckproxy_flow::meter::{Flow, Key, Limits, Meter, Outcome, Reason, Top, Update};
+use deckproxy_flow::meter::{Flow, Key, Leg, Limits, Meter, Outcome, Reason, Top, Update};
 use proptest::prelude::*;
 use std::collections::HashMap;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
@@ -13,6 +13,12 @@
     }
 }
 
+/// The key of what a client did: of its own leg, or of a member's where one is named.
+fn key(meter: &Meter, client: IpAddr, class: u32, member: u32, outcome: Outcome) -> Key {
+    let leg = if member == 0 { Leg::Client } else { Leg::Member };
+    Key { client: Some(meter.client(client)), class, member, outcome: Some(outcome), ..Key::of(leg) }
+}
+
 fn v4(n: u32) -> IpAddr {
     Ipv4Addr::from(n).into()
 }
@@ -37,15 +43,18 @@
     ) {
         let mut meter = Meter::new(Limits { entries, active: 500, idle: 100, ..Limits::default() });
         let mut plain: HashMap<u32, [u64; 3]> = HashMap::new();
+        let mut legs: HashMap<Leg, [u64; 3]> = HashMap::new();
         let (mut told, mut now) = (Vec::new(), 1000u64);
         for (client, class, member, out, later) in steps {
             // Now and then the clock steps back.
             now = if later > 390 { now.saturating_sub(300) } else { now + later / 10 };
             let client = if client % 5 == 0 { IpAddr::from(Ipv6Addr::from(u128::from(client) << 90)) } else { v4(client) };
             let outcome = if out % 2 == 0 { Outcome::Served } else { Outcome::Cut };
-            meter.count(now, meter.key(client, class, member, 0, outcome), &served(out));
-            let sum = plain.entry(class).or_default();
-            *sum = [sum[0] + out, sum[1] + 3, sum[2] + 1];
+            meter.count(now, key(&meter, client, class, member, outcome), &served(out));
+            let leg = if member == 0 { Leg::Client } else { Leg::Member };
+            for sum in [plain.entry(class).or_default(), legs.entry(leg).or_default()] {
+                *sum = [sum[0] + out, sum[1] + 3, sum[2] + 1];
+            }
             prop_assert!(meter.len() <= entries);
             meter.tell(now, 3, &mut told);
         }
@@ -53,6 +62,10 @@
         prop_assert!(meter.is_empty());
         let all = plain.values().fold([0; 3], |a, b| [a[0] + b[0], a[1] + b[1], a[2] + b[2]]);
         prop_assert_eq!(sums(&told), all);
+        // No folding mixes what clients got with what members sent.
+        for (leg, sum) in legs {
+            prop_assert_eq!(sums(told.iter().filter(|f| f.key.leg == leg)), sum);
+        }
         if meter.overflows == 0 {
             for (class, sum) in plain {
                 prop_assert_eq!(sums(told.iter().filter(|f| f.key.class == class)), sum);
@@ -85,10 +98,10 @@
 fn a_scan_of_addresses_grows_nothing_and_loses_nothing() {
     let mut meter = Meter::new(Limits { entries: 1000, ..Limits::default() });
     // One that asks for much among 65,536 that ask once.
-    let busy = meter.key(v4(0x7f00_0001), 1, 0, 0, Outcome::Served);
+    let busy = key(&meter, v4(0x7f00_0001), 1, 0, Outcome::Served);
     let mut most = 0;
     for n in 0..65_536u32 {
-        meter.count(10, meter.key(v4(0x0a00_0000 + n * 256), 1, 0, 0, Outcome::Served), &served(100));
+        meter.count(10, key(&meter, v4(0x0a00_0000 + n * 256), 1, 0, Outcome::Served), &served(100));
         meter.count(10, busy, &served(1000));
         most = most.max(meter.size());
     }
@@ -105,7 +118,7 @@
 fn a_burst_of_short_requests_is_counted_to_the_last() {
     let mut meter = Meter::new(Limits::default());
     for n in 0..100_000u64 {
-        let key = meter.key(v4((n % 5000) as u32), 2, (n % 7) as u32, 0, Outcome::Served);
+        let key = key(&meter, v4((n % 5000) as u32), 2, (n % 7) as u32, Outcome::Served);
         meter.count(1_000_000 + n / 100, key, &Update { out: 40, back: 60, requests: 1, latency: Some(100) });
     }
     let flows = meter.end();
@@ -137,7 +150,7 @@
 }
 
 fn meter_key(n: u32) -> Key {
-    Meter::new(Limits::default()).key(v4(n), 1, 0, 0, Outcome::Served)
+    key(&Meter::new(Limits::default()), v4(n), 1, 0, Outcome::Served)
 }
 
 #[test]
--- a/crates/deckproxy-operator/build.rs
+++ b/crates/deckproxy-operator/build.rs
@@ -11,6 +11,31 @@
     config.message_attribute(".", "#[derive(garde::Validate)]\n#[garde(allow_unvalidated)]");
     let rules = [
         ("Operator.sites", "dive"),
+        ("Operator.flows", "dive"),
+        ("Flows.collectors", "length(min = 1, max = 8), dive"),
+        ("Flows.message_bytes", "range(min = 1024, max = 65_000)"),
+        ("Flows.refresh_ms", "range(min = 1000, max = 86_400_000)"),
+        ("Flows.spool_kb", "range(min = 64, max = 1_048_576)"),
+        ("Flows.stall_ms", "range(min = 100, max = 600_000)"),
+        ("Flows.flush_ms", "range(max = 60_000)"),
+        ("Flows.meter", "dive"),
+        ("Collector.address", "custom(crate::rules::address)"),
+        ("Meter.entries", "range(min = 16, max = 10_000_000)"),
+        ("Meter.v4_bits", "range(max = 32)"),
+        ("Meter.v6_bits", "range(max = 128)"),
+        (
+            "Meter.folded_v4_bits",
+            "custom(crate::rules::not_above(\"v4_bits\", self.v4_bits, crate::defaults::V4_BITS))",
+        ),
+        (
+            "Meter.folded_v6_bits",
+            "custom(crate::rules::not_above(\"v6_bits\", self.v6_bits, crate::defaults::V6_BITS))",
+        ),
+        ("Meter.active_ms", "range(min = 100, max = 3_600_000)"),
+        (
+            "Meter.idle_ms",
+            "range(min = 50), custom(crate::rules::not_above(\"active_ms\", self.active_ms, crate::defaults::ACTIVE_MS))",
+        ),
         ("Sites.name", "custom(crate::rules::site_name)"),
         ("Sites.listen", "custom(crate::rules::address_if_set)"),
         ("Sites.peers", "length(max = 64), dive"),
--- a/crates/deckproxy-operator/src/defaults.rs
+++ b/crates/deckproxy-operator/src/defaults.rs
@@ -36,3 +36,33 @@
 pub const SKEW_MS: u32 = 250;
 /// `Trust.copy_life_ms`.
 pub const COPY_LIFE_MS: u32 = 60_000;
+/// `Flows.domain`.
+pub const DOMAIN: u32 = 1;
+/// `Flows.enterprise`: the number kept for documentation (RFC 5612).
+pub const ENTERPRISE: u32 = 32_473;
+/// `Flows.message_bytes`.
+pub const MESSAGE_BYTES: u32 = 1400;
+/// `Flows.rate`.
+pub const RATE: u32 = 0;
+/// `Flows.refresh_ms`.
+pub const REFRESH_MS: u32 = 60_000;
+/// `Flows.spool_kb`.
+pub const SPOOL_KB: u32 = 4096;
+/// `Flows.stall_ms`.
+pub const STALL_MS: u32 = 5000;
+/// `Flows.flush_ms`.
+pub const FLUSH_MS: u32 = 1000;
+/// `Meter.entries`.
+pub const ENTRIES: u32 = 16_384;
+/// `Meter.v4_bits`.
+pub const V4_BITS: u32 = 32;
+/// `Meter.v6_bits`.
+pub const V6_BITS: u32 = 64;
+/// `Meter.folded_v4_bits`.
+pub const FOLDED_V4_BITS: u32 = 16;
+/// `Meter.folded_v6_bits`.
+pub const FOLDED_V6_BITS: u32 = 40;
+/// `Meter.active_ms`.
+pub const ACTIVE_MS: u32 = 60_000;
+/// `Meter.idle_ms`.
+pub const IDLE_MS: u32 = 15_000;
--- a/crates/deckproxy-operator/src/lib.rs
+++ b/crates/deckproxy-operator/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod defaults;
 pub mod rules;
+mod flows;
 mod sites;
 pub use sites::check_together;
 pub mod source;
@@ -80,6 +81,7 @@
                     told.extend(report.iter().map(|(path, e)| (path.to_string(), e.to_string())));
                 }
                 told.extend(sites::check(&operator));
+                told.extend(flows::check(&operator));
                 if told.is_empty() {
                     return Ok(operator);
                 }
--- a/crates/deckproxy-operator/tests/files.rs
+++ b/crates/deckproxy-operator/tests/files.rs
@@ -117,3 +117,32 @@
     let deep = "sites {".repeat(100_000);
     assert!(read(deep.as_bytes()).is_err());
 }
+
+const FLOWS: &str = "flows { collectors { address: \"127.0.0.1:4739\" transport: TCP } meter { active_ms: 20000 } }";
+
+#[test]
+fn flows_have_their_defaults_and_their_example() {
+    let flows = read(FLOWS.as_bytes()).unwrap().flows.unwrap();
+    let (settings, limits) = (flows.settings(), flows.limits());
+    assert_eq!((settings.largest, settings.rate, settings.copies), (1400, 0, false));
+    assert_eq!((limits.active, limits.idle, limits.bits), (20_000, 15_000, (32, 64)));
+    assert_eq!(flows.reached().len(), 1);
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/flows.example.textproto");
+    assert!(read(&std::fs::read(path).unwrap()).unwrap().flows.is_some());
+}
+
+#[test]
+fn faults_of_flows_are_told_at_their_places() {
+    let text = "flows {\n  protocol: NETFLOW_V9\n  collectors { address: \"127.0.0.1:1\" transport: TCP }\n  \
+                collectors { address: \"127.0.0.1:1\" }\n  meter { active_ms: 5000 }\n}\n";
+    let told = faults(text);
+    assert_eq!(told.len(), 3, "{told:#?}");
+    assert!(told[0].starts_with("3:39: flows.collectors[0].transport: NetFlow v9"), "{told:#?}");
+    assert!(told[1].starts_with("4:16: flows.collectors[1].address: "), "{told:#?}");
+    assert!(told[2].starts_with("5:11: flows.meter.active_ms: below idle_ms"), "{told:#?}");
+    let text = "flows { meter { v4_bits: 8 folded_v4_bits: 9 idle_ms: 70000 } message_bytes: 100 }";
+    let told = faults(text);
+    assert_eq!(told.len(), 4, "{told:#?}");
+    assert!(told.iter().any(|t| t.contains("folded_v4_bits: 9 is over v4_bits, which is 8")), "{told:#?}");
+    assert!(told.iter().any(|t| t.contains("idle_ms: 70000 is over active_ms, which is 60000")), "{told:#?}");
+}
