The gateway meters clients, members and links, and exports their flows in spare time

Operators learn only afterwards who used a link. Where an operator file asks for it, each message that the kernel took or gave is counted to its request, attempt or link; flows are told to collectors over TCP or UDP by two tasks of the scheduler of background work, on which housekeeping and summaries run now too. SIGHUP takes other collectors; a planned end flushes. Over UDP templates go ahead of the first flows, so that nothing is spent where nobody listens, and sequence numbers go on from the first message that was not written.

--- a/crates/deckproxy-flow/src/account.rs
+++ b/crates/deckproxy-flow/src/account.rs
@@ -47,6 +47,11 @@
         ClientAccount { client, open: BTreeMap::new(), bills: VecDeque::new() }
     }
 
+    /// Whose it is.
+    pub fn client(&self) -> Option<IpNet> {
+        self.client
+    }
+
     fn key(&self, asked: Option<&Asked>, outcome: Option<Outcome>) -> Key {
         let (class, site) = asked.map_or((0, 0), |a| (a.class, a.site));
         Key { client: self.client, class, site, outcome, ..Key::of(Leg::Client) }
@@ -136,7 +141,7 @@
 }
 
 /// Who asks a member.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Asker {
     /// The client; none where the request came over a link.
     pub client: Option<IpNet>,
@@ -175,16 +180,19 @@
         }
     }
 
-    /// An attempt ended, by an answer of so many bytes or otherwise. One of which nothing was written never was.
-    pub fn ended(&mut self, meter: &mut Meter, now: Micros, key: u64, outcome: Outcome, out: u64) {
-        let Some(a) = self.out.remove(&key) else { return };
+    /// An attempt ended, by an answer of so many bytes or otherwise. One of which nothing was written never was. Tells
+    /// whether it was out.
+    pub fn ended(&mut self, meter: &mut Meter, now: Micros, key: u64, outcome: Outcome, out: u64) -> bool {
+        let Some(a) = self.out.remove(&key) else { return false };
         if a.back == 0 && out == 0 {
-            return;
+            return true;
         }
         let Asker { client, class, site } = a.asker;
-        let flow = Key { client, class, site, member: a.member, outcome: Some(outcome), ..Key::of(Leg::Member) };
+        let flow =
+            Key { client, class, site, member: a.member, outcome: Some(outcome), ..Key::of(Leg::Member) };
         let latency = Some(now.saturating_sub(a.at));
         meter.count(millis(now), flow, &Update { out, back: a.back, requests: 1, latency });
+        true
     }
 
     /// Bytes from a member and to it that belong to no attempt that is out: probes, words of giving up, late answers.
--- a/crates/deckproxy-flow/src/export.rs
+++ b/crates/deckproxy-flow/src/export.rs
@@ -52,6 +52,10 @@
 /// Until a collector is tried again, at first and at most.
 const AGAIN: (Millis, Millis) = (200, 10_000);
 
+/// Over UDP, how long templates go ahead of the first flows: where nobody listens, the network says so within that time
+/// (ICMP), and no flow was sent.
+const AHEAD: Millis = 100;
+
 /// A collector, by its place in the list.
 pub type Place = usize;
 
@@ -99,6 +103,8 @@
     /// Messages that may go now, in thousandths.
     tokens: u64,
     filled: Millis,
+    /// Over UDP, until when nothing follows the first templates.
+    quiet: Millis,
 }
 
 impl Collector {
@@ -113,6 +119,7 @@
             moved: now,
             tokens: 1000,
             filled: now,
+            quiet: 0,
         }
     }
 }
@@ -357,10 +364,12 @@
     pub fn written(&mut self, now: Millis, place: Place, number: u64) {
         let Some(collector) = self.collectors.get_mut(place) else { return };
         collector.moved = now;
-        // What is written shows that the collector is well.
-        collector.wait = AGAIN.0;
         let Some(i) = collector.pending.iter().position(|p| p.number == number) else { return };
         let Some(pending) = collector.pending.remove(i) else { return };
+        if !pending.flows.is_empty() {
+            // That it takes flows shows that the collector is well.
+            collector.wait = AGAIN.0;
+        }
         self.counters.messages += 1;
         for flow in &pending.flows {
             self.counters.flows += 1;
@@ -440,6 +449,9 @@
         let queued: usize = collector.pending.iter().map(|p| p.bytes).sum();
         let spool = &self.spools[self.spool(place)];
         let due = collector.told.is_none() || self.refreshes(now, collector);
+        if now < collector.quiet && collector.quiet <= now + AHEAD {
+            return false;
+        }
         let any =
             !spool.is_empty() || !spool.loss().is_none() || due && collector.transport == Transport::Udp;
         let allowed = self.settings.rate == 0 || collector.tokens >= 1000;
@@ -457,6 +469,7 @@
         let tells = self.collectors[place].told.is_none() || self.refreshes(now, &self.collectors[place]);
         let collector = &mut self.collectors[place];
         let mut whole = true;
+        let ahead = collector.transport == Transport::Udp && collector.told.is_none();
         if tells {
             for template in self.templates.iter().chain(&self.options) {
                 whole &= collector.encoder.template(template);
@@ -470,8 +483,11 @@
             debug_assert!(whole, "the templates fit into one message");
             collector.told = Some(now);
         }
+        if ahead {
+            collector.quiet = now + AHEAD;
+        }
         let spool = &mut self.spools[at];
-        let mut loss = spool.take_loss();
+        let mut loss = if ahead { Loss::default() } else { spool.take_loss() };
         if !loss.is_none() {
             let numbers = [u64::from(self.settings.domain), loss.flows, loss.octets, loss.requests];
             if !collector.encoder.record(&self.options[0], &numbers.map(Value::Number)) {
@@ -480,7 +496,7 @@
             self.counters.lost += loss.flows;
         }
         let mut flows = Vec::new();
-        while let Some(flow) = spool.first() {
+        while let Some(flow) = spool.first().filter(|_| !ahead) {
             let v6 = flow.key.client.is_some_and(|net| net.addr().is_ipv6());
             let template = &self.templates[usize::from(v6)];
             if !collector.encoder.record(template, &values(flow, name)) {
@@ -505,6 +521,7 @@
             State::Down { next } => Some(next),
             State::Connecting => Some(c.moved + self.settings.stall + 1),
             State::Up if !c.pending.is_empty() => Some(c.moved + self.settings.stall + 1),
+            State::Up if c.quiet > now => Some(c.quiet),
             State::Up if c.transport == Transport::Udp => c.told.map(|at| at + self.settings.refresh),
             State::Up => None,
         };
@@ -542,6 +559,7 @@
         Some(Outcome::Failed) => "failed",
         Some(Outcome::Cut) => "cut",
         Some(Outcome::Unusable) => "unusable",
+        Some(Outcome::Missed) => "missed",
     };
     let leg = match flow.key.leg {
         Leg::Client => "client",
--- a/crates/deckproxy-flow/src/meter.rs
+++ b/crates/deckproxy-flow/src/meter.rs
@@ -48,6 +48,8 @@
     Cut,
     /// Turned away, as it could not be used.
     Unusable,
+    /// A cache answered that it has no copy.
+    Missed,
 }
 
 /// Between whom the bytes went. Bytes of one leg are never summed with another's.
--- a/crates/deckproxy-flow/src/work.rs
+++ b/crates/deckproxy-flow/src/work.rs
@@ -121,6 +121,11 @@
         self.level = self.level.max(ready.min_by(f64::total_cmp).unwrap_or(had));
     }
 
+    /// Whether a task has something to do now.
+    pub fn is_ready(&self) -> bool {
+        self.tasks.values().any(|t| t.ready.is_some())
+    }
+
     /// When something is to be run at the latest, whatever else there is to do.
     pub fn next_due(&self) -> Option<Micros> {
         let tasks = self.tasks.values();
--- a/crates/deckproxy-flow/tests/export.rs
+++ b/crates/deckproxy-flow/tests/export.rs
@@ -221,5 +221,84 @@
     let mut reads = [Read::default()];
     flows(0..200).into_iter().for_each(|f| exporter.push(f));
     run(&mut exporter, 10, &mut reads, |_| true);
+    assert_eq!(reads[0].requests, 0, "templates go ahead");
+    run(&mut exporter, 120, &mut reads, |_| true);
     assert_eq!((reads[0].out, reads[0].requests, reads[0].missing), (20_000, 200, 0));
 }
+
+#[test]
+fn where_nobody_listens_on_udp_no_flow_is_spent_on_it() {
+    let mut exporter = Exporter::new(SETTINGS, &[Transport::Udp], 0, 0);
+    let mut reads = [Read::default()];
+    flows(0..50).into_iter().for_each(|f| exporter.push(f));
+    for now in (0..60_000).step_by(50) {
+        run(&mut exporter, now, &mut reads, |_| true);
+        // The network says so after the first datagram, long before the flows may follow.
+        exporter.broke(now + 1, 0);
+    }
+    assert_eq!((reads[0].requests, exporter.waiting().0), (0, 50));
+    let tries = reads[0].names.len() / elements::OWN.len();
+    assert!((6..20).contains(&tries), "{tries} tries: not for ever at the first pace");
+    run(&mut exporter, 75_000, &mut reads, |_| true);
+    run(&mut exporter, 75_200, &mut reads, |_| true);
+    assert_eq!(reads[0].requests, 50);
+}
+
+#[test]
+fn numbers_go_on_from_the_first_message_that_was_not_written() {
+    let start = u32::MAX - 40;
+    let mut exporter = Exporter::new(SETTINGS, &[Transport::Tcp], start, 0);
+    // One reader across the connections: it would see a gap, also over the wrap at 2^32.
+    let mut reads = [Read::default()];
+    flows(0..100).into_iter().for_each(|f| exporter.push(f));
+    run(&mut exporter, 10, &mut reads, |_| true);
+    flows(100..200).into_iter().for_each(|f| exporter.push(f));
+    exporter.work(20, 100, &name);
+    assert!(exporter.waiting().1 > 0, "handed over, and not written");
+    while exporter.effect().is_some() {}
+    exporter.broke(30, 0);
+    run(&mut exporter, 1000, &mut reads, |_| true);
+    assert_eq!((reads[0].requests, reads[0].missing), (200, 0));
+}
+
+#[test]
+fn collectors_change_in_service_and_nothing_is_lost_or_doubled() {
+    for copies in [false, true] {
+        let settings = Settings { copies, ..SETTINGS };
+        let both = [Transport::Tcp, Transport::Tcp];
+        let mut exporter = Exporter::new(settings, &both, 0, 0);
+        let mut reads = [Read::default(), Read::default()];
+        flows(0..40).into_iter().for_each(|f| exporter.push(f));
+        // Neither is there; then the first leaves the list, the second stays and moves up, a new one comes.
+        run(&mut exporter, 10, &mut reads, |_| false);
+        exporter.work(5000, 0, &name);
+        while exporter.effect().is_some() {}
+        exporter.connected(5000, 1);
+        exporter.work(5001, 100, &name);
+        while exporter.effect().is_some() {}
+        assert_eq!(exporter.waiting().1, 40, "on its way to the second");
+        exporter.replace(settings, &[(Transport::Tcp, Some(1)), (Transport::Tcp, None)], 5002);
+        assert_eq!(exporter.waiting().1, 40, "its connection goes on");
+        flows(40..60).into_iter().for_each(|f| exporter.push(f));
+        // That connection breaks without a byte written: all goes again.
+        exporter.broke(5003, 0);
+        run(&mut exporter, 60_000, &mut reads, |_| true);
+        let got = [reads[0].requests, reads[1].requests];
+        // Where each gets all, a newcomer gets what comes from then on.
+        let want = if copies { [60, 20] } else { [60, 0] };
+        assert_eq!((got, exporter.is_settled()), (want, true), "copies: {copies}");
+    }
+}
+
+#[test]
+fn the_smallest_message_holds_all_templates() {
+    for (version, transport) in [(Version::Ipfix, Transport::Tcp), (Version::NetflowV9, Transport::Udp)] {
+        let settings = Settings { version, largest: 1024, ..SETTINGS };
+        let mut exporter = Exporter::new(settings, &[transport], 0, 0);
+        let mut reads = [Read::default()];
+        flows(0..30).into_iter().for_each(|f| exporter.push(f));
+        run(&mut exporter, 10, &mut reads, |_| true);
+        run(&mut exporter, 200, &mut reads, |_| true);
+        assert_eq!(reads[0].requests, 30, "{version:?}");
+    }
+}
--- a/crates/deckproxy-operator/src/lib.rs
+++ b/crates/deckproxy-operator/src/lib.rs
@@ -5,8 +5,8 @@
 #![forbid(unsafe_code)]
 
 pub mod defaults;
-pub mod rules;
 mod flows;
+pub mod rules;
 mod sites;
 pub use sites::check_together;
 pub mod source;
--- a/crates/deckproxy-operator/src/rules.rs
+++ b/crates/deckproxy-operator/src/rules.rs
@@ -93,7 +93,11 @@
 }
 
 /// Another field at most; that one's default where it is left out.
-pub fn not_above(name: &'static str, other: Option<u32>, default: u32) -> impl FnOnce(&Option<u32>, &()) -> Result {
+pub fn not_above(
+    name: &'static str,
+    other: Option<u32>,
+    default: u32,
+) -> impl FnOnce(&Option<u32>, &()) -> Result {
     let most = other.unwrap_or(default);
     move |value, _| match value {
         Some(value) if *value > most => Err(Error::new(format!("{value} is over {name}, which is {most}"))),
--- a/crates/deckproxy-operator/tests/files.rs
+++ b/crates/deckproxy-operator/tests/files.rs
@@ -118,7 +118,8 @@
     assert!(read(deep.as_bytes()).is_err());
 }
 
-const FLOWS: &str = "flows { collectors { address: \"127.0.0.1:4739\" transport: TCP } meter { active_ms: 20000 } }";
+const FLOWS: &str =
+    "flows { collectors { address: \"127.0.0.1:4739\" transport: TCP } meter { active_ms: 20000 } }";
 
 #[test]
 fn flows_have_their_defaults_and_their_example() {
--- a/crates/deckproxy-sites/src/site.rs
+++ b/crates/deckproxy-sites/src/site.rs
@@ -139,6 +139,14 @@
         &self.setup
     }
 
+    /// The site at the other end of a connection, once it is known.
+    pub fn site_of(&self, conn: Conn) -> Option<&str> {
+        match self.roles.get(&conn)? {
+            Role::Near { peer, .. } => self.setup.peers.get(*peer).map(|p| &*p.site),
+            Role::Far { hello, .. } => hello.as_ref().map(|(_, site)| &**site),
+        }
+    }
+
     /// The near side towards a peer, by place.
     pub fn near(&self, peer: usize) -> Option<&Near> {
         self.nears.get(peer)
--- a/crates/deckproxy/src/program/clients.rs
+++ b/crates/deckproxy/src/program/clients.rs
@@ -1,5 +1,6 @@
 //! Clients: accepting them, their messages, their answers, their end.
 
+use crate::program::flows;
 use crate::program::gateway::{ACCEPT_AGAIN, ACCEPTS, Chore, Gateway, Peer};
 use crate::program::sites::crosses;
 use crate::protocol::front::{self, Answer, Message};
@@ -10,6 +11,7 @@
 use crate::transport::listener::{Accepted, Listener};
 use crate::transport::stream::{Progress, Stream};
 use calloop::Readiness;
+use deckproxy_flow::meter::Outcome;
 
 impl Gateway {
     pub(super) fn accept(&mut self, now: f64) {
@@ -50,9 +52,13 @@
             self.next += 1;
             let id = self.next;
             let ready = move |g: &mut Gateway, news| g.client_news(id, news);
+            let address = self.flows.as_ref().and_then(|_| socket.peer_addr().ok()).map(|at| at.ip());
             match Stream::accepted(&self.handle, &self.from_clients, socket, ready) {
                 Ok(stream) => {
                     self.clients.insert(id, Client::new(stream, now));
+                    if let Some(flows) = &mut self.flows {
+                        flows.client_came(id, address);
+                    }
                 }
                 Err(e) => self.line(&format!("a client's connection could not be taken: {e}")),
             }
@@ -94,13 +100,28 @@
         let progress = if client.wants_reading() { client.read(now) } else { Progress::Drained };
         loop {
             let Some(client) = self.clients.get_mut(&id) else { return };
-            match client.take_message() {
-                Ok(None) => break,
-                Ok(Some(message)) => self.client_message(clock::now(), id, message),
+            let before = client.stream.input.len();
+            let message = client.take_message();
+            let bytes = before - client.stream.input.len();
+            match message {
+                Ok(None) => {
+                    if let Some(flows) = &mut self.flows {
+                        flows.heard(now, id, bytes);
+                    }
+                    break;
+                }
+                Ok(Some(message)) => self.client_message(clock::now(), id, message, bytes),
                 Err(broken) => {
+                    if let Some(flows) = &mut self.flows {
+                        match broken.id {
+                            Some(request) => flows.asked(now, id, request, "", bytes),
+                            None => flows.heard(now, id, bytes),
+                        }
+                    }
                     // What can still be answered is, then the connection closes.
                     if let Some(request) = broken.id {
-                        client.answer(request, &Answer::Unusable(broken.why), false);
+                        let answer = Answer::Unusable(broken.why);
+                        flows::put(&mut self.flows, client, (id, request), &answer, false);
                     }
                     self.dismiss(now, id, broken.why);
                 }
@@ -130,11 +151,20 @@
         let (clients, members) = (&self.from_clients, &self.from_members);
         let all = clients.input.get() + clients.output.get() + members.input.get() + self.router.held();
         let all = all + self.sites.as_ref().map_or(0, |s| s.holds());
+        let all = all + self.flows.as_ref().map_or(0, |f| f.holds());
         all > self.bounds.bytes
     }
 
-    pub(super) fn client_message(&mut self, now: f64, id: ClientId, message: Message) {
+    /// A client's message came, of so many bytes.
+    fn client_message(&mut self, now: f64, id: ClientId, message: Message, bytes: usize) {
         let is_full = self.is_full();
+        if let Some(flows) = &mut self.flows {
+            match &message {
+                Message::Call(request, call) => flows.asked(now, id, *request, &call.class, bytes),
+                Message::Unusable(request, _) => flows.asked(now, id, *request, "", bytes),
+                Message::Ping(_) | Message::Abort(_) | Message::Ignored => flows.heard(now, id, bytes),
+            }
+        }
         let Some(client) = self.clients.get_mut(&id) else { return };
         match message {
             Message::Call(request, call) => {
@@ -147,13 +177,13 @@
                 if !client.follows(request) {
                     // The page has them start at 1 and count up; whoever does otherwise made this one up.
                     let why = "message ids do not start at 1 and count up";
-                    client.answer(request, &Answer::Unusable(why), false);
+                    flows::put(&mut self.flows, client, (id, request), &Answer::Unusable(why), false);
                     return self.dismiss(now, id, why);
                 }
                 if self.last_accepts {
                     // The time for stragglers is over: what is refused at once is soon with another gateway.
                     self.router.counters.refused += 1;
-                    client.answer(request, &Answer::Refused(0.0), false);
+                    flows::put(&mut self.flows, client, (id, request), &Answer::Refused(0.0), false);
                     return self.flush_client(now, id);
                 }
                 // What all hold is looked at before what this one may.
@@ -164,17 +194,23 @@
                     return;
                 }
                 self.router.counters.refused += 1;
-                client.answer(request, &Answer::Refused(0.0), false);
+                flows::put(&mut self.flows, client, (id, request), &Answer::Refused(0.0), false);
             }
             Message::Ping(request) => {
                 client.follows(request);
                 client.push(front::ready(request, self.terminating.is_none()));
+                if let Some(flows) = &mut self.flows {
+                    flows.answered(id, None, Outcome::Served);
+                }
             }
             Message::Abort(requests) => {
                 for request in requests {
                     if self.router.is_open(id, request) || crosses(&self.sites, id, request) {
                         let Some(client) = self.clients.get_mut(&id) else { return };
                         let many = client.release();
+                        if let Some(flows) = &mut self.flows {
+                            flows.client_gave_up(now, id, request);
+                        }
                         self.router.abort(now, id, request);
                         self.cross_gone(now, id, request..=request);
                         if many {
@@ -187,7 +223,7 @@
             Message::Unusable(request, why) => {
                 client.follows(request);
                 self.router.counters.unusable += 1;
-                client.answer(request, &Answer::Unusable(why), false);
+                flows::put(&mut self.flows, client, (id, request), &Answer::Unusable(why), false);
             }
             Message::Ignored => return,
         }
@@ -196,7 +232,7 @@
 
     pub(super) fn answer(&mut self, now: f64, id: ClientId, request: u32, answer: &Answer) {
         if let Some(client) = self.clients.get_mut(&id) {
-            client.answer(request, answer, true);
+            flows::put(&mut self.flows, client, (id, request), answer, true);
             self.flush_client(now, id);
         }
     }
@@ -204,7 +240,13 @@
     pub(super) fn flush_client(&mut self, now: f64, id: ClientId) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         let before = client.stream.queued();
-        let broken = client.flush(now).is_err();
+        let flows = &mut self.flows;
+        let whole = |bytes| {
+            if let Some(flows) = flows {
+                flows.client_wrote(now, id, bytes);
+            }
+        };
+        let broken = client.flush(now, whole).is_err();
         let left = client.stream.queued();
         if broken {
             self.end_client(now, id);
@@ -218,6 +260,9 @@
 
     pub(super) fn end_client(&mut self, now: f64, id: ClientId) {
         if let Some(client) = self.clients.remove(&id) {
+            if let Some(flows) = &mut self.flows {
+                flows.client_gone(now, id, &client);
+            }
             client.stream.close(&self.handle);
             self.router.client_gone(now, id);
             self.cross_gone(now, id, 0..=u32::MAX);
--- a/crates/deckproxy/src/program/gateway.rs
+++ b/crates/deckproxy/src/program/gateway.rs
@@ -1,6 +1,7 @@
 //! One gateway: its connections, the router between them, and the chores of keeping them.
 
 use crate::program::Files;
+use crate::program::flows::{ExitId, Flows};
 use crate::program::sites::{LineId, Sites};
 use crate::program::usage::Usage;
 use crate::protocol::back;
@@ -18,12 +19,18 @@
 use crate::transport::stream::Ledger;
 use calloop::LoopHandle;
 use deckproxy_control::interface::MemberId;
+use deckproxy_flow::work::{Kind, Scheduler, TaskId};
 use slog::{Logger, debug, info, warn};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+/// Microseconds that a turn leaves to background work where no connection waits for its own.
+const SPARE: u64 = 2000;
+/// The regular duties: what they may take at one time, and how long they may wait, microseconds.
+const KEEPING: Kind = Kind { weight: 4, slice: 500, patience: 50_000 };
+const SUMMING: Kind = Kind { weight: 1, slice: 1000, patience: 500_000 };
 /// ms between looks at idle and stalled connections, between summaries in the log, and until accepting is tried
 /// again when descriptors ran out.
 const HOUSEKEEPING: f64 = 250.0;
@@ -46,12 +53,11 @@
     Link(LinkId),
     Line(LineId),
     Feed,
+    Collector(ExitId),
 }
 
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Chore {
-    Housekeeping,
-    Summary,
     Connect(LinkId),
     LineUp(LineId),
     Feed,
@@ -60,6 +66,8 @@
     Linger(ClientId),
     Stragglers,
     LastCall,
+    /// Flows had their time to be told at a planned end.
+    Flush,
 }
 
 pub(super) struct Held {
@@ -69,6 +77,11 @@
     pub(super) connecting: bool,
 }
 
+/// The same time in whole microseconds.
+pub(super) fn micros(ms: f64) -> u64 {
+    (ms * 1000.0) as u64
+}
+
 /// The state of the event loop.
 pub struct Gateway {
     pub(super) handle: LoopHandle<'static, Gateway>,
@@ -101,6 +114,12 @@
     pub(super) from_feed: Rc<Ledger>,
     /// Links to gateways of other sites, where they are switched on.
     pub(super) sites: Option<Box<Sites>>,
+    /// Metering and export of flows, where they are switched on.
+    pub(super) flows: Option<Box<Flows>>,
+    /// Work that waits for time that requests leave.
+    pub(super) background: Scheduler,
+    keeping: TaskId,
+    summing: TaskId,
     pub(super) terminating: Option<f64>,
     pub(super) done: bool,
     pub(super) peer_lines: u32,
@@ -115,6 +134,12 @@
         let Files { config, operator } = files;
         let sites = Sites::start(&handle, now, config.seed, config.sockets, &operator)?;
         let lines = sites.as_ref().map_or(0, |s| s.most_lines);
+        let mut background = Scheduler::default();
+        let (keeping, summing) = (background.add(KEEPING), background.add(SUMMING));
+        background.wake_at(keeping, micros(now + HOUSEKEEPING));
+        background.wake_at(summing, micros(now + SUMMARY));
+        let flows = Flows::start(now, config.seed, &config.conf.classes, &operator, &mut background);
+        let collectors = operator.flows.as_ref().map_or(0, |f| f.collectors.len());
         let alarm = Alarm::register(&handle).map_err(io::Error::other)?;
         let router = Router::new(now, config.conf, config.seed, config.known);
         let listener = Listener::bind(&handle, config.listen, |g: &mut Gateway| g.accepting = true)?;
@@ -139,19 +164,21 @@
             accept_due: false,
             last_accepts: false,
             next: 0,
-            bounds: Bounds::of(config.memory, config.sockets - lines),
+            bounds: Bounds::of(config.memory, config.sockets.saturating_sub(lines + collectors)),
             from_clients: Rc::default(),
             from_members: Rc::default(),
             from_feed: Rc::default(),
             sites,
+            flows,
+            background,
+            keeping,
+            summing,
             terminating: None,
             done: false,
             peer_lines: 0,
             most_sockets: 0,
             longest_turn: 0.0,
         };
-        gateway.chores.set(now + HOUSEKEEPING, Chore::Housekeeping);
-        gateway.chores.set(now + SUMMARY, Chore::Summary);
         gateway.chores.set(now, Chore::Feed);
         gateway.pump(now);
         Ok(gateway)
@@ -164,7 +191,7 @@
 
     /// Whether there is something to do without news from the kernel.
     pub fn is_busy(&self) -> bool {
-        !self.ready.is_empty() || self.accepting
+        !self.ready.is_empty() || self.accepting || self.background.is_ready()
     }
 
     /// Begins to end: what still comes is served, then the process ends by itself.
@@ -196,8 +223,10 @@
             warn!(self.log, "reload: listen takes a restart"; "listen" => %config.listen);
         }
         self.reload_sites(now, &operator);
+        self.reload_flows(now, &operator);
         let lines = self.sites.as_ref().map_or(0, |s| s.most_lines);
-        self.bounds = Bounds::of(config.memory, config.sockets.saturating_sub(lines));
+        let collectors = operator.flows.as_ref().map_or(0, |f| f.collectors.len());
+        self.bounds = Bounds::of(config.memory, config.sockets.saturating_sub(lines + collectors));
         self.feed_at = config.feed;
         // Also where the address is the same: whoever asks for a reload doubts what is known.
         if let Some(feed) = self.feed.take() {
@@ -225,10 +254,12 @@
                 Peer::Link(id) => self.serve_link(now, id),
                 Peer::Line(id) => self.serve_line(now, id),
                 Peer::Feed => self.serve_feed(now),
+                Peer::Collector(id) => self.serve_exit(now, id),
             }
             self.pump(now);
             self.due(now);
         }
+        self.work(start);
         if self.terminating.is_some()
             && self.listener.is_none()
             && self.router.owed() == 0
@@ -238,7 +269,8 @@
         }
         self.most_sockets = self.most_sockets.max(self.clients.len() + self.links.len());
         self.longest_turn = self.longest_turn.max(clock::now() - start);
-        let next = [self.router.next_due(), self.chores.next(), self.sites_due()]
+        let background = self.background.next_due().map(|at| at as f64 / 1000.0);
+        let next = [self.router.next_due(), self.chores.next(), self.sites_due(), background]
             .into_iter()
             .flatten()
             .fold(f64::MAX, f64::min);
@@ -253,7 +285,39 @@
                 self.flush_client(now, id);
             }
         }
-        self.done = self.clients.is_empty();
+        self.done = self.clients.is_empty() && self.flush_flows(now);
+    }
+
+    /// Background work in the time that this turn has left: what waited too long also where there is none.
+    fn work(&mut self, start: f64) {
+        let idle = self.ready.is_empty() && !self.accepting;
+        let used = micros(clock::now()).saturating_sub(micros(start));
+        let mut left = if idle { SPARE.saturating_sub(used) } else { 0 };
+        loop {
+            let began = clock::now();
+            let Some((task, slice)) = self.background.next(micros(began), left) else { return };
+            let more = match task {
+                task if task == self.keeping => {
+                    self.housekeeping(began);
+                    self.background.wake_at(task, micros(began + HOUSEKEEPING));
+                    false
+                }
+                task if task == self.summing => {
+                    self.summary("summary");
+                    self.peer_lines = 0;
+                    self.background.wake_at(task, micros(began + SUMMARY));
+                    false
+                }
+                task => self.is_flow_task(task) && self.work_flows(began, task, slice),
+            };
+            let ended = micros(clock::now());
+            let took = ended.saturating_sub(micros(began));
+            self.background.ran(ended, task, took, more);
+            left = left.saturating_sub(took);
+            if left == 0 {
+                return;
+            }
+        }
     }
 
     fn due(&mut self, now: f64) {
@@ -261,19 +325,11 @@
         self.tick_sites(now);
         while let Some((_, chore)) = self.chores.due(now) {
             match chore {
-                Chore::Housekeeping => {
-                    self.housekeeping(now);
-                    self.chores.set(now + HOUSEKEEPING, Chore::Housekeeping);
-                }
-                Chore::Summary => {
-                    self.summary("summary");
-                    self.peer_lines = 0;
-                    self.chores.set(now + SUMMARY, Chore::Summary);
-                }
                 Chore::Connect(id) if self.links.get(&id).is_some_and(|h| h.connecting) => {
                     self.end_link(now, id, "connect time-out");
                 }
                 Chore::Connect(_) => {}
+                Chore::Flush => {}
                 Chore::LineUp(id) => self.line_not_up(now, id),
                 Chore::Feed => self.connect_feed(now),
                 Chore::Accept => (self.accept_due, self.accepting) = (false, true),
@@ -312,7 +368,10 @@
     fn pump_router(&mut self, now: f64) {
         while let Some(effect) = self.router.effect() {
             match effect {
-                Effect::Ask { key, member, place, call, orders } => {
+                Effect::Ask { key, member, place, client, call, orders } => {
+                    if let Some(flows) = &mut self.flows {
+                        flows.sent(now, key, client, &call.class, self.router.member_name(member));
+                    }
                     self.send(now, key, member, place, &call.name, Some(back::ask(&call, &orders)));
                 }
                 Effect::Probe { key, member, place } => {
@@ -408,6 +467,7 @@
             "clients" => self.clients.len(), "links" => self.links.len(), "most_sockets" => self.most_sockets,
             "sizes" => self.sizes(),
             "sites" => self.sites_summary(),
+            "flows" => self.flows.as_mut().map_or_else(|| "off".to_string(), |f| f.summary()),
             "feed" => self.feed.is_some(), "event" => self.router.last_event(),
             "cpu_ms" => usage.cpu, "memory_kb" => usage.memory, "descriptors" => usage.descriptors,
             "broken" => c.broken, "overdue" => c.overdue, "timer_late_ms" => format!("{:.1}", c.late),
--- a/crates/deckproxy/src/program/members.rs
+++ b/crates/deckproxy/src/program/members.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use calloop::Readiness;
 use deckproxy_control::interface::MemberId;
+use deckproxy_flow::meter::Outcome;
 
 impl Gateway {
     /// Sends an attempt or, where there is none, a probe.
@@ -23,6 +24,7 @@
         ask: Option<[Bytes; 3]>,
     ) {
         let Some(id) = self.link_for(now, member, place, name) else {
+            self.attempt_ended(now, key, Outcome::Cut);
             return self.router.broke(now, key, Broke::NeverSent);
         };
         if let Some(held) = self.links.get_mut(&id) {
@@ -44,10 +46,18 @@
         let held = self.carried.get(&key).and_then(|id| self.links.get_mut(id));
         if held.is_some_and(|h| h.link.take_back(key)) {
             self.carried.remove(&key);
+            self.attempt_ended(now, key, Outcome::Cut);
             self.router.broke(now, key, Broke::NeverSent);
         }
     }
 
+    /// The flows hear that an attempt ended without an answer.
+    fn attempt_ended(&mut self, now: f64, key: AttemptKey, outcome: Outcome) {
+        if let Some(flows) = &mut self.flows {
+            flows.attempt_ended(now, key, outcome);
+        }
+    }
+
     /// A connection that can take an attempt of that name. Each attempt has one to itself while descriptors
     /// allow: an answer that can't be read, a silence or a reset ends all that is out on its connection. Idle
     /// ones are used again, the last used first, so that those not needed grow old and are closed.
@@ -146,7 +156,17 @@
         let progress = if readable { held.link.read(now) } else { Progress::Drained };
         loop {
             let Some(held) = self.links.get_mut(&id) else { return };
-            match held.link.take_reply(now) {
+            let before = held.link.stream.input.len();
+            let reply = held.link.take_reply(now);
+            let bytes = before - held.link.stream.input.len();
+            if let Some(flows) = &mut self.flows {
+                let member = self.router.member_name(held.member);
+                match &reply {
+                    Ok(Some((key, reply))) => flows.member_answered(now, member, *key, reply.word, bytes),
+                    _ => flows.member_heard(now, member, bytes),
+                }
+            }
+            match reply {
                 Ok(None) => break,
                 Ok(Some((Some(key), reply))) => {
                     self.carried.remove(&key);
@@ -169,7 +189,13 @@
 
     pub(super) fn flush_link(&mut self, now: f64, id: LinkId) {
         let Some(held) = self.links.get_mut(&id) else { return };
-        if let Err(e) = held.link.flush(now) {
+        let (flows, member) = (&mut self.flows, self.router.member_name(held.member));
+        let whole = |written| {
+            if let Some(flows) = flows {
+                flows.member_wrote(now, member, written);
+            }
+        };
+        if let Err(e) = held.link.flush(now, whole) {
             self.end_link(now, id, &format!("broke: {e}"));
         }
     }
@@ -182,6 +208,7 @@
         if let Some(id) = id {
             self.flush_link(now, id);
         }
+        self.attempt_ended(now, key, Outcome::Cut);
         self.router.withdrawn(now, key, sent.unwrap_or(true));
     }
 
@@ -196,6 +223,7 @@
         self.drop_link(id);
         for (key, written) in lost {
             self.carried.remove(&key);
+            self.attempt_ended(now, key, if written { Outcome::Failed } else { Outcome::Cut });
             self.router.broke(now, key, if written { Broke::Reset } else { Broke::NeverSent });
         }
     }
@@ -209,6 +237,12 @@
                     self.pools.remove(&held.member);
                 }
             }
+            if let Some(flows) = &mut self.flows {
+                // What went and came in part.
+                let (now, member) = (clock::now(), self.router.member_name(held.member));
+                held.link.stream.cut().into_iter().for_each(|cut| flows.member_wrote(now, member, cut));
+                flows.member_heard(now, member, held.link.stream.input.len());
+            }
             held.link.stream.close(&self.handle);
         }
     }
--- a/crates/deckproxy/src/program/mod.rs
+++ b/crates/deckproxy/src/program/mod.rs
@@ -3,6 +3,7 @@
 pub mod cli;
 mod clients;
 mod feed;
+mod flows;
 pub mod gateway;
 pub mod logging;
 mod members;
--- a/crates/deckproxy/src/program/sites.rs
+++ b/crates/deckproxy/src/program/sites.rs
@@ -183,6 +183,9 @@
                 if let Some(sites) = &mut self.sites {
                     let token = sites.token(Owner::Client(client, id));
                     sites.tokens.insert((client, id), token);
+                    if let Some(flows) = &mut self.flows {
+                        flows.crosses(client, id, &to);
+                    }
                     self.router.counters.taken += 1;
                     sites.site.request(now, token, &to, want);
                 }
@@ -208,6 +211,9 @@
     fn run(&mut self, now: f64, run: Run, ask: Ask) {
         let full = self.is_full() || self.last_accepts;
         let path = ask.path.clone();
+        if let Some(flows) = &mut self.flows {
+            flows.run_began(now, run, &ask.class, path.last().map(String::as_str));
+        }
         let Some(sites) = &mut self.sites else { return };
         let call = match link::call(ask) {
             Ok(call) if !full => call,
@@ -238,6 +244,9 @@
 
     /// A request that came over a link has its answer.
     pub(super) fn run_ended(&mut self, now: f64, run: Run, answer: Answer, copy: Option<Copy>) {
+        if let Some(flows) = &mut self.flows {
+            flows.run_ended(now, run, &answer);
+        }
         let Some(sites) = &mut self.sites else { return };
         let (word, cooldown, body) = match answer {
             Answer::Served(body) => (Word::Served, 0.0, body),
@@ -387,7 +396,11 @@
         let before = held.line.stream.input.len();
         let readable = held.line.stream.is_readable();
         let progress = if readable { held.line.read() } else { Progress::Drained };
-        if held.line.stream.input.len() > before {
+        let came = held.line.stream.input.len() - before;
+        if came > 0 {
+            if let Some(flows) = &mut self.flows {
+                flows.link_passed(now, sites.site.site_of(id), came, 0);
+            }
             sites.site.alive(now, id);
         }
         loop {
@@ -418,7 +431,13 @@
             if held.connecting.is_some() {
                 return;
             }
-            if held.line.flush().is_err() || held.line.stream.queued() > limits::LINK_STUCK {
+            let before = held.line.stream.queued();
+            let broken = held.line.flush().is_err();
+            if let Some(flows) = &mut self.flows {
+                let went = before - held.line.stream.queued();
+                flows.link_passed(now, sites.site.site_of(id), 0, went);
+            }
+            if broken || held.line.stream.queued() > limits::LINK_STUCK {
                 return self.end_line(now, id);
             }
             if held.line.closing && held.line.stream.queued() == 0 {
@@ -468,13 +487,18 @@
                     }
                     Effect::Reply(token, reply) => self.crossed(now, token, reply),
                     Effect::Run(run, ask) => self.run(now, run, ask),
-                    Effect::Withdraw(run) => match sites.forwarded.remove(&run) {
-                        Some(token) => {
-                            sites.owners.remove(&token);
-                            sites.site.cancel(now, token);
+                    Effect::Withdraw(run) => {
+                        if let Some(flows) = &mut self.flows {
+                            flows.run_withdrawn(now, run);
+                        }
+                        match sites.forwarded.remove(&run) {
+                            Some(token) => {
+                                sites.owners.remove(&token);
+                                sites.site.cancel(now, token);
+                            }
+                            None => self.router.abort(now, FAR + run, 0),
                         }
-                        None => self.router.abort(now, FAR + run, 0),
-                    },
+                    }
                     Effect::Purged(news) => self.router.purged(now, news.object, news.group, news.age),
                     Effect::Bound(age) => {
                         for group in 0..limits::GROUPS {
--- a/crates/deckproxy/src/routing/router.rs
+++ b/crates/deckproxy/src/routing/router.rs
@@ -44,6 +44,8 @@
         member: MemberId,
         /// Where that is.
         place: Place,
+        /// Whose request it is.
+        client: ClientId,
         /// The request.
         call: Rc<Call>,
         /// Orders beside it.
@@ -545,13 +547,13 @@
         open.out.push(Out { no, member, sent: now, given_up: None });
         let until = if until > 0.0 { until.min(open.expires) } else { open.expires };
         let moot = open.ended || until <= now || no >= most;
-        let call = Rc::clone(&open.call);
+        let (client, call) = (open.client, Rc::clone(&open.call));
         let at = key(request, no);
         match place {
             Some(place) if !moot => {
                 self.timers.set(until, Due::Attempt(at));
                 let orders = Orders { wait: until - now, ..orders };
-                self.effects.push_back(Effect::Ask { key: at, member, place, call, orders });
+                self.effects.push_back(Effect::Ask { key: at, member, place, client, call, orders });
             }
             _ => self.end(now, at, if moot { Ending::Moot } else { Ending::ConnectFailed }, None, None),
         }
--- a/crates/deckproxy/src/transport/client.rs
+++ b/crates/deckproxy/src/transport/client.rs
@@ -2,7 +2,7 @@
 
 use crate::protocol::front::{self, Answer, Broken, Decoder, Message};
 use crate::protocol::limits;
-use crate::transport::outbox::Outgoing;
+use crate::transport::outbox::{Outgoing, Written};
 use crate::transport::stream::{Progress, Stream};
 use bytes::Bytes;
 use std::io;
@@ -33,7 +33,7 @@
     /// Nothing that comes is looked at; it closes once what waits is written.
     closing: bool,
     shut: bool,
-    written: Vec<u64>,
+    written: Vec<Written>,
 }
 
 impl Client {
@@ -179,18 +179,20 @@
         now
     }
 
-    /// Writes what the kernel takes.
-    pub fn flush(&mut self, now: f64) -> io::Result<()> {
+    /// Writes what the kernel takes, and tells of each message that it took whole, in order.
+    pub fn flush(&mut self, now: f64, mut whole: impl FnMut(usize)) -> io::Result<()> {
         let before = self.stream.queued();
-        self.stream.flush(&mut self.written)?;
+        let done = self.stream.flush(&mut self.written);
         if self.stream.queued() < before {
             self.moved = now;
         }
-        let counted = self.written.drain(..).filter(|key| *key == COUNTED).count();
-        self.open = self.open.saturating_sub(counted);
-        if counted > 0 {
-            self.taken_back = 0;
+        for Written { key, bytes } in self.written.drain(..) {
+            whole(bytes);
+            if key == COUNTED {
+                self.open = self.open.saturating_sub(1);
+                self.taken_back = 0;
+            }
         }
-        Ok(())
+        done
     }
 }
--- a/crates/deckproxy/src/transport/feed.rs
+++ b/crates/deckproxy/src/transport/feed.rs
@@ -1,7 +1,7 @@
 //! The connection to the control feed.
 
 use crate::protocol::feed::{self, Decoder, Line};
-use crate::transport::outbox::Outgoing;
+use crate::transport::outbox::{Outgoing, Written};
 use crate::transport::stream::{Progress, Stream};
 use std::io;
 
@@ -12,7 +12,7 @@
     decoder: Decoder,
     /// When the last line came.
     pub heard: f64,
-    written: Vec<u64>,
+    written: Vec<Written>,
 }
 
 impl Feed {
--- a/crates/deckproxy/src/transport/line.rs
+++ b/crates/deckproxy/src/transport/line.rs
@@ -2,7 +2,7 @@
 
 use crate::protocol::limits;
 use crate::protocol::link::{self, Decoder};
-use crate::transport::outbox::Outgoing;
+use crate::transport::outbox::{Outgoing, Written};
 use crate::transport::stream::{Progress, Stream};
 use deckproxy_sites::frame::{Frame, Say};
 use std::collections::BTreeSet;
@@ -21,7 +21,7 @@
     taken: bool,
     /// Nothing that comes is looked at; it closes once what waits is written.
     pub closing: bool,
-    written: Vec<u64>,
+    written: Vec<Written>,
 }
 
 impl Line {
@@ -84,7 +84,7 @@
     /// Writes what the kernel takes.
     pub fn flush(&mut self) -> io::Result<()> {
         self.stream.flush(&mut self.written)?;
-        for key in self.written.drain(..) {
+        for Written { key, .. } in self.written.drain(..) {
             self.waiting.remove(&key);
         }
         Ok(())
--- a/crates/deckproxy/src/transport/member.rs
+++ b/crates/deckproxy/src/transport/member.rs
@@ -1,7 +1,7 @@
 //! A connection to a member. It carries many attempts, and knows of each whether it was written whole.
 
 use crate::protocol::back::{self, Decoder, Reply};
-use crate::transport::outbox::Outgoing;
+use crate::transport::outbox::{Outgoing, Written};
 use crate::transport::stream::{Progress, Stream};
 use bytes::Bytes;
 use std::collections::{HashMap, HashSet};
@@ -34,7 +34,7 @@
     taken: bool,
     /// Takes nothing new; closes once nothing is out.
     pub retired: bool,
-    written: Vec<u64>,
+    written: Vec<Written>,
 }
 
 /// Names given up on one connection, from which it is retired.
@@ -160,10 +160,12 @@
         Ok(Some((key, reply)))
     }
 
-    /// Writes what the kernel takes.
-    pub fn flush(&mut self, now: f64) -> io::Result<()> {
+    /// Writes what the kernel takes, and tells of each message that it took whole.
+    pub fn flush(&mut self, now: f64, mut whole: impl FnMut(Written)) -> io::Result<()> {
         let done = self.stream.flush(&mut self.written);
-        for key in self.written.drain(..) {
+        for one in self.written.drain(..) {
+            whole(one);
+            let key = one.key;
             self.asks.get_mut(&key).into_iter().for_each(|a| a.written = Some(now));
         }
         done
--- a/crates/deckproxy/src/transport/mod.rs
+++ b/crates/deckproxy/src/transport/mod.rs
@@ -3,6 +3,7 @@
 pub mod alarm;
 pub mod client;
 pub mod clock;
+pub mod collector;
 pub mod feed;
 pub mod line;
 pub mod listener;
--- a/crates/deckproxy/src/transport/outbox.rs
+++ b/crates/deckproxy/src/transport/outbox.rs
@@ -33,6 +33,15 @@
     }
 }
 
+/// A message that is with the kernel whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Written {
+    /// Its owner's name for it.
+    pub key: u64,
+    /// Its length in bytes.
+    pub bytes: usize,
+}
+
 /// Messages in order, the first of them perhaps written in part.
 #[derive(Debug, Default)]
 pub struct Outbox {
@@ -59,6 +68,12 @@
         self.queue.is_empty()
     }
 
+    /// The key of a message that is with the kernel in part, and how many bytes of it are.
+    pub fn cut(&self) -> Option<Written> {
+        let first = self.queue.front().filter(|_| self.sent > 0)?;
+        Some(Written { key: first.key, bytes: self.sent })
+    }
+
     /// Takes a message back of which no byte is written. Tells whether it was found so.
     pub fn withdraw(&mut self, key: u64) -> bool {
         let Some(at) = self.queue.iter().position(|m| m.key == key) else { return false };
@@ -71,9 +86,9 @@
         true
     }
 
-    /// Writes until all is with the kernel or it takes no more; appends the keys of messages written whole.
+    /// Writes until all is with the kernel or it takes no more; appends the messages written whole.
     /// Tells whether the kernel took all.
-    pub fn flush(&mut self, socket: &mut impl Write, written: &mut Vec<u64>) -> io::Result<bool> {
+    pub fn flush(&mut self, socket: &mut impl Write, written: &mut Vec<Written>) -> io::Result<bool> {
         while !self.queue.is_empty() {
             let mut skip = self.sent;
             let mut slices = Vec::with_capacity(SLICES);
@@ -98,12 +113,12 @@
         Ok(true)
     }
 
-    fn advance(&mut self, bytes: usize, written: &mut Vec<u64>) {
+    fn advance(&mut self, bytes: usize, written: &mut Vec<Written>) {
         self.bytes -= bytes;
         self.sent += bytes;
         while let Some(len) = self.queue.front().map(Outgoing::len).filter(|len| *len <= self.sent) {
             self.sent -= len;
-            written.extend(self.queue.pop_front().map(|m| m.key));
+            written.extend(self.queue.pop_front().map(|m| Written { key: m.key, bytes: len }));
         }
     }
 }
--- a/crates/deckproxy/src/transport/stream.rs
+++ b/crates/deckproxy/src/transport/stream.rs
@@ -3,7 +3,7 @@
 //! It is registered once, edge-triggered, and remembers what the kernel said: so a connection that is not read
 //! for a while, to be fair or to hold back, costs no wake-ups.
 
-use crate::transport::outbox::{Outbox, Outgoing};
+use crate::transport::outbox::{Outbox, Outgoing, Written};
 use bytes::BytesMut;
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
@@ -234,8 +234,13 @@
         self.output.bytes()
     }
 
-    /// Writes what the kernel takes; appends the keys of messages written whole.
-    pub fn flush(&mut self, written: &mut Vec<u64>) -> io::Result<()> {
+    /// The message that is with the kernel in part.
+    pub fn cut(&self) -> Option<Written> {
+        self.output.cut()
+    }
+
+    /// Writes what the kernel takes; appends the messages written whole.
+    pub fn flush(&mut self, written: &mut Vec<Written>) -> io::Result<()> {
         if self.connecting || !self.writable || self.output.is_empty() {
             return Ok(());
         }
--- a/crates/deckproxy/tests/parts.rs
+++ b/crates/deckproxy/tests/parts.rs
@@ -4,7 +4,7 @@
 use deckproxy::protocol::feed::{Entry, Phase};
 use deckproxy::routing::members::Members;
 use deckproxy::routing::timers::Timers;
-use deckproxy::transport::outbox::{Outbox, Outgoing};
+use deckproxy::transport::outbox::{Outbox, Outgoing, Written};
 use deckproxy_control::interface::Lifecycle;
 use proptest::prelude::*;
 use std::io::{self, IoSlice, Write};
@@ -76,7 +76,9 @@
             }
         }
         prop_assert_eq!(kernel.got, want);
-        prop_assert_eq!(written, (1..=sizes.len() as u64).collect::<Vec<_>>());
+        let lengths = sizes.iter().map(|(a, b, c)| a + b + c);
+        let all = (1..).zip(lengths).map(|(key, bytes)| Written { key, bytes });
+        prop_assert_eq!(written, all.collect::<Vec<_>>());
     }
 }
 
@@ -93,7 +95,7 @@
     assert_eq!(outbox.bytes(), 55);
     kernel.takes = vec![1000; 3];
     assert!(outbox.flush(&mut kernel, &mut written).unwrap());
-    assert_eq!((written, kernel.got.len()), (vec![1, 3], 60));
+    assert_eq!((written, kernel.got.len()), ([1, 3].map(|key| Written { key, bytes: 30 }).to_vec(), 60));
 }
 
 #[test]
