Flow export on sockets: tests with another decoder as collector; a word for none

The promises on bytes need a judge that shares no code with the exporter. A stand-in collector decodes with the crate netflow_parser, ends like one that was killed, comes back with nothing remembered, stops reading; clients count what they write and read. It found that this decoder gives up a whole set for one empty text, so that none is told as "-" now.

--- a/crates/deckproxy-flow/src/codec/elements.rs
+++ b/crates/deckproxy-flow/src/codec/elements.rs
@@ -82,9 +82,12 @@
     pub units: u16,
 }
 
-/// What was asked: the member (cache, parent, origin), by its id; empty: none.
+/// The text that stands for none.
+pub const NONE: &str = "-";
+
+/// What was asked: the member (cache, parent, origin), by its id.
 pub const MEMBER: Own = Own { id: 1, name: "deckproxyMember", kind: 13, semantics: 0, units: 0 };
-/// The site at the other end of a link; empty: none was crossed.
+/// The site at the other end of a link.
 pub const SITE: Own = Own { id: 2, name: "deckproxySite", kind: 13, semantics: 0, units: 0 };
 /// How requests ended.
 pub const RESULT: Own = Own { id: 3, name: "deckproxyResult", kind: 13, semantics: 0, units: 0 };
--- a/crates/deckproxy-flow/src/export.rs
+++ b/crates/deckproxy-flow/src/export.rs
@@ -540,6 +540,11 @@
     ]
 }
 
+/// A text, or the word for none: there are decoders that give up a whole set for one empty text.
+fn text(text: &str) -> Value {
+    Value::text(if text.is_empty() { elements::NONE } else { text })
+}
+
 /// A flow's values in the order of its template.
 fn values<'a>(flow: &Flow, name: &impl Fn(u32) -> &'a str) -> Vec<Value> {
     let (address, bits) = match flow.key.client {
@@ -581,10 +586,10 @@
         Value::Number(counts.first),
         Value::Number(counts.last),
         Value::Number(reason),
-        Value::text(name(flow.key.class)),
-        Value::text(name(flow.key.member)),
-        Value::text(name(flow.key.site)),
-        Value::text(outcome),
+        text(name(flow.key.class)),
+        text(name(flow.key.member)),
+        text(name(flow.key.site)),
+        text(outcome),
         Value::Number(counts.p99()),
         Value::Number(u64::from(flow.key.folded)),
         Value::text(leg),
--- a/crates/deckproxy-lab/src/demo.rs
+++ b/crates/deckproxy-lab/src/demo.rs
@@ -3,7 +3,7 @@
 use crate::traffic;
 use clap::Args;
 use comfy_table::Table;
-use deckproxy_standins::caller::Callers;
+use deckproxy_standins::caller::{Callers, Load};
 use deckproxy_standins::fleet::{Site, Terms};
 use deckproxy_standins::free_address;
 use deckproxy_standins::record::{Fact, Outcome, Record};
@@ -41,15 +41,9 @@
     );
     let mut gateway = site.gateway("n1", at, None);
     let draw = traffic::draw(0, 1, 2000, 0.0, 0.04);
-    let callers = Callers::start(
-        0,
-        at,
-        options.clients as usize,
-        f64::from(options.rate),
-        options.seed,
-        &draw,
-        &record,
-    );
+    let rate = f64::from(options.rate);
+    let load = Load::new(0, at, options.clients as usize, rate, options.seed, &draw);
+    let callers = Callers::start(load, &record);
     let bar = ProgressBar::new(options.seconds * 10);
     if let Ok(style) = ProgressStyle::with_template("{bar:30} {msg}") {
         bar.set_style(style);
--- a/crates/deckproxy-lab/src/drills/sites.rs
+++ b/crates/deckproxy-lab/src/drills/sites.rs
@@ -2,7 +2,7 @@
 
 use super::{Options, Report, Spoil};
 use crate::traffic;
-use deckproxy_standins::caller::Callers;
+use deckproxy_standins::caller::{Callers, Load};
 use deckproxy_standins::fleet::{Site, Terms};
 use deckproxy_standins::record::{Fact, Outcome, Record, Seen, Stamp};
 use deckproxy_standins::rules;
@@ -81,7 +81,7 @@
         .map(|n| {
             let draw = traffic::draw(n, 2, OBJECTS, 0.5, 0.1);
             let seed = options.seed ^ u64::from(n) << 32;
-            Callers::start(n, posts[n as usize].listen, 6, RATE, seed, &draw, &record)
+            Callers::start(Load::new(n, posts[n as usize].listen, 6, RATE, seed, &draw), &record)
         })
         .collect();
     let restarts = faults(options, &record, &sites, &shims, &mut posts);
--- a/crates/deckproxy-lab/src/measure/sites.rs
+++ b/crates/deckproxy-lab/src/measure/sites.rs
@@ -5,7 +5,7 @@
 use bytes::BytesMut;
 use deckproxy::protocol::link;
 use deckproxy_sites::frame::{Beat, Hello, Say, VERSION};
-use deckproxy_standins::caller::{Callers, Draw, Patience, Wish};
+use deckproxy_standins::caller::{Callers, Draw, Load, Patience, Wish};
 use deckproxy_standins::fleet::{Site, Terms, size_of_object};
 use deckproxy_standins::record::{Fact, Outcome, Record, Seen};
 use deckproxy_standins::rules::{self, Verdict};
@@ -51,7 +51,7 @@
     /// Clients of the north for a while; what was seen, and how much CPU the two gateways took, ms.
     fn load(&self, options: &Options, rate: f64, draw: &Draw) -> (Verdict, Vec<Seen>, [u64; 2]) {
         let before = [self.gateways[0].cpu(), self.gateways[1].cpu()];
-        let callers = Callers::start(0, self.at[0], 16, rate, options.seed, draw, &self.record);
+        let callers = Callers::start(Load::new(0, self.at[0], 16, rate, options.seed, draw), &self.record);
         thread::sleep(Duration::from_secs(options.seconds));
         callers.finish();
         let took = [self.gateways[0].cpu() - before[0], self.gateways[1].cpu() - before[1]];
@@ -208,7 +208,10 @@
     ] {
         let pair = Pair::start(link, false);
         let draw = traffic::draw(1, 1, 300, 0.0, 0.0);
-        let callers = Callers::patient(0, pair.at[0], 24, 400.0, options.seed, &draw, &pair.record, patience);
+        let callers = Callers::start(
+            Load { patience, ..Load::new(0, pair.at[0], 24, 400.0, options.seed, &draw) },
+            &pair.record,
+        );
         thread::sleep(Duration::from_secs(4));
         let cut = pair.record.now();
         pair.shim.set(State::Reset);
--- a/crates/deckproxy-standins/src/caller.rs
+++ b/crates/deckproxy-standins/src/caller.rs
@@ -2,13 +2,14 @@
 //! answer delays no later request), follows the advice on when to come back, and connects anew when it is cut off.
 
 use crate::client::fresh_name;
-use crate::record::{Fact, Outcome, Record, Stamp};
+use crate::record::{Fact, Outcome, Passed, Record, Stamp};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rmpv::Value;
+use socket2::{Domain, Socket, Type};
 use std::collections::HashMap;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
@@ -63,49 +64,57 @@
 /// A request asked so short a time before its connection was closed may have crossed the close.
 const CROSSED: Duration = Duration::from_millis(50);
 
-impl Callers {
-    /// Starts so many clients of a site, which together ask so many times a second.
-    pub fn start(
-        site: u32,
-        at: SocketAddr,
-        clients: usize,
-        rate: f64,
-        seed: u64,
-        draw: &Draw,
-        record: &Record,
-    ) -> Self {
-        Self::patient(site, at, clients, rate, seed, draw, record, Patience::None)
+/// A load to be started.
+#[derive(Clone)]
+pub struct Load {
+    /// The clients' site, and where they connect.
+    pub site: u32,
+    pub at: SocketAddr,
+    pub clients: usize,
+    /// Requests a second of all of them.
+    pub rate: f64,
+    pub seed: u64,
+    pub draw: Draw,
+    pub patience: Patience,
+    /// The first client's address, the others' follow; none: the system's choice.
+    pub from: Option<Ipv4Addr>,
+    /// Share of the answers in the middle of which a client hangs up.
+    pub hangs_up: f64,
+}
+
+impl Load {
+    /// Of clients that neither come again nor hang up.
+    pub fn new(site: u32, at: SocketAddr, clients: usize, rate: f64, seed: u64, draw: &Draw) -> Self {
+        let draw = draw.clone();
+        Load { site, at, clients, rate, seed, draw, patience: Patience::None, from: None, hangs_up: 0.0 }
     }
 
-    /// The same with clients that come again.
-    #[allow(clippy::too_many_arguments)]
-    pub fn patient(
-        site: u32,
-        at: SocketAddr,
-        clients: usize,
-        rate: f64,
-        seed: u64,
-        draw: &Draw,
-        record: &Record,
-        patience: Patience,
-    ) -> Self {
+    fn connect(&self, client: usize) -> std::io::Result<TcpStream> {
+        let Some(from) = self.from else { return TcpStream::connect(self.at) };
+        let from = Ipv4Addr::from(u32::from(from) + client as u32);
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        if self.hangs_up > 0.0 {
+            // Little stands between what was written to it and what it has read.
+            socket.set_recv_buffer_size(8 * 1024)?;
+        }
+        socket.bind(&SocketAddr::from((from, 0)).into())?;
+        socket.connect(&self.at.into())?;
+        Ok(socket.into())
+    }
+}
+
+impl Callers {
+    /// Starts a load.
+    pub fn start(load: Load, record: &Record) -> Self {
         let running = Arc::new(AtomicBool::new(true));
-        let threads = (0..clients).map(|i| {
-            let (running, draw, record) = (running.clone(), draw.clone(), record.clone());
-            let mut rng = Pcg64Mcg::seed_from_u64(seed ^ (i as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let threads = (0..load.clients).map(|i| {
+            let (running, load, record) = (running.clone(), load.clone(), record.clone());
+            let mut rng =
+                Pcg64Mcg::seed_from_u64(load.seed ^ (i as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15));
             thread::spawn(move || {
                 while running.load(Ordering::SeqCst) {
-                    if let Ok(stream) = TcpStream::connect(at) {
-                        converse(
-                            site,
-                            &stream,
-                            rate / clients as f64,
-                            &mut rng,
-                            &draw,
-                            &record,
-                            &running,
-                            patience,
-                        );
+                    if let Ok(stream) = load.connect(i) {
+                        converse(&load, &stream, &mut rng, &record, &running);
                     }
                     thread::sleep(Duration::from_millis(20));
                 }
@@ -124,17 +133,10 @@
     }
 }
 
-#[allow(clippy::too_many_arguments)]
-fn converse(
-    site: u32,
-    stream: &TcpStream,
-    rate: f64,
-    rng: &mut Pcg64Mcg,
-    draw: &Draw,
-    record: &Record,
-    running: &Arc<AtomicBool>,
-    patience: Patience,
-) {
+fn converse(load: &Load, stream: &TcpStream, rng: &mut Pcg64Mcg, record: &Record, running: &Arc<AtomicBool>) {
+    let rate = load.rate / load.clients as f64;
+    let hangs_up = load.hangs_up > 0.0 && rng.random::<f64>() < load.hangs_up;
+    let Ok(own) = stream.local_addr().map(|at| at.ip()) else { return };
     let again = Again::default();
     let _ = stream.set_nodelay(true);
     let open: Arc<Mutex<HashMap<u64, Open>>> = Arc::default();
@@ -144,8 +146,12 @@
     let reader = {
         let (open, ended, closed, record) = (open.clone(), ended.clone(), closed.clone(), record.clone());
         let again = again.clone();
+        let patience = load.patience;
         thread::spawn(move || {
-            let clean = read_answers(&reading, &open, &record, &again, patience);
+            let clean = match hangs_up {
+                true => hang_up(&reading, own, &open, &record),
+                false => read_answers(&reading, own, &open, &record, &again, patience),
+            };
             *closed.lock().unwrap() = clean.then(Instant::now);
             ended.store(true, Ordering::SeqCst);
         })
@@ -167,7 +173,7 @@
                 if open.lock().unwrap().values().filter(|o| !o.answered).count() >= OPEN {
                     continue;
                 }
-                let wish = draw(rng);
+                let wish = (load.draw)(rng);
                 (wish, now + Duration::from_millis(u64::from(wish.allow)))
             }
             None => {
@@ -188,7 +194,7 @@
         // Noted before, so that no answer can come before the question; what can't be written was never asked.
         record.note(Fact::Asked {
             name,
-            site,
+            site: load.site,
             home: wish.home,
             class: wish.class,
             object: wish.object,
@@ -198,6 +204,7 @@
         if (&mut &*stream).write_all(&bytes).is_err() {
             break;
         }
+        record.pass(own, Passed { wrote: bytes.len() as u64, asked: 1, read: 0 });
     }
     let end = Instant::now() + Duration::from_millis(2500);
     let waits = || open.lock().unwrap().values().any(|o| !o.answered);
@@ -215,9 +222,29 @@
     }
 }
 
+/// Reads a little of the first large answer, and hangs up on it. What was asked is owed nothing any more.
+fn hang_up(mut stream: &TcpStream, own: IpAddr, open: &Mutex<HashMap<u64, Open>>, record: &Record) -> bool {
+    let mut chunk = vec![0; 4096];
+    let mut sum = 0;
+    while let Ok(n @ 1..) = stream.read(&mut chunk) {
+        record.pass(own, Passed { read: n as u64, ..Passed::default() });
+        sum += n;
+        if sum > 20_000 {
+            break;
+        }
+    }
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+    for open in open.lock().unwrap().values_mut().filter(|o| !o.answered) {
+        open.answered = true;
+        record.note(Fact::Recalled { name: open.name.clone() });
+    }
+    true
+}
+
 /// Notes answers until the connection ends; tells whether it was closed in good order.
 fn read_answers(
     mut stream: &TcpStream,
+    own: IpAddr,
     open: &Mutex<HashMap<u64, Open>>,
     record: &Record,
     again: &Again,
@@ -231,6 +258,7 @@
             Ok(n) => n,
             Err(_) => return false,
         };
+        record.pass(own, Passed { read: n as u64, ..Passed::default() });
         buffer.extend_from_slice(&chunk[..n]);
         let mut used = 0;
         loop {
--- a/crates/deckproxy-standins/src/client.rs
+++ b/crates/deckproxy-standins/src/client.rs
@@ -20,6 +20,9 @@
     stream: TcpStream,
     buffer: Vec<u8>,
     next: u64,
+    /// Bytes written and read so far.
+    pub wrote: u64,
+    pub read: u64,
 }
 
 fn fields_of(value: &Value) -> BTreeMap<String, String> {
@@ -36,10 +39,11 @@
     pub fn connect(to: SocketAddr) -> Self {
         let stream = TcpStream::connect(to).unwrap();
         stream.set_nodelay(true).unwrap();
-        Client { stream, buffer: Vec::new(), next: 1 }
+        Client { stream, buffer: Vec::new(), next: 1, wrote: 0, read: 0 }
     }
 
     pub fn send(&mut self, bytes: &[u8]) {
+        self.wrote += bytes.len() as u64;
         self.stream.write_all(bytes).unwrap();
     }
 
@@ -104,11 +108,12 @@
         self.send(&bytes);
     }
 
-    fn read(&mut self, patience: Duration) -> Option<usize> {
+    fn read_some(&mut self, patience: Duration) -> Option<usize> {
         self.stream.set_read_timeout(Some(patience)).unwrap();
         let mut chunk = [0; 65536];
         let n = self.stream.read(&mut chunk).ok()?;
         self.buffer.extend_from_slice(&chunk[..n]);
+        self.read += n as u64;
         Some(n)
     }
 
@@ -140,7 +145,8 @@
             if let Some(got) = self.take() {
                 return got;
             }
-            let n = self.read(end.saturating_duration_since(Instant::now()).max(Duration::from_millis(1)));
+            let n =
+                self.read_some(end.saturating_duration_since(Instant::now()).max(Duration::from_millis(1)));
             assert!(n.is_some_and(|n| n > 0), "no answer came: {n:?}");
         }
     }
@@ -162,7 +168,7 @@
 
     /// Expects that nothing comes for a short while.
     pub fn quiet(&mut self) {
-        assert_eq!(self.read(QUIET), None, "something came, or the connection ended");
+        assert_eq!(self.read_some(QUIET), None, "something came, or the connection ended");
     }
 
     /// Expects that the gateway closes the connection.
--- a/crates/deckproxy-standins/src/lib.rs
+++ b/crates/deckproxy-standins/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod caller;
 pub mod client;
+pub mod collector;
 pub mod feed;
 pub mod fleet;
 pub mod gateway;
--- a/crates/deckproxy-standins/src/record.rs
+++ b/crates/deckproxy-standins/src/record.rs
@@ -1,5 +1,7 @@
 //! What passed on the sockets, as the stand-ins saw it.
 
+use std::collections::HashMap;
+use std::net::IpAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
@@ -99,18 +101,33 @@
     pub fact: Fact,
 }
 
+/// What clients of one address wrote and read, on the sockets.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Passed {
+    pub read: u64,
+    pub wrote: u64,
+    /// Requests that were written whole.
+    pub asked: u64,
+}
+
 /// A record that many threads write.
 #[derive(Clone, Debug)]
 pub struct Record {
     start: Instant,
     unix: u64,
     all: Arc<Mutex<Vec<Seen>>>,
+    passed: Arc<Mutex<HashMap<IpAddr, Passed>>>,
 }
 
 impl Default for Record {
     fn default() -> Self {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Record { start: Instant::now(), unix: since.as_millis() as u64, all: Arc::default() }
+        Record {
+            start: Instant::now(),
+            unix: since.as_millis() as u64,
+            all: Arc::default(),
+            passed: Arc::default(),
+        }
     }
 }
 
@@ -121,6 +138,22 @@
         self.all.lock().unwrap().push(Seen { at, fact });
     }
 
+    /// Counts what clients of an address wrote and read.
+    pub fn pass(&self, client: IpAddr, more: Passed) {
+        let mut all = self.passed.lock().unwrap();
+        let sum = all.entry(client).or_default();
+        *sum = Passed {
+            read: sum.read + more.read,
+            wrote: sum.wrote + more.wrote,
+            asked: sum.asked + more.asked,
+        };
+    }
+
+    /// What the clients of each address wrote and read.
+    pub fn passed(&self) -> HashMap<IpAddr, Passed> {
+        self.passed.lock().unwrap().clone()
+    }
+
     /// Milliseconds since the record began.
     pub fn now(&self) -> f64 {
         self.start.elapsed().as_secs_f64() * 1000.0
--- /dev/null
+++ b/crates/deckproxy/tests/flows.rs
@@ -0,0 +1,263 @@
+//! Flow export of the real gateway: another decoder collects, clients and members count what passed.
+
+mod common;
+use common::collector::{Collection, Collector, Told};
+use common::*;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+const OBJECT: &str = "7f3a9c21e0b4d655";
+
+fn file(collectors: &[(SocketAddr, &str)], more: &str) -> String {
+    let collectors: String = collectors
+        .iter()
+        .map(|(at, how)| format!("collectors {{ address: \"{at}\" transport: {how} }}\n"))
+        .collect();
+    format!("flows {{\n{collectors} meter {{ active_ms: 300 idle_ms: 100 }} stall_ms: 500 {more} }}\n")
+}
+
+fn start(world: &World, operator: String) -> Gateway {
+    let mut setup = world.setup();
+    setup.operator = Some(operator);
+    setup.start()
+}
+
+/// One request that a cache serves with a body of that size.
+fn get(world: &World, client: &mut Client, size: usize) {
+    let id = client.get(OBJECT);
+    let (cache, ask) = world.ask();
+    let body = vec![b'x'; size];
+    cache.answer(&ask, "200", &body);
+    client.served(id, &body);
+}
+
+/// The flows of clients' pages: what a client that asks for nothing else has written and read.
+fn pages(collection: &Collection) -> [u64; 3] {
+    collection.sums(|f| f.leg == "client" && f.class == "page")
+}
+
+fn end(mut gateway: Gateway) -> String {
+    gateway.signal("TERM");
+    assert_eq!(gateway.ended(), Some(0));
+    gateway.log()
+}
+
+#[test]
+fn what_was_written_and_read_is_told_to_the_byte() {
+    let (world, collector) = (World::start(), Collector::tcp());
+    let gateway = start(&world, file(&[(collector.address, "TCP")], ""));
+    let mut client = gateway.client();
+    for size in [0, 10, 5000, 150_000] {
+        get(&world, &mut client, size);
+    }
+    // One that the caches are too full for is another flow.
+    let id = client.get(OBJECT);
+    for _ in 0..6 {
+        let Some((cache, ask)) = world.maybe_ask() else { break };
+        cache.answer(&ask, "429", b"");
+    }
+    assert_eq!(client.answer().0, id);
+    // One that can't be used has no class that is known.
+    let before = (client.wrote, client.read);
+    let id = client.call("nonsense", &[("lookup", OBJECT)], &[]);
+    assert_eq!(client.answer().0, id);
+    until("all requests are told", || collector.collection().leg("client")[2] == 6);
+    let got = collector.collection();
+    assert_eq!(pages(&got), [before.1, before.0, 5]);
+    let unusable = got.sums(|f| f.result == "unusable" && f.class.is_empty());
+    assert_eq!(unusable, [client.read - before.1, client.wrote - before.0, 1]);
+    let served = got.sums(|f| f.leg == "client" && f.result == "served");
+    assert_eq!(served[2], 4);
+    // Attempts are flows of their own, with who caused them.
+    let of_members: Vec<&Told> = got.flows.iter().filter(|f| f.leg == "member" && f.requests > 0).collect();
+    assert!(of_members.iter().all(|f| f.member.starts_with("s-0000") && f.class == "page"), "{of_members:?}");
+    assert!(of_members.iter().all(|f| f.client == Some("127.0.0.1".parse().unwrap()) && f.bits == 32));
+    assert!(got.leg("member")[0] > 155_000);
+    assert_eq!((got.unread, got.missing), (0, 0));
+    assert_eq!(got.described.len(), 6, "each of our elements is described: {:?}", got.described);
+    let log = end(gateway);
+    assert!(log.contains("collectors[up]") && log.contains("lost[flows:0,untold:0]"), "{log}");
+}
+
+#[test]
+fn flows_of_a_planned_end_are_flushed() {
+    let (world, collector) = (World::start(), Collector::tcp());
+    // Nothing would be told for a minute.
+    let operator = file(&[(collector.address, "TCP")], "").replace("active_ms: 300 idle_ms: 100", "");
+    let gateway = start(&world, operator);
+    let mut client = gateway.client();
+    get(&world, &mut client, 3000);
+    drop(client);
+    end(gateway);
+    let got = collector.collection();
+    assert_eq!((pages(&got)[2], got.missing), (1, 0));
+}
+
+#[test]
+fn a_collector_that_is_down_delays_no_end_for_longer_than_it_may() {
+    let world = World::start();
+    let gateway = start(&world, file(&[(free_address(), "TCP")], "flush_ms: 200"));
+    let mut client = gateway.client();
+    get(&world, &mut client, 3000);
+    drop(client);
+    let told = Instant::now();
+    let log = end(gateway);
+    // 700 ms for stragglers, 200 for flows.
+    assert!(told.elapsed() < Duration::from_millis(2000), "{:?}", told.elapsed());
+    assert!(!log.contains("waiting[flows:0"), "what was not told is named: {log}");
+}
+
+#[test]
+fn a_collector_that_comes_later_gets_all_sums() {
+    let (world, mut collector) = (World::start(), Collector::tcp());
+    collector.stop();
+    let gateway = start(&world, file(&[(collector.address, "TCP")], ""));
+    let mut client = gateway.client();
+    for _ in 0..5 {
+        get(&world, &mut client, 2000);
+        std::thread::sleep(Duration::from_millis(120));
+    }
+    assert_eq!(collector.collection().messages, 0);
+    collector.again();
+    until("all is told", || pages(&collector.collection())[2] == 5);
+    assert_eq!(pages(&collector.collection()), [client.read, client.wrote, 5]);
+    // Restarted with its templates forgotten: it is told them again, and reads on.
+    collector.stop();
+    collector.again();
+    get(&world, &mut client, 700);
+    until("all is told", || pages(&collector.collection())[2] == 6);
+    let got = collector.collection();
+    assert_eq!((pages(&got), got.unread, got.missing), ([client.read, client.wrote, 6], 0, 0));
+}
+
+#[test]
+fn a_reload_changes_collectors_and_a_flow_over_it_is_told_whole() {
+    let (world, old, new) = (World::start(), Collector::tcp(), Collector::udp());
+    let gateway = start(&world, file(&[(old.address, "TCP")], ""));
+    let mut client = gateway.client();
+    get(&world, &mut client, 1000);
+    until("it is told", || pages(&old.collection())[2] == 1);
+    // A request is open while the collectors change.
+    let id = client.get(OBJECT);
+    let (cache, ask) = world.ask();
+    gateway.operate(&file(&[(new.address, "UDP")], "rate: 50 domain: 9"));
+    until("it is taken", || gateway.log().contains("collectors are taken"));
+    assert!(gateway.log().contains("take a restart"), "the domain: {}", gateway.log());
+    gateway.operate("flows { collectors { address: \"here\" } }");
+    until("it is refused", || gateway.log().contains("the configuration in force stays"));
+    cache.answer(&ask, "200", b"held");
+    client.served(id, b"held");
+    until("it is told", || pages(&new.collection())[2] == 1);
+    let (old, new) = (old.collection(), new.collection());
+    let sums = [0, 1, 2].map(|i| pages(&old)[i] + pages(&new)[i]);
+    assert_eq!(sums, [client.read, client.wrote, 2]);
+    assert_eq!((new.unread, new.missing, pages(&old)[2]), (0, 0, 1));
+}
+
+#[test]
+fn over_udp_nothing_is_spent_while_nobody_listens() {
+    let (world, mut collector) = (World::start(), Collector::udp());
+    collector.stop();
+    let gateway = start(&world, file(&[(collector.address, "UDP")], ""));
+    let mut client = gateway.client();
+    for _ in 0..4 {
+        get(&world, &mut client, 400);
+        std::thread::sleep(Duration::from_millis(150));
+    }
+    collector.again();
+    until("all is told", || pages(&collector.collection())[2] == 4);
+    assert_eq!(pages(&collector.collection()), [client.read, client.wrote, 4]);
+}
+
+#[test]
+fn two_gateways_tell_one_collector_under_their_domains() {
+    let (world, collector) = (World::start(), Collector::udp());
+    let gateways =
+        [1, 2].map(|d| start(&world, file(&[(collector.address, "UDP")], &format!("domain: {d}"))));
+    let mut clients = [0, 1].map(|i: usize| gateways[i].client());
+    for client in &mut clients {
+        for size in [100, 20_000] {
+            get(&world, client, size);
+        }
+    }
+    until("all is told", || pages(&collector.collection())[2] == 4);
+    let got = collector.collection();
+    let want = [clients[0].read + clients[1].read, clients[0].wrote + clients[1].wrote, 4];
+    assert_eq!((pages(&got), got.missing, got.unread), (want, 0, 0));
+}
+
+#[test]
+fn a_client_that_hangs_up_is_told_as_cut_with_what_the_kernel_took() {
+    let (world, collector) = (World::start(), Collector::tcp());
+    let gateway = start(&world, file(&[(collector.address, "TCP")], ""));
+    // With little room in the kernel, most of the answer stays with the gateway.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    socket.connect(&gateway.address.into()).unwrap();
+    let mut stream: TcpStream = socket.into();
+    let (_, bytes) = Client::connect(gateway.address).encode("page", &[("lookup", OBJECT)], &[]);
+    stream.write_all(&bytes).unwrap();
+    let (cache, ask) = world.ask();
+    cache.answer(&ask, "200", &vec![b'x'; 200_000]);
+    let mut read = vec![0; 3000];
+    stream.read_exact(&mut read).unwrap();
+    drop(stream);
+    let cut = |f: &Told| f.leg == "client" && f.result == "cut";
+    until("it is told", || collector.collection().sums(cut)[2] == 1);
+    let [out, back, _] = collector.collection().sums(cut);
+    assert!((3000..=200_100).contains(&out), "{out}");
+    assert_eq!(back, bytes.len() as u64);
+    // One that gives a request up, and one that only begins to say something.
+    let mut client = gateway.client();
+    let id = client.get(OBJECT);
+    let _ = world.ask();
+    client.abort(id);
+    let wrote = client.wrote;
+    client.send(&[0x94, 0x00]);
+    drop(client);
+    until("it is told", || collector.collection().sums(cut)[2] == 2);
+    let word = |f: &Told| f.leg == "client" && f.class.is_empty();
+    // The ping of the start is among the words, as is the one that takes back and the two bytes of the end.
+    until("the words are told", || collector.collection().sums(word)[1] > 2);
+    until("all bytes are told", || collector.collection().leg("client")[1] >= back + wrote + 2);
+    assert_eq!(collector.collection().leg("client")[2], 2);
+}
+
+#[test]
+fn a_stalled_collector_is_given_up_and_another_takes_over() {
+    let (world, first, second) = (World::start(), Collector::tcp(), Collector::tcp());
+    first.hold(true);
+    let gateway =
+        start(&world, file(&[(first.address, "TCP"), (second.address, "TCP")], "message_bytes: 65000"));
+    // Each client's address is a flow: more of them than the kernel holds for one that does not read.
+    let ask = |n: u32| {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        let from = SocketAddr::from((std::net::Ipv4Addr::from(0x7f40_0000 + n), 0));
+        socket.bind(&from.into()).unwrap();
+        socket.connect(&gateway.address.into()).unwrap();
+        let mut stream: TcpStream = socket.into();
+        // A ping, and an answer of seven bytes.
+        stream.write_all(&[0x94, 0, 1, 0xa4, b'p', b'i', b'n', b'g', 0x91, 0x80]).unwrap();
+        stream.read_exact(&mut [0; 7]).unwrap();
+    };
+    let mut asked = 0;
+    let end = Instant::now() + Duration::from_secs(30);
+    while !gateway.log().contains("collector 0: takes nothing") {
+        assert!(Instant::now() < end, "never given up after {asked} clients: {}", gateway.log());
+        (asked..asked + 500).for_each(ask);
+        asked += 500;
+    }
+    until("the other one is told", || !second.collection().flows.is_empty());
+}
+
+#[test]
+fn off_it_costs_no_descriptor_and_no_line() {
+    let world = World::start();
+    let (off, on) = (world.setup().start(), start(&world, file(&[(free_address(), "UDP")], "")));
+    std::thread::sleep(QUIET);
+    let (off_has, on_has) = (off.usage().1, on.usage().1);
+    assert!(off_has < on_has, "{off_has} descriptors without, {on_has} with it");
+    assert!(!off.log().contains("collector"));
+    assert!(end(off).contains("flows: off"));
+}
