decklab flows: collect, top and follow, with filters that name the column of a fault

Operators want to see who used a link without a collector of their own. The tool stores what gateways tell as a JSON object a line, sums it by client, class, link, box, result or gateway as table, CSV and stacked SVG, and follows; filters are read by parser combinators. The demo takes an operator file, so that it can be tried as it stands.

--- a/crates/deckproxy-lab/src/demo.rs
+++ b/crates/deckproxy-lab/src/demo.rs
@@ -26,6 +26,9 @@
     /// Clients.
     #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u32).range(1..=200))]
     clients: u32,
+    /// An operator file for the gateway, as for `deckproxy run`.
+    #[arg(long, value_name = "FILE")]
+    operator: Option<std::path::PathBuf>,
     /// Seed of the traffic.
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -33,13 +36,25 @@
 
 /// Runs it.
 pub fn run(options: &Options) -> ExitCode {
+    let operator = options.operator.as_ref().map(std::fs::read_to_string).transpose();
+    let operator = match operator {
+        Ok(text) => text,
+        Err(e) => {
+            eprintln!("decklab demo: the operator file: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    if let Some(faults) = operator.as_ref().and_then(|text| deckproxy_operator::read(text.as_bytes()).err()) {
+        faults.iter().for_each(|fault| eprintln!("decklab demo: the operator file: {fault}"));
+        return ExitCode::from(2);
+    }
     let record = Record::default();
     let site = Site::start(0, Terms::default(), &record);
     let at = free_address();
     println!(
         "3 caches, a parent, an origin and the control feed run on loopback; the gateway listens on {at}"
     );
-    let mut gateway = site.gateway("n1", at, None);
+    let mut gateway = site.gateway("n1", at, operator.as_deref());
     let draw = traffic::draw(0, 1, 2000, 0.0, 0.04);
     let rate = f64::from(options.rate);
     let load = Load::new(0, at, options.clients as usize, rate, options.seed, &draw);
--- /dev/null
+++ b/crates/deckproxy-lab/src/flows/mod.rs
@@ -0,0 +1,44 @@
+//! `decklab flows`: a collector that stores what gateways tell, and what operators ask of it.
+
+mod collect;
+mod follow;
+mod plot;
+mod query;
+mod record;
+mod top;
+
+use clap::{Args, Subcommand};
+use std::process::ExitCode;
+
+/// Flows that gateways export: collect them, look who used the links.
+#[derive(Debug, Args)]
+pub struct Options {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Take IPFIX (TCP and UDP) and NetFlow v9 (UDP) and store readable records, a JSON object a line.
+    Collect(collect::Options),
+    /// Who used most: a table, and if wanted CSV and a picture over time.
+    Top(top::Options),
+    /// Print records as they are stored.
+    Follow(follow::Options),
+}
+
+/// Runs one.
+pub fn run(options: &Options) -> ExitCode {
+    let done = match &options.command {
+        Command::Collect(options) => collect::run(options),
+        Command::Top(options) => top::run(options),
+        Command::Follow(options) => follow::run(options),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("decklab flows: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/deckproxy-lab/src/flows/plot.rs
@@ -0,0 +1,140 @@
+//! A picture of bytes over time, stacked by key.
+
+use plotters::prelude::*;
+use std::path::Path;
+
+/// Points in time.
+const BUCKETS: usize = 120;
+/// Colours that are told apart also by those who see few (after Okabe and Ito), then greys.
+const COLOURS: [RGBColor; 8] = [
+    RGBColor(0, 114, 178),
+    RGBColor(230, 159, 0),
+    RGBColor(0, 158, 115),
+    RGBColor(204, 121, 167),
+    RGBColor(86, 180, 233),
+    RGBColor(213, 94, 0),
+    RGBColor(240, 228, 66),
+    RGBColor(90, 90, 90),
+];
+const OTHERS: RGBColor = RGBColor(200, 200, 200);
+
+/// Bytes a second of each key and of all others, in even steps; a flow's bytes are spread evenly over its time.
+fn rates(keys: &[String], spans: &[(String, u64, u64, u64)]) -> (u64, f64, Vec<Vec<f64>>) {
+    let first = spans.iter().map(|s| s.1).min().unwrap_or(0);
+    let last = spans.iter().map(|s| s.2).max().unwrap_or(0).max(first + 1000);
+    let step = (last - first) as f64 / BUCKETS as f64;
+    let mut sums = vec![vec![0.0; BUCKETS]; keys.len() + 1];
+    for (key, start, end, bytes) in spans {
+        let row = keys.iter().position(|k| k == key).unwrap_or(keys.len());
+        // A flow of one instant fills the step that it is in.
+        let from = (start - first) as f64 / step;
+        let to = ((end - first) as f64 / step).max(from + 1.0).min(BUCKETS as f64);
+        let from = from.min(to - 1.0).max(0.0);
+        let each = *bytes as f64 / (to - from);
+        let mut at = from;
+        while at < to {
+            let bucket = (at as usize).min(BUCKETS - 1);
+            let next = ((bucket + 1) as f64).min(to);
+            sums[row][bucket] += each * (next - at);
+            at = next.max(at + 1e-9);
+        }
+    }
+    let per_second = 1000.0 / step;
+    sums.iter_mut().flatten().for_each(|b| *b *= per_second);
+    (first, step, sums)
+}
+
+fn bytes(n: f64) -> String {
+    match n {
+        n if n >= 1e9 => format!("{:.1} GB/s", n / 1e9),
+        n if n >= 1e6 => format!("{:.1} MB/s", n / 1e6),
+        n if n >= 1e3 => format!("{:.0} kB/s", n / 1e3),
+        n => format!("{n:.0} B/s"),
+    }
+}
+
+/// Draws the picture.
+pub fn stacked(
+    path: &Path,
+    by: &str,
+    keys: &[String],
+    spans: &[(String, u64, u64, u64)],
+) -> Result<(), String> {
+    let failed = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+    if spans.is_empty() {
+        return Err("nothing to draw".to_string());
+    }
+    let (first, step, rates) = rates(keys, spans);
+    let mut upper = vec![0.0; BUCKETS];
+    let mut layers = Vec::new();
+    for row in &rates {
+        upper.iter_mut().zip(row).for_each(|(sum, more)| *sum += more);
+        layers.push(upper.clone());
+    }
+    let most = upper.iter().copied().fold(1.0, f64::max) * 1.05;
+    let last = BUCKETS as f64 * step;
+    let area = SVGBackend::new(path, (1100, 480)).into_drawing_area();
+    area.fill(&WHITE).map_err(|e| failed(&e))?;
+    let began =
+        humantime::format_rfc3339_seconds(std::time::UNIX_EPOCH + std::time::Duration::from_millis(first));
+    let mut chart = ChartBuilder::on(&area)
+        .caption(format!("Bytes towards clients by {by}, from {began}"), ("sans-serif", 18))
+        .margin(12)
+        .margin_right(220)
+        .x_label_area_size(40)
+        .y_label_area_size(90)
+        .build_cartesian_2d(0.0..last / 1000.0, 0.0..most)
+        .map_err(|e| failed(&e))?;
+    chart
+        .configure_mesh()
+        .disable_x_mesh()
+        .light_line_style(TRANSPARENT)
+        .x_desc("seconds")
+        .y_label_formatter(&|n| bytes(*n))
+        .draw()
+        .map_err(|e| failed(&e))?;
+    // From the top layer down: each covers what is below it.
+    for (i, layer) in layers.iter().enumerate().rev() {
+        let colour = if i == keys.len() { OTHERS } else { COLOURS[i % COLOURS.len()] };
+        let fade = if i < COLOURS.len() || i == keys.len() { 1.0 } else { 0.6 };
+        let points = layer.iter().enumerate().map(|(x, y)| ((x as f64 + 0.5) * step / 1000.0, *y));
+        let series = AreaSeries::new(points, 0.0, colour.mix(fade));
+        let name = keys.get(i).map_or("all others", |k| k).to_string();
+        let drawn = chart.draw_series(series).map_err(|e| failed(&e))?;
+        let empty = i == keys.len() && rates[i].iter().all(|b| *b == 0.0);
+        if !empty {
+            drawn.label(name).legend(move |(x, y)| {
+                Rectangle::new([(x, y - 6), (x + 12, y + 6)], colour.mix(fade).filled())
+            });
+        }
+    }
+    chart
+        .configure_series_labels()
+        .position(SeriesLabelPosition::Coordinate(790, 10))
+        .background_style(WHITE)
+        .draw()
+        .map_err(|e| failed(&e))?;
+    area.present().map_err(|e| failed(&e))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::rates;
+
+    #[test]
+    fn every_byte_is_drawn_once() {
+        let keys = vec!["a".to_string()];
+        let span = |key: &str, start, end, bytes| (key.to_string(), start, end, bytes);
+        let spans = [
+            span("a", 1_000, 61_000, 6000),
+            span("a", 5_000, 5_000, 77),
+            span("b", 60_999, 61_000, 5),
+            span("b", 1_000, 1_001, 11),
+        ];
+        let (first, step, rates) = rates(&keys, &spans);
+        assert_eq!(first, 1000);
+        let sum = |row: &[f64]| row.iter().sum::<f64>() * step / 1000.0;
+        assert!((sum(&rates[0]) - 6077.0).abs() < 1e-6, "{}", sum(&rates[0]));
+        assert!((sum(&rates[1]) - 16.0).abs() < 1e-6, "{}", sum(&rates[1]));
+    }
+}
--- a/crates/deckproxy-lab/src/main.rs
+++ b/crates/deckproxy-lab/src/main.rs
@@ -3,6 +3,7 @@
 
 mod demo;
 mod drills;
+mod flows;
 mod measure;
 mod traffic;
 
@@ -24,6 +25,8 @@
     /// The hard cases of a subsystem, on real processes and sockets; exit code 1 when a promise broke, 2 when it could
     /// not run.
     Drill(drills::Options),
+    /// Flows that gateways export: collect them, see who used the links.
+    Flows(flows::Options),
     /// Measurements on this machine; each compares in one run.
     Measure(measure::Options),
     /// The gateway itself: what `deckproxy` is, with its command line.
@@ -38,6 +41,7 @@
     match Cli::parse().command {
         Command::Demo(options) => demo::run(&options),
         Command::Drill(options) => drills::run(&options),
+        Command::Flows(options) => flows::run(&options),
         Command::Measure(options) => measure::run(&options),
         Command::Gateway { words } => {
             let words = std::iter::once("deckproxy".into()).chain(words);
