--- a/crates/deckproxy-lab/src/flows/plot.rs
+++ b/crates/deckproxy-lab/src/flows/plot.rs
@@ -44,6 +44,12 @@
     (first, step, sums)
 }
 
+/// The colour of a layer; the last is that of all others. Colours come again paler.
+fn colour(layer: usize, others: usize) -> RGBAColor {
+    let fade = 1.0 - 0.3 * (layer / COLOURS.len()).min(2) as f64;
+    if layer == others { OTHERS.mix(1.0) } else { COLOURS[layer % COLOURS.len()].mix(fade) }
+}
+
 fn bytes(n: f64) -> String {
     match n {
         n if n >= 1e9 => format!("{:.1} GB/s", n / 1e9),
@@ -95,25 +101,20 @@
         .map_err(|e| failed(&e))?;
     // From the top layer down: each covers what is below it.
     for (i, layer) in layers.iter().enumerate().rev() {
-        let colour = if i == keys.len() { OTHERS } else { COLOURS[i % COLOURS.len()] };
-        let fade = if i < COLOURS.len() || i == keys.len() { 1.0 } else { 0.6 };
         let points = layer.iter().enumerate().map(|(x, y)| ((x as f64 + 0.5) * step / 1000.0, *y));
-        let series = AreaSeries::new(points, 0.0, colour.mix(fade));
+        chart.draw_series(AreaSeries::new(points, 0.0, colour(i, keys.len()))).map_err(|e| failed(&e))?;
+    }
+    // The legend in the order of the layers, the topmost first, beside the plot.
+    let shown = (0..layers.len()).rev().filter(|i| *i < keys.len() || rates[*i].iter().any(|b| *b > 0.0));
+    for (row, i) in shown.enumerate() {
+        let colour = colour(i, keys.len());
+        let (x, y) = (900, 50 + 20 * row as i32);
         let name = keys.get(i).map_or("all others", |k| k).to_string();
-        let drawn = chart.draw_series(series).map_err(|e| failed(&e))?;
-        let empty = i == keys.len() && rates[i].iter().all(|b| *b == 0.0);
-        if !empty {
-            drawn.label(name).legend(move |(x, y)| {
-                Rectangle::new([(x, y - 6), (x + 12, y + 6)], colour.mix(fade).filled())
-            });
-        }
+        let mark = Rectangle::new([(x, y), (x + 12, y + 12)], colour.filled());
+        area.draw(&mark).map_err(|e| failed(&e))?;
+        let text = Text::new(name, (x + 18, y + 1), ("sans-serif", 13));
+        area.draw(&text).map_err(|e| failed(&e))?;
     }
-    chart
-        .configure_series_labels()
-        .position(SeriesLabelPosition::Coordinate(790, 10))
-        .background_style(WHITE)
-        .draw()
-        .map_err(|e| failed(&e))?;
     area.present().map_err(|e| failed(&e))
 }
 
--- a/crates/deckproxy-lab/src/measure/mod.rs
+++ b/crates/deckproxy-lab/src/measure/mod.rs
@@ -1,5 +1,6 @@
 //! `decklab measure`: figures for docs/results.md, each beside a baseline in the same run.
 
+mod flows;
 mod routes;
 mod sites;
 
@@ -25,6 +26,8 @@
     Sites,
     /// The index of routes beside a plain list.
     Routes,
+    /// Metering and export of flows.
+    Flows,
 }
 
 /// Measures.
@@ -32,6 +35,7 @@
     match options.name {
         Name::Sites => sites::run(options),
         Name::Routes => routes::run(options),
+        Name::Flows => flows::run(options),
     }
     ExitCode::SUCCESS
 }
