--- a/crates/deckproxy-lab/tests/flows.rs
+++ b/crates/deckproxy-lab/tests/flows.rs
@@ -133,7 +133,9 @@
 fn netflow_v9_over_udp_is_stored_too() {
     let collect = Collect::start();
     let socket = UdpSocket::bind((std::net::Ipv4Addr::LOCALHOST, 0)).unwrap();
-    messages(Version::NetflowV9).iter().for_each(|m| drop(socket.send_to(m, collect.at).unwrap()));
+    for message in messages(Version::NetflowV9) {
+        socket.send_to(&message, collect.at).unwrap();
+    }
     until("all is stored", || collect.rows(&["--by", "class"]).iter().map(|r| r.2).sum::<u64>() == 80);
     assert_eq!(collect.rows(&["--by", "box"]), [("s-00c41f7a".to_string(), 5, 0)]);
 }
