The door against storms in the gateway, behind the operator file

Requests of clients pass the door before links and router; refused ones are asked back in turns, answers of the module too; a line tells when a storm begins and ends. Off unless asked for.

--- a/crates/deckproxy-operator/src/defaults.rs
+++ b/crates/deckproxy-operator/src/defaults.rs
@@ -66,3 +66,19 @@
 pub const ACTIVE_MS: u32 = 60_000;
 /// `Meter.idle_ms`.
 pub const IDLE_MS: u32 = 15_000;
+/// `Recovery.share_of_repeats`.
+pub const SHARE_OF_REPEATS: f64 = 0.2;
+/// `Recovery.repeats_saved`.
+pub const REPEATS_SAVED: u32 = 20;
+/// `Recovery.remembered`.
+pub const REMEMBERED: u32 = 65_536;
+/// `Recovery.least_back_ms`.
+pub const LEAST_BACK_MS: u32 = 50;
+/// `Recovery.window_ms`.
+pub const WINDOW_MS: u32 = 250;
+/// `Recovery.bad_share`.
+pub const BAD_SHARE: f64 = 0.6;
+/// `Recovery.good_share`.
+pub const GOOD_SHARE: f64 = 0.9;
+/// `Recovery.storm_repeats`.
+pub const STORM_REPEATS: f64 = 0.3;
--- a/crates/deckproxy-operator/src/lib.rs
+++ b/crates/deckproxy-operator/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod defaults;
 mod flows;
+mod recovery;
 pub mod rules;
 mod sites;
 pub use sites::check_together;
@@ -82,6 +83,7 @@
                 }
                 told.extend(sites::check(&operator));
                 told.extend(flows::check(&operator));
+                told.extend(recovery::check(&operator));
                 if told.is_empty() {
                     return Ok(operator);
                 }
--- /dev/null
+++ b/crates/deckproxy-operator/src/recovery.rs
@@ -0,0 +1,81 @@
+//! The recovery's part of the file, in the form of `deckproxy-recovery`.
+
+use crate::{Operator, Recovery, defaults};
+use deckproxy_recovery::door::{Class, Settings};
+use deckproxy_recovery::{brownout, budget, storm};
+
+impl Recovery {
+    /// How the door is set, defaults filled in. `classes`: name and worth of each, by place; `most_back`: the platform's
+    /// bound on times to come back, ms.
+    pub fn settings(&self, classes: &[(String, f64)], most_back: f64) -> Settings {
+        let rank = |worth: f64| {
+            let below = classes.iter().filter(|(_, w)| *w < worth).count();
+            let others = classes.iter().filter(|(_, w)| *w != worth).count();
+            if others == 0 { 0.5 } else { below as f64 / others as f64 }
+        };
+        let place = |name: &str| classes.iter().position(|(n, _)| n == name);
+        let steps = self
+            .give_up
+            .iter()
+            .filter_map(|s| Some(brownout::Step { class: place(&s.class)?, enter: s.enter, leave: s.leave }));
+        Settings {
+            // What is refused at the door has gone nowhere: a new try does no harm, whatever the class.
+            classes: classes
+                .iter()
+                .map(|(_, worth)| Class { worth: rank(*worth), refusable: true, least: 100.0 })
+                .collect(),
+            budget: Some(budget::Limits {
+                share: self.share_of_repeats.unwrap_or(defaults::SHARE_OF_REPEATS),
+                saved: f64::from(self.repeats_saved.unwrap_or(defaults::REPEATS_SAVED)),
+            }),
+            storm: Some(storm::Limits {
+                window: f64::from(self.window_ms.unwrap_or(defaults::WINDOW_MS)),
+                bad: self.bad_share.unwrap_or(defaults::BAD_SHARE),
+                good: self.good_share.unwrap_or(defaults::GOOD_SHARE),
+                repeats: self.storm_repeats.unwrap_or(defaults::STORM_REPEATS),
+                ..storm::Limits::default()
+            }),
+            steps: steps.collect(),
+            least_back: f64::from(self.least_back_ms.unwrap_or(defaults::LEAST_BACK_MS)).min(most_back),
+            most_back,
+            remembered: self.remembered.unwrap_or(defaults::REMEMBERED) as usize / 2,
+            ..Settings::default()
+        }
+    }
+
+    /// Classes that are named and not there.
+    pub fn unknown(&self, classes: &[String]) -> Vec<String> {
+        let named = self.give_up.iter().map(|s| s.class.clone());
+        named.filter(|name| !classes.contains(name)).collect()
+    }
+}
+
+/// Faults between the entries, as path and text.
+pub(crate) fn check(operator: &Operator) -> Vec<(String, String)> {
+    let Some(recovery) = &operator.recovery else { return Vec::new() };
+    let mut out = Vec::new();
+    let bad = recovery.bad_share.unwrap_or(defaults::BAD_SHARE);
+    let good = recovery.good_share.unwrap_or(defaults::GOOD_SHARE);
+    if good < bad {
+        let field = if recovery.good_share.is_some() { "good_share" } else { "bad_share" };
+        out.push((format!("recovery.{field}"), format!("good_share ({good}) is below bad_share ({bad})")));
+    }
+    for (i, step) in recovery.give_up.iter().enumerate() {
+        if step.leave >= step.enter {
+            let what =
+                format!("leave ({}) must be under enter ({}), or it would flap", step.leave, step.enter);
+            out.push((format!("recovery.give_up[{i}].leave"), what));
+        }
+        if recovery.give_up[..i].iter().any(|s| s.class == step.class) {
+            out.push((
+                format!("recovery.give_up[{i}].class"),
+                format!("{:?} is given up already", step.class),
+            ));
+        }
+        if i > 0 && recovery.give_up[i - 1].enter > step.enter {
+            let what = "below the step before it, which comes first".to_string();
+            out.push((format!("recovery.give_up[{i}].enter"), what));
+        }
+    }
+    out
+}
--- a/crates/deckproxy-operator/tests/files.rs
+++ b/crates/deckproxy-operator/tests/files.rs
@@ -147,3 +147,21 @@
     assert!(told.iter().any(|t| t.contains("folded_v4_bits: 9 is over v4_bits, which is 8")), "{told:#?}");
     assert!(told.iter().any(|t| t.contains("idle_ms: 70000 is over active_ms, which is 60000")), "{told:#?}");
 }
+
+#[test]
+fn recovery_has_its_defaults_its_example_and_its_faults() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/recovery.example.textproto");
+    let recovery = read(&std::fs::read(path).unwrap()).unwrap().recovery.unwrap();
+    let classes = [("page".to_string(), 1.0), ("post".to_string(), 3.0), ("once".to_string(), 3.0)];
+    let set = recovery.settings(&classes, 500.0);
+    assert_eq!(set.classes.iter().map(|c| c.worth).collect::<Vec<_>>(), [0.0, 1.0, 1.0]);
+    assert_eq!((set.budget.unwrap().share, set.most_back, set.steps.len()), (0.2, 500.0, 1));
+    assert_eq!(recovery.unknown(&["post".to_string()]), ["page"]);
+    let told = faults(
+        "recovery {\n  bad_share: 0.95\n  give_up { class: \"a\" enter: 0.5 leave: 0.5 }\n  \
+         give_up { class: \"a\" enter: 0.4 leave: 0.1 }\n}\n",
+    );
+    assert_eq!(told.len(), 4, "{told:#?}");
+    assert!(told[0].starts_with("2:3: recovery.bad_share: good_share (0.9) is below"), "{told:#?}");
+    assert!(told[1].contains("leave (0.5) must be under enter (0.5)"), "{told:#?}");
+}
--- a/crates/deckproxy/src/program/clients.rs
+++ b/crates/deckproxy/src/program/clients.rs
@@ -52,13 +52,17 @@
             self.next += 1;
             let id = self.next;
             let ready = move |g: &mut Gateway, news| g.client_news(id, news);
-            let address = self.flows.as_ref().and_then(|_| socket.peer_addr().ok()).map(|at| at.ip());
+            let wants = self.flows.is_some() || self.recovery.as_ref().is_some_and(|r| r.wants_addresses());
+            let address = if wants { socket.peer_addr().ok().map(|at| at.ip()) } else { None };
             match Stream::accepted(&self.handle, &self.from_clients, socket, ready) {
                 Ok(stream) => {
                     self.clients.insert(id, Client::new(stream, now));
                     if let Some(flows) = &mut self.flows {
                         flows.client_came(id, address);
                     }
+                    if let Some(recovery) = &mut self.recovery {
+                        recovery.client_came(id, address);
+                    }
                 }
                 Err(e) => self.line(&format!("a client's connection could not be taken: {e}")),
             }
@@ -188,6 +192,11 @@
                 }
                 // What all hold is looked at before what this one may.
                 if !is_full && client.admit() {
+                    let kept_out = self.recovery.as_mut().and_then(|r| r.request(now, id, request, &call));
+                    if let Some(answer) = kept_out {
+                        self.router.counters.refused += 1;
+                        return self.answer(now, id, request, &answer);
+                    }
                     if let Some(call) = self.cross(now, id, request, *call) {
                         self.router.request(now, id, request, call);
                     }
@@ -208,6 +217,9 @@
                     if self.router.is_open(id, request) || crosses(&self.sites, id, request) {
                         let Some(client) = self.clients.get_mut(&id) else { return };
                         let many = client.release();
+                        if let Some(recovery) = &mut self.recovery {
+                            recovery.gone(now, id, request..=request);
+                        }
                         if let Some(flows) = &mut self.flows {
                             flows.client_gave_up(now, id, request);
                         }
@@ -231,6 +243,9 @@
     }
 
     pub(super) fn answer(&mut self, now: f64, id: ClientId, request: u32, answer: &Answer) {
+        // Who left before the answer came was counted when it left.
+        let told = self.recovery.as_mut().and_then(|r| r.answered(now, id, request, answer));
+        let answer = told.as_ref().unwrap_or(answer);
         if let Some(client) = self.clients.get_mut(&id) {
             flows::put(&mut self.flows, client, (id, request), answer, true);
             self.flush_client(now, id);
@@ -264,6 +279,9 @@
                 flows.client_gone(now, id, &client);
             }
             client.stream.close(&self.handle);
+            if let Some(recovery) = &mut self.recovery {
+                recovery.client_gone(now, id);
+            }
             self.router.client_gone(now, id);
             self.cross_gone(now, id, 0..=u32::MAX);
         }
--- a/crates/deckproxy/src/program/gateway.rs
+++ b/crates/deckproxy/src/program/gateway.rs
@@ -2,6 +2,7 @@
 
 use crate::program::Files;
 use crate::program::flows::{ExitId, Flows};
+use crate::program::recovery::Recovery;
 use crate::program::sites::{LineId, Sites};
 use crate::program::usage::Usage;
 use crate::protocol::back;
@@ -116,6 +117,8 @@
     pub(super) sites: Option<Box<Sites>>,
     /// Metering and export of flows, where they are switched on.
     pub(super) flows: Option<Box<Flows>>,
+    /// The door against storms, where it is switched on.
+    pub(super) recovery: Option<Box<Recovery>>,
     /// Work that waits for time that requests leave.
     pub(super) background: Scheduler,
     keeping: TaskId,
@@ -140,6 +143,7 @@
         background.wake_at(summing, micros(now + SUMMARY));
         let flows = Flows::start(now, config.seed, &config.conf.classes, &operator, &mut background);
         let collectors = operator.flows.as_ref().map_or(0, |f| f.collectors.len());
+        let recovery = Recovery::start(&log, &config.conf, config.seed, &operator);
         let alarm = Alarm::register(&handle).map_err(io::Error::other)?;
         let router = Router::new(now, config.conf, config.seed, config.known);
         let listener = Listener::bind(&handle, config.listen, |g: &mut Gateway| g.accepting = true)?;
@@ -170,6 +174,7 @@
             from_feed: Rc::default(),
             sites,
             flows,
+            recovery,
             background,
             keeping,
             summing,
@@ -224,6 +229,9 @@
         }
         self.reload_sites(now, &operator);
         self.reload_flows(now, &operator);
+        if self.recovery.is_some() != operator.recovery.is_some() {
+            warn!(self.log, "reload: switching recovery on or off takes a restart");
+        }
         let lines = self.sites.as_ref().map_or(0, |s| s.most_lines);
         let collectors = operator.flows.as_ref().map_or(0, |f| f.collectors.len());
         self.bounds = Bounds::of(config.memory, config.sockets.saturating_sub(lines + collectors));
@@ -393,6 +401,9 @@
     // ---- Chores --------------------------------------------------------------------------------------------
 
     fn housekeeping(&mut self, now: f64) {
+        if let Some(text) = self.recovery.as_mut().and_then(|r| r.news()) {
+            info!(self.log, "recovery"; "what" => text);
+        }
         if self.feed.as_ref().is_some_and(|f| now - f.heard > limits::FEED_SILENCE) {
             self.lose_feed(now, "silent");
         }
@@ -467,6 +478,7 @@
             "clients" => self.clients.len(), "links" => self.links.len(), "most_sockets" => self.most_sockets,
             "sizes" => self.sizes(),
             "sites" => self.sites_summary(),
+            "recovery" => self.recovery.as_ref().map_or_else(|| "off".to_string(), |r| r.summary()),
             "flows" => self.flows.as_mut().map_or_else(|| "off".to_string(), |f| f.summary()),
             "feed" => self.feed.is_some(), "event" => self.router.last_event(),
             "cpu_ms" => usage.cpu, "memory_kb" => usage.memory, "descriptors" => usage.descriptors,
--- a/crates/deckproxy/src/program/mod.rs
+++ b/crates/deckproxy/src/program/mod.rs
@@ -7,6 +7,7 @@
 pub mod gateway;
 pub mod logging;
 mod members;
+mod recovery;
 mod sites;
 pub mod usage;
 
--- /dev/null
+++ b/crates/deckproxy/src/program/recovery.rs
@@ -0,0 +1,155 @@
+//! Recovery from storms, before the router: which requests pass, and when the others are asked back.
+
+use crate::protocol::front::{Answer, Call};
+use crate::routing::router::ClientId;
+use deckproxy_operator::{Client, Operator};
+use deckproxy_recovery::door::{Door, Ended, Verdict};
+use deckproxy_settings::Conf;
+use slog::{Logger, warn};
+use std::collections::{BTreeMap, HashMap};
+use std::net::IpAddr;
+
+/// The door of one gateway.
+pub struct Recovery {
+    door: Door,
+    classes: HashMap<Box<str>, usize>,
+    /// Requests that passed, with their objects.
+    open: BTreeMap<(ClientId, u32), u64>,
+    /// Clients' addresses, where they are known by those.
+    addresses: Option<HashMap<ClientId, u64>>,
+    /// Whether clients are told when to come back.
+    advice: bool,
+    /// A storm was on when this was looked at last.
+    stormy: bool,
+}
+
+fn number(address: IpAddr) -> u64 {
+    match address.to_canonical() {
+        IpAddr::V4(v4) => u64::from(u32::from(v4)),
+        // Of IPv6 the network's half: a client has many addresses in it.
+        IpAddr::V6(v6) => (u128::from(v6) >> 64) as u64,
+    }
+}
+
+impl Recovery {
+    /// Starts what the operator file asks for; none where it asks for nothing.
+    pub(super) fn start(log: &Logger, conf: &Conf, seed: u64, operator: &Operator) -> Option<Box<Self>> {
+        let recovery = operator.recovery.as_ref()?;
+        for name in recovery.unknown(&conf.classes) {
+            warn!(log, "recovery: a class is to be given up that the settings do not have"; "class" => name);
+        }
+        let worth = conf.settings.classes.iter().map(|c| c.worth);
+        let classes: Vec<(String, f64)> = conf.classes.iter().cloned().zip(worth).collect();
+        let advice = conf.settings.retry_after;
+        let most = conf.settings.max_retry_after.max(1.0);
+        let mut settings = recovery.settings(&classes, most);
+        // Who was not told when to come back is not held to it.
+        settings.holds_hasty = advice;
+        Some(Box::new(Recovery {
+            door: Door::new(settings, seed),
+            classes: classes.iter().enumerate().map(|(i, (name, _))| (name.as_str().into(), i)).collect(),
+            open: BTreeMap::new(),
+            addresses: (recovery.client() == Client::Address).then(HashMap::new),
+            advice,
+            stormy: false,
+        }))
+    }
+
+    /// Whether clients' addresses are wanted.
+    pub(super) fn wants_addresses(&self) -> bool {
+        self.addresses.is_some()
+    }
+
+    pub(super) fn client_came(&mut self, id: ClientId, address: Option<IpAddr>) {
+        if let (Some(all), Some(address)) = (&mut self.addresses, address) {
+            all.insert(id, number(address));
+        }
+    }
+
+    fn client(&self, id: ClientId) -> u64 {
+        self.addresses.as_ref().and_then(|all| all.get(&id).copied()).unwrap_or(id)
+    }
+
+    /// A request came: the answer to it, where it does not pass.
+    pub(super) fn request(&mut self, now: f64, id: ClientId, request: u32, call: &Call) -> Option<Answer> {
+        // What names no class is not for the door to judge.
+        let class = self.classes.get(&call.class).copied()?;
+        let client = self.client(id);
+        match self.door.request(now, client, class, call.object.1, call.allow) {
+            Verdict::Pass => {
+                self.open.insert((id, request), call.object.1);
+                None
+            }
+            Verdict::Refuse(back) => Some(Answer::Refused(if self.advice { back } else { 0.0 })),
+        }
+    }
+
+    /// A request has its final answer. Gives that with the time to come back.
+    pub(super) fn answered(
+        &mut self,
+        now: f64,
+        id: ClientId,
+        request: u32,
+        answer: &Answer,
+    ) -> Option<Answer> {
+        let object = self.open.remove(&(id, request))?;
+        let (ended, back) = match answer {
+            Answer::Served(_) | Answer::Unchanged => (Ended::Served, 0.0),
+            Answer::Refused(back) => (Ended::Refused, *back),
+            Answer::Failed => (Ended::Failed, 0.0),
+            // That says nothing of how the gateway does.
+            Answer::Unusable(_) => return None,
+        };
+        let client = self.client(id);
+        let back = self.door.ended(now, client, object, ended, back);
+        (ended == Ended::Refused && self.advice).then_some(Answer::Refused(back))
+    }
+
+    /// A client gave a request up, or has gone with all of them.
+    pub(super) fn gone(&mut self, now: f64, id: ClientId, requests: std::ops::RangeInclusive<u32>) {
+        let keys = (id, *requests.start())..=(id, *requests.end());
+        let gone: Vec<_> = self.open.range(keys).map(|(key, object)| (*key, *object)).collect();
+        let client = self.client(id);
+        for (key, object) in gone {
+            self.open.remove(&key);
+            self.door.ended(now, client, object, Ended::Gone, 0.0);
+        }
+    }
+
+    pub(super) fn client_gone(&mut self, now: f64, id: ClientId) {
+        self.gone(now, id, 0..=u32::MAX);
+        self.addresses.as_mut().map(|all| all.remove(&id));
+    }
+
+    /// A line for the operators when a storm has begun or ended.
+    pub(super) fn news(&mut self) -> Option<String> {
+        let cap = self.door.cap();
+        if std::mem::replace(&mut self.stormy, cap.is_some()) == cap.is_some() {
+            return None;
+        }
+        Some(match cap {
+            Some(cap) => format!("a storm of repeats: {cap:.0} requests a second are let in"),
+            None => "the storm of repeats is over: all are let in".to_string(),
+        })
+    }
+
+    /// The recovery's part of the summary.
+    pub(super) fn summary(&self) -> String {
+        let c = self.door.counters;
+        let [storms, level, remembered, crowded] = self.door.sizes();
+        let cap = self.door.cap().map_or("none".to_string(), |cap| format!("{cap:.0}"));
+        format!(
+            "cap:{cap},storms:{storms},given_up:{level},came[first:{},repeat:{}],passed[first:{},repeat:{}],\
+             refused[hasty:{},no_budget:{},capped:{},aged:{},given_up:{}],remembered:{remembered},crowded:{crowded}",
+            c.firsts,
+            c.repeats,
+            c.passed_firsts,
+            c.passed_repeats,
+            c.hasty,
+            c.no_budget,
+            c.capped,
+            c.aged,
+            c.given_up,
+        )
+    }
+}
