decklab drill recovery: an origin that is slow for a while, with the door, without, and with haste

The promises of recovery are to be seen on sockets. The origin of the stand-ins works on a few requests at once, also for clients that have left; the drill makes it slow for a quarter of its time and counts, from clients and members, work for each first try, goodput and the time until it is back.

--- a/crates/deckproxy-lab/src/drills/mod.rs
+++ b/crates/deckproxy-lab/src/drills/mod.rs
@@ -1,6 +1,7 @@
 //! `decklab drill`: the hard cases, and what independent checkers counted of them.
 
 mod flows;
+mod recovery;
 mod sites;
 
 use clap::{Args, ValueEnum};
@@ -34,6 +35,9 @@
     Sites,
     /// Flow export: collectors killed, stalled, exchanged; clients that hang up.
     Flows,
+    /// Recovery from a storm of repeats: an origin that is slow for a while, with recovery on, off, and clients that come
+    /// again at once.
+    Recovery,
 }
 
 /// What is put wrong in a record.
@@ -65,6 +69,7 @@
     let outcome = std::panic::catch_unwind(|| match options.name {
         Name::Sites => sites::run(options),
         Name::Flows => flows::run(options),
+        Name::Recovery => recovery::run(options),
     });
     let Ok(report) = outcome else {
         eprintln!("the drill could not run");
--- a/crates/deckproxy-standins/src/fleet.rs
+++ b/crates/deckproxy-standins/src/fleet.rs
@@ -50,11 +50,13 @@
     pub keeps: usize,
     /// Until a purged copy goes by itself, ms.
     pub lingers: u64,
+    /// Requests that the origin works on at once; 0: any number. Others wait, also for those who have left.
+    pub room: usize,
 }
 
 impl Default for Terms {
     fn default() -> Self {
-        Terms { caches: 3, parents: 1, hit: 1, parent: 6, origin: 18, keeps: 4096, lingers: 4000 }
+        Terms { caches: 3, parents: 1, hit: 1, parent: 6, origin: 18, keeps: 4096, lingers: 4000, room: 0 }
     }
 }
 
@@ -93,6 +95,9 @@
     sizes: fn(u64) -> usize,
     /// An origin slows down by so many ms: for a drill.
     slow: AtomicU64,
+    /// Requests at the origin's work, and who waits for that.
+    at_work: Mutex<usize>,
+    freed: Condvar,
 }
 
 /// A site: its members, its feed, and what its gateways are told.
@@ -125,6 +130,8 @@
             jitter: AtomicU64::new(u64::from(number) + 1),
             sizes: size_of_object,
             slow: AtomicU64::new(0),
+            at_work: Mutex::new(0),
+            freed: Condvar::new(),
         });
         let mut entries = Vec::new();
         for (kind, count) in [(Kind::Cache, terms.caches), (Kind::Parent, terms.parents), (Kind::Origin, 1)] {
@@ -337,7 +344,7 @@
     pause(shared, shared.terms.hit);
     let (word, told, body) = if writes {
         run(shared, name, field(fields, "dedupe"));
-        pause(shared, shared.terms.origin);
+        at_origin(shared);
         let stamp = Stamp { object, part, issued: crate::wait::unix_ms(), site: shared.site };
         ("200", format!("entity=w1,issued={}", stamp.issued), stamp.body(64))
     } else {
@@ -378,6 +385,19 @@
     }
 }
 
+/// The origin's work, in its turn.
+fn at_origin(shared: &Shared) {
+    if shared.terms.room > 0 {
+        let busy = shared.at_work.lock().unwrap();
+        *shared.freed.wait_while(busy, |n| *n >= shared.terms.room).unwrap() += 1;
+    }
+    pause(shared, shared.terms.origin + shared.slow.load(Ordering::SeqCst));
+    if shared.terms.room > 0 {
+        *shared.at_work.lock().unwrap() -= 1;
+        shared.freed.notify_one();
+    }
+}
+
 /// A copy that is good enough, or a fill; gives when it was given out.
 fn get(
     shared: &Shared,
@@ -388,7 +408,7 @@
     keep: bool,
 ) -> Option<u64> {
     if node.kind == Kind::Origin {
-        pause(shared, shared.terms.origin + shared.slow.load(Ordering::SeqCst));
+        at_origin(shared);
         return Some(crate::wait::unix_ms());
     }
     let end = Instant::now() + Duration::from_secs(3);
