--- a/crates/deckproxy-lab/src/flows/mod.rs
+++ b/crates/deckproxy-lab/src/flows/mod.rs
@@ -2,7 +2,7 @@
 
 mod collect;
 mod follow;
-mod plot;
+pub mod plot;
 mod query;
 mod record;
 mod top;
--- a/crates/deckproxy-lab/src/flows/plot.rs
+++ b/crates/deckproxy-lab/src/flows/plot.rs
@@ -6,7 +6,7 @@
 /// Points in time.
 const BUCKETS: usize = 120;
 /// Colours that are told apart also by those who see few (after Okabe and Ito), then greys.
-const COLOURS: [RGBColor; 8] = [
+pub const COLOURS: [RGBColor; 8] = [
     RGBColor(0, 114, 178),
     RGBColor(230, 159, 0),
     RGBColor(0, 158, 115),
--- a/crates/deckproxy-lab/src/main.rs
+++ b/crates/deckproxy-lab/src/main.rs
@@ -5,6 +5,7 @@
 mod drills;
 mod flows;
 mod measure;
+mod model;
 mod traffic;
 
 use clap::{Parser, Subcommand};
@@ -27,6 +28,8 @@
     Drill(drills::Options),
     /// Flows that gateways export: collect them, see who used the links.
     Flows(flows::Options),
+    /// Experiments on a model of sites: the deployed gateway in simulated time, at any size.
+    Model(model::Options),
     /// Measurements on this machine; each compares in one run.
     Measure(measure::Options),
     /// The gateway itself: what `deckproxy` is, with its command line.
@@ -42,6 +45,7 @@
         Command::Demo(options) => demo::run(&options),
         Command::Drill(options) => drills::run(&options),
         Command::Flows(options) => flows::run(&options),
+        Command::Model(options) => model::run(&options),
         Command::Measure(options) => measure::run(&options),
         Command::Gateway { words } => {
             let words = std::iter::once("deckproxy".into()).chain(words);
--- a/crates/deckproxy-model/src/lib.rs
+++ b/crates/deckproxy-model/src/lib.rs
@@ -5,7 +5,7 @@
 //! modelled are the clients, caches, parents, origin, links, feed and faults around them.
 //!
 //! - [`queue`]: pending events, in a timing wheel.
-//! - [`scenario`]: what is run, as data.
+//! - [`scenario`]: what is run, as data; [`file`]: experiments in files, [`expression`]s in them.
 //! - [`load`]: what clients ask for, and how they come again.
 //! - [`members`]: caches, parents and origin: cores, queues, copies, fills, cold starts.
 //! - [`hosts`]: what stands between clients and members: the gateway, or one of the plain baselines.
@@ -16,6 +16,8 @@
 #![allow(missing_docs, clippy::missing_panics_doc)]
 
 pub mod check;
+pub mod expression;
+pub mod file;
 pub mod hosts;
 pub mod load;
 pub mod members;
--- a/crates/deckproxy-model/src/scenario.rs
+++ b/crates/deckproxy-model/src/scenario.rs
@@ -30,6 +30,8 @@
 pub struct Load {
     /// First tries a second, over all sites.
     pub rate: f64,
+    /// By how much that is multiplied, as an expression in t, seconds.
+    pub schedule: Option<String>,
     /// Objects of a site, and the power by which some are asked for more often.
     pub objects: usize,
     pub zipf: f64,
@@ -138,6 +140,7 @@
     fn default() -> Self {
         Load {
             rate: 2000.0,
+            schedule: None,
             objects: 20_000,
             zipf: 0.9,
             drift: 0.0,
@@ -207,6 +210,10 @@
         must(l.rate > 0.0 && l.rate <= 10e6, "load.rate", "over 0 and up to 10000000 are wanted");
         must((1..=10_000_000).contains(&l.objects), "load.objects", "1 to 10000000 are wanted");
         must((0.0..=1.0).contains(&l.writes), "load.writes", "a share from 0 to 1 is wanted");
+        let schedule = l.schedule.as_deref().map(crate::expression::parse);
+        if let Some(Err(why)) = &schedule {
+            must(false, "load.schedule", why);
+        }
         must(l.patience >= 50.0, "load.patience", "50 ms at least are wanted");
         must((1..=100).contains(&l.tries), "load.tries", "1 to 100 are wanted");
         for (i, fault) in self.faults.iter().enumerate() {
--- a/crates/deckproxy-model/src/world.rs
+++ b/crates/deckproxy-model/src/world.rs
@@ -1,6 +1,7 @@
 //! The run: clients, gateways, members, links, feed and faults, event by event.
 
 use crate::check::{Check, Passed};
+use crate::expression::{self, Expression};
 use crate::hosts::{Answered, Back, Effect, Host, Key, Listed, Order, TryNo};
 use crate::load::{Class, Wish, Wishes};
 use crate::members::{JobNo, Kind, Member, MemberNo};
@@ -39,8 +40,8 @@
 
 #[derive(Clone, Copy, Debug)]
 enum Event {
-    /// The next first try at a gateway.
-    Arrival(u32),
+    /// The next first try at a gateway; or, false, time to draw it anew, as the rate may have changed.
+    Arrival(u32, bool),
     /// A client comes again.
     Again(TryNo),
     /// An answer reaches a client.
@@ -140,6 +141,7 @@
     next_try: TryNo,
     next_write: u64,
     wishes: Vec<Wishes>,
+    schedule: Option<Expression>,
     faults: Pcg64Mcg,
     feed_lag: Pcg64Mcg,
     /// When a location's link to its parents is free again, and the share that it carries.
@@ -207,6 +209,7 @@
             next_try: 0,
             next_write: 0,
             wishes: (0..set.sites).map(|site| Wishes::new(site, &set.load)).collect(),
+            schedule: set.load.schedule.as_deref().and_then(|text| expression::parse(text).ok()),
             faults: stream(set.seed, FAULTS, 0),
             feed_lag: stream(set.seed, FAULTS, 1),
             inlet: vec![(0, 1.0); locations],
@@ -312,7 +315,8 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Arrival(g) => self.arrival(g),
+            Event::Arrival(g, true) => self.arrival(g),
+            Event::Arrival(g, false) => self.schedule_arrival(g),
             Event::Again(no) => self.ask(no),
             Event::Answered(no, answer) => self.answered(no, answer),
             Event::Tick(g, life) => {
@@ -373,10 +377,15 @@
     // ---- Clients -------------------------------------------------------------------------------------------
 
     fn schedule_arrival(&mut self, g: u32) {
-        let rate = self.set.load.rate * self.load.0 / self.gateways.len() as f64;
+        let times = self.schedule.as_ref().map_or(1.0, |e| e.at(self.now as f64 / 1e6));
+        // Where nobody comes for a while, that is looked at again soon.
+        let times = if times.is_finite() { times.max(0.001) } else { 1.0 };
+        let rate = self.set.load.rate * self.load.0 * times / self.gateways.len() as f64;
         let rng = &mut self.gateways[g as usize].arrivals;
         let gap = -(1.0 - rng.random::<f64>()).ln() / rate;
-        self.queue.push(self.now + micros(gap.min(60.0) * 1000.0).max(1), Event::Arrival(g));
+        // Gaps have no memory: one that is cut off goes on as a new one.
+        let arrival = Event::Arrival(g, gap <= 1.0);
+        self.queue.push(self.now + micros(gap.min(1.0) * 1000.0).max(1), arrival);
     }
 
     fn arrival(&mut self, g: u32) {
