--- a/crates/deckproxy-recovery/src/budget.rs
+++ b/crates/deckproxy-recovery/src/budget.rs
@@ -8,7 +8,7 @@
 pub struct Limits {
     /// Repeats earned by a first try.
     pub share: f64,
-    /// Repeats saved up, at most and at the start.
+    /// Repeats saved up, at most.
     pub saved: f64,
 }
 
@@ -26,9 +26,9 @@
 }
 
 impl Budget {
-    /// A full one.
+    /// One in which one repeat is saved: a process that has just started meets the repeats of all that it forgot.
     pub fn new(limits: Limits) -> Self {
-        Budget { limits, left: limits.saved }
+        Budget { limits, left: limits.saved.min(1.0) }
     }
 
     /// A first try passed.
