--- a/crates/deckproxy-lab/tests/model.rs
+++ b/crates/deckproxy-lab/tests/model.rs
@@ -73,7 +73,7 @@
         assert!(faults.contains(want), "{want}: {faults}");
     }
     let fault = told("faults { at: 1 lasts: 1 site: 4 }", &[]);
-    assert!(fault.contains(":1:26: faults[0].site: there is no such site"), "{fault}");
+    assert!(fault.contains(":1:25: faults[0].site: there is no such site"), "{fault}");
     assert!(told("load { rat: 5 }", &[]).contains(":1:8: load.rat: no such field; there are rate"));
     assert!(told(GOOD, &["--sweep", "load.rats=5"]).contains("there is no field load.rats"));
     assert!(told(GOOD, &["--sweep", "load.rate=-5"]).contains("load.rate: over 0"));
