The model keeps no flag that nobody reads

A last reading found a flag of frozen reports that was set and never read (each member keeps its own frozen report), and a choice stored for flapping links that no fault uses; both are out.

--- a/crates/deckproxy-model/src/world.rs
+++ b/crates/deckproxy-model/src/world.rs
@@ -146,10 +146,9 @@
     feed_lag: Pcg64Mcg,
     /// When a location's link to its parents is free again, and the share that it carries.
     inlet: Vec<(Micros, f64)>,
-    /// What faults have in force: times the load and the share of it for one object; the feed and reports are still.
+    /// What faults have in force: times the load and the share of it for one object; the feed is still.
     load: (f64, f64),
     feed_still: bool,
-    reports_still: bool,
     missed: Vec<MemberNo>,
     chosen: AHashMap<usize, Vec<MemberNo>>,
     purged: AHashMap<u64, Micros>,
@@ -215,7 +214,6 @@
             inlet: vec![(0, 1.0); locations],
             load: (1.0, 0.0),
             feed_still: false,
-            reports_still: false,
             missed: Vec::new(),
             chosen: AHashMap::new(),
             purged: AHashMap::new(),
@@ -1080,23 +1078,20 @@
                 }
             }
             What::Reports => {
-                self.reports_still = on;
                 let set = self.set.members.clone();
                 for m in &mut self.members {
                     m.frozen = on.then(|| m.report(&set));
                 }
             }
-            What::Flap { share, each } => {
+            What::Flap { .. } => {
                 if on {
                     self.flap(i, 1);
                 } else {
                     self.inlet.iter_mut().for_each(|(_, carries)| *carries = 1.0);
-                    self.chosen.insert(i, Vec::new());
                 }
-                let _ = (share, each);
             }
         }
-        if !on && !matches!(what, What::Flap { .. }) {
+        if !on {
             self.chosen.remove(&i);
         }
     }
