Sizes that the list does not tell are judged by what each kind bears

Lines to blame: load() and cold_room() divided by and multiplied m.weight. Held over busy share alone overstates the size by 1.5 to 1.9 (measured against listed sizes), as what waits for a fill is held too; so the sending time served, over the members of the kind, over the busy share told.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -35,6 +35,9 @@
 const TOLD_SPAN: Millis = 2000.0;
 const TOLD_STEP: f64 = 0.3;
 const SEEN_SPAN: Millis = 4000.0;
+/// ms over which is averaged what the members of a kind bear, and of it until their size is judged by that.
+const BORNE_SPAN: Millis = 10_000.0;
+const BORNE_FROM: Millis = 3000.0;
 /// Share of the cold rule that all routers use, times a class's mean sending time that one send weighs, and
 /// share of the longest deadline that a whole send may weigh: room for misjudged times.
 const COLD_SHARE: f64 = 0.8;
@@ -123,7 +126,7 @@
     /// which touches two windows, stays under it, whoever knows of the start and whoever does not. It is
     /// split evenly while every part holds a whole send; else half of it goes in whole sends to those whose
     /// turn it is, a run of positions that all routers find alike and that grows as the member warms.
-    fn cold_room(&mut self, s: &Settings, rule: &ColdRule, sharers: f64, now: Millis) -> f64 {
+    fn cold_room(&mut self, s: &Settings, rule: &ColdRule, size: f64, sharers: f64, now: Millis) -> f64 {
         let started = self.m.started.unwrap_or(f64::MIN);
         let (window, turn) = (rule.window.max(1.0), (now / rule.window.max(1.0)).floor());
         if now - started >= rule.ramp {
@@ -133,7 +136,7 @@
             (self.turn, self.spent) = (turn, if turn * window < self.known { f64::MAX } else { 0.0 });
         }
         let age = (turn * window - started).max(0.0);
-        let capacity = (rule.from + (1.0 - rule.from) * age / rule.ramp) * self.m.weight;
+        let capacity = (rule.from + (1.0 - rule.from) * age / rule.ramp) * size;
         let quota = COLD_SHARE * rule.multiple * capacity * window * 0.5;
         let whole = s.classes.iter().map(|c| c.deadline * WHOLE).fold(1.0, f64::max);
         if quota / sharers >= whole {
@@ -280,6 +283,31 @@
     }
 }
 
+/// What one member of a kind bears, all routers' guessed from ours: the sending time served, since when and until
+/// when that was counted, and its busy share by the reports (their sum and number). All fade.
+#[derive(Clone, Copy)]
+struct Borne {
+    work: Millis,
+    since: Millis,
+    at: Millis,
+    busy: (f64, f64),
+}
+
+impl Borne {
+    fn fade(&mut self, now: Millis) {
+        let keep = (-(now - self.at) / BORNE_SPAN).exp();
+        (self.work, self.at, self.busy) = (self.work * keep, now, (self.busy.0 * keep, self.busy.1 * keep));
+    }
+
+    /// The size that explains it: answers at full pace over the share of the link that they took. Where no
+    /// busy share is reported it is at least what was borne.
+    fn size(&self, now: Millis) -> Option<f64> {
+        let span = BORNE_SPAN * (1.0 - (-(self.at - self.since) / BORNE_SPAN).exp());
+        let busy = if self.busy.1 > 0.0 { self.busy.0 / self.busy.1 } else { 1.0 };
+        (now - self.since > BORNE_FROM).then(|| (self.work / span / busy.clamp(0.05, 1.0)).max(1.0))
+    }
+}
+
 /// What is left of an amount after a while.
 fn faded((amount, at): (f64, Millis), now: Millis) -> f64 {
     amount * (-(now - at) / HOT_SPAN).exp()
@@ -301,6 +329,8 @@
     /// Work asked for lately in all, and when that was brought up to date; what is known by object.
     asked: (f64, Millis),
     objects: BTreeMap<u64, Known>,
+    /// What members bear, by kind, where the list tells no sizes.
+    borne: BTreeMap<u32, Borne>,
     /// Attempts that draw on the location's link.
     link: Shared,
     retries: f64,
@@ -365,7 +395,9 @@
             let left = self.peers.values_mut().filter(|p| !list.iter().any(|m| m.id == p.m.id));
             left.for_each(|p| p.m.lifecycle = Lifecycle::Gone);
         }
-        for m in list {
+        for mut m in list {
+            // What is no size must not weigh in the hash.
+            m.weight = if self.s.sized { m.weight } else { 1.0 };
             match self.peers.get_mut(&m.id) {
                 Some(p) if m.lifecycle == Lifecycle::Gone => p.m.lifecycle = Lifecycle::Gone,
                 None if m.lifecycle == Lifecycle::Gone => {}
@@ -461,7 +493,25 @@
     /// Answers out over the member's link, all routers' guessed from ours.
     fn load(&self, p: &Peer) -> f64 {
         let all = p.held.all(self.sharers(&p.m), self.now);
-        all * self.slowness(p) / p.m.weight.max(0.1)
+        self.size(&p.m).map_or(0.0, |size| all * self.slowness(p) / size.max(0.1))
+    }
+
+    /// A member's link in answers at full pace: told, else judged by what its kind bears, as soon as there is
+    /// enough to go by.
+    fn size(&self, m: &Member) -> Option<f64> {
+        if self.s.sized { Some(m.weight) } else { self.borne.get(&m.kind)?.size(self.now) }
+    }
+
+    /// Books what a member bore, or its report of how busy it is.
+    fn bear(&mut self, id: MemberId, work: Millis, busy: Option<f64>) {
+        let Some(m) = self.peers.get(&id).filter(|_| !self.s.sized).map(|p| p.m) else { return };
+        let new = Borne { work: 0.0, since: self.now, at: self.now, busy: (0.0, 0.0) };
+        let alike = 1.0 + self.pool(&m).filter(|p| p.m.kind == m.kind).count() as f64;
+        let all = work * self.sharers(&m) / alike;
+        let b = self.borne.entry(m.kind).or_insert(new);
+        b.fade(self.now);
+        b.work += all;
+        b.busy = busy.map_or(b.busy, |x| (b.busy.0 + x, b.busy.1 + 1.0));
     }
 
     /// Ready members of a pool in the hash's order, those holding too much of our work moved behind.
@@ -586,9 +636,10 @@
         for m in &ends {
             let member = self.peers[m].m;
             let (sharers, warm) = (self.sharers(&member), self.is_origin(&member));
+            let size = self.size(&member).unwrap_or(1.0);
             let rule = if self.is_cache(&member) { self.s.cold_cache } else { self.s.cold_parent };
             let Some(p) = self.peers.get_mut(m) else { return false };
-            if !warm && p.cold_room(&self.s, &rule, sharers, now) < cost {
+            if !warm && p.cold_room(&self.s, &rule, size, sharers, now) < cost {
                 return false;
             }
         }
@@ -665,6 +716,7 @@
         let Some(p) = self.peers.get_mut(&id) else { return };
         load.held.into_iter().for_each(|held| p.held.tell(held, now));
         let m = p.m;
+        self.bear(id, 0.0, load.cpu);
         let Some(full) = load.link.filter(|_| self.is_cache(&m) && m.zone == here) else { return };
         let all = self.link_fit().map_or(full + self.link.own, |fit| full * fit);
         self.link.tell(all, now);
@@ -930,7 +982,11 @@
                     self.learn_sending(r, a, end.elapsed);
                 }
                 self.judge(a.member, true);
-                source.into_iter().for_each(|s| self.judge(s, true));
+                self.bear(a.member, a.work, None);
+                if let Some(s) = source {
+                    self.judge(s, true);
+                    self.bear(s, if end.note == Note::Joined { 0.0 } else { a.work }, None);
+                }
             }
             Ending::Miss => self.judge(a.member, true),
             // What fails at a parent while the origin does is not held against it: it still has its copies.
--- a/crates/deckproxy-control/src/interface.rs
+++ b/crates/deckproxy-control/src/interface.rs
@@ -112,6 +112,8 @@
     pub siblings: Siblings,
     /// Pace of one answer, KB a second; the unit of the members' weights.
     pub flow: f64,
+    /// The members' weights tell their sizes; else they mean nothing.
+    pub sized: bool,
     /// The rule on cold caches.
     pub cold_cache: ColdRule,
     /// The rule on cold parents.
--- a/crates/deckproxy-settings/src/lib.rs
+++ b/crates/deckproxy-settings/src/lib.rs
@@ -173,6 +173,12 @@
             Some(other) => return Err(format!("setting familyInfo.sideways: unknown value {other:?}")),
         },
         flow: text.number("familyInfo.flowKbPerS", 0.0)?,
+        sized: match text.get("weightKind") {
+            None | Some("nominal" | "rough") => true,
+            // A size over what is held changes all the time: no size to hash or to budget by.
+            Some("none" | "live") => false,
+            Some(other) => return Err(format!("setting weightKind: unknown value {other:?}")),
+        },
         cold_cache: rule("rules.coldFrom", "rules.rampTimeMs", "rules.fallMultiple")?,
         cold_parent: rule(
             "familyInfo.upperColdFrom",
