--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -34,7 +34,7 @@
 const TRUST: f64 = 0.5;
 const TOLD_SPAN: Millis = 2000.0;
 const TOLD_STEP: f64 = 0.3;
-const SEEN_SPAN: Millis = 4000.0;
+const SEEN_SPAN: Millis = 12000.0;
 /// ms over which is averaged what the members of a kind bear, and of it until their size is judged by that.
 const BORNE_SPAN: Millis = 10_000.0;
 const BORNE_FROM: Millis = 3000.0;
@@ -191,6 +191,8 @@
     /// When it counts as late, and whether: a fill then waits for a source that does not send.
     late_at: Millis,
     late: bool,
+    /// It was called back as its source was late and another one is brisk.
+    recalled: bool,
 }
 
 #[derive(Default)]
@@ -539,18 +541,23 @@
         all
     }
 
-    /// Those whose fills were not seen to take too long of late, the origin first where the home is slow.
+    /// Those whose fills were not seen to take too long of late, in the hash's order; the slow ones behind.
     fn brisk(&self, o: &Open) -> Vec<MemberId> {
         let drag = |s: &MemberId| self.peers.get(s).map_or(1.0, |p| p.drag(self.now));
         let mut all = self.sources(&o.r);
-        let slow = |s: Option<&MemberId>| s.is_some_and(|s| drag(s) > PASS_DRAG);
-        if slow(all.first()) && !slow(all.last()) {
-            all.rotate_right(1);
-        }
+        let limit = self.slow_from(&all);
+        all.sort_by_key(|s| drag(s) > limit);
         all.retain(|s| drag(s) <= 1.0 || !self.too_late(o, self.work(&o.r) * drag(s)));
         all
     }
 
+    /// The drag from which a source is passed: all of them are slow where the location's link is crowded, and
+    /// then only those count that are slow beside the best.
+    fn slow_from(&self, sources: &[MemberId]) -> f64 {
+        let usable = sources.iter().filter_map(|s| self.peers.get(s)).filter(|p| p.usable(self.now));
+        (usable.map(|p| p.drag(self.now)).fold(f64::MAX, f64::min) * BOUND).clamp(PASS_DRAG, LATE_DRAG)
+    }
+
     fn origin(&self) -> Option<MemberId> {
         let mut ready = self.peers.values().filter(|p| p.m.lifecycle == Lifecycle::Ready);
         ready.find(|p| self.is_origin(&p.m)).map(|p| p.m.id)
@@ -670,8 +677,22 @@
         let crowd = if kind == Kind::LookUp { 1.0 } else { crowd };
         let late_at = now + LATE * (work * load.max(crowd).max(1.0) + 2.0 * WAY);
         let sure = o.r.size.is_some() || self.objects.get(&o.r.object).is_some_and(|k| k.sending.is_some());
-        let (no, member, sent, late) = (o.sends, to, now, false);
-        let a = Attempt { no, member, source, kind, sent, load, work, sure, trial, linked, late_at, late };
+        let (no, member, sent, late, recalled) = (o.sends, to, now, false, false);
+        let a = Attempt {
+            no,
+            member,
+            source,
+            kind,
+            sent,
+            load,
+            work,
+            sure,
+            trial,
+            linked,
+            late_at,
+            late,
+            recalled,
+        };
         if let Some(o) = self.open.get_mut(&id) {
             o.out.push(a);
             o.sends += 1;
@@ -806,6 +827,17 @@
         }
     }
 
+    /// Whether a safe request has a source in the pool beside that one that was not seen to be slow.
+    fn other_way(&self, id: RequestId, source: Option<MemberId>) -> bool {
+        let Some(o) = self.open.get(&id).filter(|o| !o.streaming && !self.last_call(o)) else { return false };
+        let safe = self.s.classes[o.r.class].effect == Effect::Safe && o.sends < self.s.max_attempts;
+        let (sources, drag) = (self.brisk(o), |s: &MemberId| self.peers[s].drag(self.now));
+        let limit = self.slow_from(&sources);
+        let other = |s: &MemberId| self.peers[s].usable(self.now) && !o.bad.contains(s) && drag(s) <= limit;
+        safe && source.is_some_and(|s| self.peers.contains_key(&s) && drag(&s) > limit)
+            && sources.iter().any(|s| Some(*s) != source && other(s))
+    }
+
     /// Only one attempt's time is left.
     fn last_call(&self, o: &Open) -> bool {
         o.r.expires - self.now <= LATE * (self.work(&o.r) + WAY) + SWEEP
@@ -927,7 +959,8 @@
             return self.missed(id, a.member);
         }
         // A failure: whom the request avoids from now on.
-        let at_cache = matches!(end.ending, Ending::ConnectFailed | Ending::Reset | Ending::Cancelled);
+        let at_cache = matches!(end.ending, Ending::ConnectFailed | Ending::Reset)
+            || end.ending == Ending::Cancelled && !a.recalled;
         let at_source = a.kind == Kind::Fill && !at_cache && end.note != Note::NoPlace;
         let guilty = a.source.filter(|_| at_source).unwrap_or(a.member);
         let Some(o) = self.open.get_mut(&id) else { return };
@@ -1004,7 +1037,12 @@
             Ending::ConnectFailed | Ending::Reset => self.judge(a.member, false),
             _ if matches!(end.note, Note::NoPlace | Note::SourceLacks | Note::OriginFailed) => {}
             // A fill that failed: nearly always the source, as the cache had room to look up.
-            _ => self.judge(source.unwrap_or(a.member), false),
+            _ => {
+                if !a.late {
+                    self.see(a, |_| LATE_DRAG);
+                }
+                self.judge(source.unwrap_or(a.member), false);
+            }
         }
     }
 
@@ -1042,10 +1080,21 @@
                 }
             }
         }
-        // Where two attempts may be out, a second one makes up for an answer that got lost.
+        // Where two attempts may be out, a second one makes up for an answer that got lost; where one, a fill
+        // is called back if another source is brisk. On a crowded link none is.
         for (id, a) in again {
-            if self.s.second_copies && self.retries >= 1.0 && self.emit(id, a.member, a.source, a.kind) {
-                self.retries -= 1.0;
+            if self.s.second_copies {
+                if self.retries >= 1.0 && self.emit(id, a.member, a.source, a.kind) {
+                    self.retries -= 1.0;
+                }
+            } else if a.kind == Kind::Fill
+                && self.s.cancel
+                && self.retries >= 1.0
+                && self.other_way(id, a.source)
+            {
+                self.acts.push(Action::Cancel { request: id, attempt: a.no });
+                let o = self.open.get_mut(&id).into_iter();
+                o.flat_map(|o| &mut o.out).filter(|x| x.no == a.no).for_each(|x| x.recalled = true);
             }
         }
         let silent = |p: &&Peer| {
