--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -191,8 +191,6 @@
     /// When it counts as late, and whether: a fill then waits for a source that does not send.
     late_at: Millis,
     late: bool,
-    /// It was called back as its source was late and another one is brisk.
-    recalled: bool,
 }
 
 #[derive(Default)]
@@ -677,22 +675,8 @@
         let crowd = if kind == Kind::LookUp { 1.0 } else { crowd };
         let late_at = now + LATE * (work * load.max(crowd).max(1.0) + 2.0 * WAY);
         let sure = o.r.size.is_some() || self.objects.get(&o.r.object).is_some_and(|k| k.sending.is_some());
-        let (no, member, sent, late, recalled) = (o.sends, to, now, false, false);
-        let a = Attempt {
-            no,
-            member,
-            source,
-            kind,
-            sent,
-            load,
-            work,
-            sure,
-            trial,
-            linked,
-            late_at,
-            late,
-            recalled,
-        };
+        let (no, member, sent, late) = (o.sends, to, now, false);
+        let a = Attempt { no, member, source, kind, sent, load, work, sure, trial, linked, late_at, late };
         if let Some(o) = self.open.get_mut(&id) {
             o.out.push(a);
             o.sends += 1;
@@ -827,17 +811,6 @@
         }
     }
 
-    /// Whether a safe request has a source in the pool beside that one that was not seen to be slow.
-    fn other_way(&self, id: RequestId, source: Option<MemberId>) -> bool {
-        let Some(o) = self.open.get(&id).filter(|o| !o.streaming && !self.last_call(o)) else { return false };
-        let safe = self.s.classes[o.r.class].effect == Effect::Safe && o.sends < self.s.max_attempts;
-        let (sources, drag) = (self.brisk(o), |s: &MemberId| self.peers[s].drag(self.now));
-        let limit = self.slow_from(&sources);
-        let other = |s: &MemberId| self.peers[s].usable(self.now) && !o.bad.contains(s) && drag(s) <= limit;
-        safe && source.is_some_and(|s| self.peers.contains_key(&s) && drag(&s) > limit)
-            && sources.iter().any(|s| Some(*s) != source && other(s))
-    }
-
     /// Only one attempt's time is left.
     fn last_call(&self, o: &Open) -> bool {
         o.r.expires - self.now <= LATE * (self.work(&o.r) + WAY) + SWEEP
@@ -959,8 +932,7 @@
             return self.missed(id, a.member);
         }
         // A failure: whom the request avoids from now on.
-        let at_cache = matches!(end.ending, Ending::ConnectFailed | Ending::Reset)
-            || end.ending == Ending::Cancelled && !a.recalled;
+        let at_cache = matches!(end.ending, Ending::ConnectFailed | Ending::Reset | Ending::Cancelled);
         let at_source = a.kind == Kind::Fill && !at_cache && end.note != Note::NoPlace;
         let guilty = a.source.filter(|_| at_source).unwrap_or(a.member);
         let Some(o) = self.open.get_mut(&id) else { return };
@@ -1038,9 +1010,6 @@
             _ if matches!(end.note, Note::NoPlace | Note::SourceLacks | Note::OriginFailed) => {}
             // A fill that failed: nearly always the source, as the cache had room to look up.
             _ => {
-                if !a.late {
-                    self.see(a, |_| LATE_DRAG);
-                }
                 self.judge(source.unwrap_or(a.member), false);
             }
         }
@@ -1080,21 +1049,10 @@
                 }
             }
         }
-        // Where two attempts may be out, a second one makes up for an answer that got lost; where one, a fill
-        // is called back if another source is brisk. On a crowded link none is.
+        // Where two attempts may be out, a second one makes up for an answer that got lost.
         for (id, a) in again {
-            if self.s.second_copies {
-                if self.retries >= 1.0 && self.emit(id, a.member, a.source, a.kind) {
-                    self.retries -= 1.0;
-                }
-            } else if a.kind == Kind::Fill
-                && self.s.cancel
-                && self.retries >= 1.0
-                && self.other_way(id, a.source)
-            {
-                self.acts.push(Action::Cancel { request: id, attempt: a.no });
-                let o = self.open.get_mut(&id).into_iter();
-                o.flat_map(|o| &mut o.out).filter(|x| x.no == a.no).for_each(|x| x.recalled = true);
+            if self.s.second_copies && self.retries >= 1.0 && self.emit(id, a.member, a.source, a.kind) {
+                self.retries -= 1.0;
             }
         }
         let silent = |p: &&Peer| {
