--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -980,7 +980,10 @@
             Ending::Ok => {
                 self.see(a, |expected| end.elapsed / expected);
                 // Where nothing is reported, the time of a fill tells how full the link is.
-                if let Some(fit) = self.link_fit().filter(|_| a.kind == Kind::Fill && end.load.is_none()) {
+                if let Some(fit) = self
+                    .link_fit()
+                    .filter(|_| a.kind == Kind::Fill && end.load.is_none_or(|l| l.link.is_none()))
+                {
                     self.link.tell(FILL_PACE * fit * end.elapsed / (a.work + 2.0 * WAY), self.now);
                 }
                 if r.size.is_none() && a.kind == Kind::LookUp {
