A crowded origin is spared: parents give what they hold, the rest is refused at once

Now what answers by way of the origin took beyond their sending time is kept apart; where that makes an answer too late, a fill asks the parent only for what it holds.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -331,6 +331,8 @@
     objects: BTreeMap<u64, Known>,
     /// What members bear, by kind, where the list tells no sizes.
     borne: BTreeMap<u32, Borne>,
+    /// How long answers by way of the origin took of late beyond their sending time, and the last one's time.
+    origin_wait: (Millis, Millis),
     /// Attempts that draw on the location's link.
     link: Shared,
     retries: f64,
@@ -652,7 +654,10 @@
         let trial = ends.iter().any(|m| self.peers[m].trial);
         let (until, bound) = (o.r.expires, self.purge_bound(&o.r));
         let age = bound.map_or(0.0, |b| if class.fresh > 0.0 { b.min(class.fresh) } else { b });
-        let how = How { join: self.s.joins && kind != Kind::LookUp, ..How::default() };
+        // A crowded origin is spared: the parent gives what it holds, the rest is given up at once.
+        let held_only = kind == Kind::Fill && source.is_some_and(|s| self.is_parent(&self.peers[&s].m));
+        let held_only = held_only && self.origin_late(o);
+        let how = How { join: self.s.joins && kind != Kind::LookUp, held_only, ..How::default() };
         let keep = if class.write || !local { 0 } else { RANK };
         self.acts.push(if kind == Kind::LookUp && bound.is_none() || self.is_origin(&target) {
             Action::LookUp { request: id, member: to, until }
@@ -931,6 +936,9 @@
         } else if missed {
             return self.missed(id, a.member);
         }
+        if end.note == Note::SourceLacks {
+            return self.give_up(id);
+        }
         // A failure: whom the request avoids from now on.
         let at_cache = matches!(end.ending, Ending::ConnectFailed | Ending::Reset | Ending::Cancelled);
         let at_source = a.kind == Kind::Fill && !at_cache && end.note != Note::NoPlace;
@@ -951,6 +959,12 @@
         self.missed(id, a.member);
     }
 
+    /// Whether the origin was seen to be so crowded that what comes from it would be too late.
+    fn origin_late(&self, o: &Open) -> bool {
+        let (wait, at) = self.origin_wait;
+        self.too_late(o, self.work(&o.r) + wait * (-(self.now - at) / TOLD_SPAN).exp())
+    }
+
     fn see(&mut self, a: &Attempt, slowdown: impl Fn(Millis) -> f64) {
         let Some((m, expected)) = a.shows() else { return };
         self.peers.get_mut(&m).into_iter().for_each(|p| p.see(slowdown(expected), self.now));
@@ -979,11 +993,16 @@
         match end.ending {
             Ending::Ok => {
                 self.see(a, |expected| end.elapsed / expected);
-                // Where nothing is reported, the time of a fill tells how full the link is.
-                if let Some(fit) = self
-                    .link_fit()
-                    .filter(|_| a.kind == Kind::Fill && end.load.is_none_or(|l| l.link.is_none()))
-                {
+                if end.note == Note::FilledByOrigin && !self.s.classes[r.class].write {
+                    let ((old, at), over) = (self.origin_wait, (end.elapsed - a.work).max(0.0));
+                    let old = old * (-(self.now - at) / TOLD_SPAN).exp();
+                    self.origin_wait = (old + TOLD_STEP * (over - old), self.now);
+                }
+                // Where it is not reported, the time of a fill tells how full the link is; not one by the origin,
+                // where notes tell, as that shows the origin.
+                let shows = a.kind == Kind::Fill && end.load.is_none_or(|l| l.link.is_none());
+                let shows = shows && !matches!(end.note, Note::FilledByOrigin | Note::Joined);
+                if let Some(fit) = self.link_fit().filter(|_| shows) {
                     self.link.tell(FILL_PACE * fit * end.elapsed / (a.work + 2.0 * WAY), self.now);
                 }
                 if r.size.is_none() && a.kind == Kind::LookUp {
