Cold members: budgets saved up in evenly spread turns, fills at once at cold caches

Now each router saves its even part of the budget as time passes and sends when it holds the dearest send; where they start to save is spread evenly by position, so turns come one after the other. And a cold cache, which is empty, is asked for the fill at once, as a look-up would weigh as much as the fill. What comes by way of the origin shows the origin's pace and not the parent's.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -38,11 +38,13 @@
 /// ms over which is averaged what the members of a kind bear, and of it until their size is judged by that.
 const BORNE_SPAN: Millis = 10_000.0;
 const BORNE_FROM: Millis = 3000.0;
-/// Share of the cold rule that all routers use, times a class's mean sending time that one send weighs, and
-/// share of the longest deadline that a whole send may weigh: room for misjudged times.
-const COLD_SHARE: f64 = 0.8;
+/// Share of the cold rule that all routers use, of a window's part that one may save up, and times a class's
+/// mean sending time that one send weighs: room for misjudged times and uneven turns.
+const COLD_SHARE: f64 = 0.6;
+const COLD_SAVED: f64 = 0.5;
 const COLD_COST: f64 = 1.1;
-const WHOLE: f64 = 0.125;
+/// The golden ratio's fraction: its multiples spread evenly over 0 to 1.
+const GOLDEN: f64 = 0.618_033_988_749_895;
 /// Failures in a row that leave a member out; and times its peers' pace from which it is slow.
 const FAILS_CERTAIN: u32 = 6;
 const SLOW_FROM: f64 = 1.6;
@@ -77,11 +79,10 @@
 #[derive(Default)]
 struct Peer {
     m: Member,
-    /// The window in which it was last sent to while cold, and the ms of sending spent on it then.
-    turn: f64,
-    spent: f64,
-    /// When this router first heard of it; what it sent in that window before its own restart is not known.
-    known: Millis,
+    /// While it is cold: our part of its budget not yet spent, in ms of sending, none before the first send, and
+    /// when that was brought up to date.
+    saved: Option<f64>,
+    saved_at: Millis,
     /// Attempts out that draw on its link, and fills out that name it as the source.
     held: Shared,
     /// Its pace: slowdowns seen of late, their weight, and when that was brought up to date.
@@ -101,7 +102,7 @@
 
 impl Peer {
     fn new(m: Member, known: Millis) -> Self {
-        Peer { m, known, turn: f64::MIN, out_until: f64::MIN, ..Peer::default() }
+        Peer { m, saved_at: known, out_until: f64::MIN, ..Peer::default() }
     }
 
     fn usable(&self, now: Millis) -> bool {
@@ -120,33 +121,32 @@
         (1.0 + self.seen.0 * keep) / (1.0 + self.seen.1 * keep)
     }
 
-    /// What is left for one router in this window to send to a cold member, in ms of sending.
-    /// Time is cut into windows of the rule's length on the common clock. In each all routers together may
-    /// send half of COLD_SHARE of what the rule allows on the slowest ramp, so that any span of that length,
-    /// which touches two windows, stays under it, whoever knows of the start and whoever does not. It is
-    /// split evenly while every part holds a whole send; else half of it goes in whole sends to those whose
-    /// turn it is, a run of positions that all routers find alike and that grows as the member warms.
-    fn cold_room(&mut self, s: &Settings, rule: &ColdRule, size: f64, sharers: f64, now: Millis) -> f64 {
+    /// Whether a router may send to a member that is cold. What the rule allows all routers on the slowest ramp
+    /// comes to each evenly as time passes, COLD_SHARE of it. An even part is small, so it is saved up until it
+    /// holds the dearest send, or without other routers a part of what a window allows. They start to save at places
+    /// that are spread evenly over that (by the golden ratio, which spreads any run of positions), so their turns
+    /// come one after the other, whoever knows of the start, and one that restarts gains nothing by it.
+    fn cold_room(
+        &mut self,
+        s: &Settings,
+        rule: &ColdRule,
+        size: f64,
+        sharers: f64,
+        dearest: f64,
+        now: Millis,
+    ) -> bool {
         let started = self.m.started.unwrap_or(f64::MIN);
-        let (window, turn) = (rule.window.max(1.0), (now / rule.window.max(1.0)).floor());
         if now - started >= rule.ramp {
-            return f64::MAX;
+            return true;
         }
-        if self.turn != turn {
-            (self.turn, self.spent) = (turn, if turn * window < self.known { f64::MAX } else { 0.0 });
-        }
-        let age = (turn * window - started).max(0.0);
-        let capacity = (rule.from + (1.0 - rule.from) * age / rule.ramp) * size;
-        let quota = COLD_SHARE * rule.multiple * capacity * window * 0.5;
-        let whole = s.classes.iter().map(|c| c.deadline * WHOLE).fold(1.0, f64::max);
-        if quota / sharers >= whole {
-            return quota / sharers - self.spent;
-        }
-        let all = u64::from(s.routers.max(1));
-        let first = mix(u64::from(self.m.id) ^ mix(turn as u64)) % all;
-        let place = (u64::from(s.position) + first) % all;
-        let extra = if (place as f64) < (quota * 0.5 / whole).floor() { whole } else { 0.0 };
-        quota * 0.5 / sharers + extra - self.spent
+        let capacity = rule.from + (1.0 - rule.from) * (now - started).max(0.0) / rule.ramp;
+        let pace = COLD_SHARE * rule.multiple * capacity * size / sharers;
+        let shift = mix(u64::from(self.m.id)) as f64 / u64::MAX as f64;
+        let first = dearest * (f64::from(s.position) * GOLDEN + shift).fract();
+        let most = dearest.max(pace * rule.window * COLD_SAVED);
+        let saved = self.saved.unwrap_or(first) + pace * (now - self.saved_at).max(0.0);
+        (self.saved, self.saved_at) = (Some(saved.min(most)), now);
+        saved >= dearest
     }
 }
 
@@ -640,16 +640,11 @@
         }
         // Cold budgets, of both; look-ups count, and so do fills that may turn out to be hits.
         let (work, cost) = (self.work(&o.r), self.means[o.r.class].0 * COLD_COST);
-        for m in &ends {
-            let member = self.peers[m].m;
-            let (sharers, warm) = (self.sharers(&member), self.is_origin(&member));
-            let size = self.size(&member).unwrap_or(1.0);
-            let rule = if self.is_cache(&member) { self.s.cold_cache } else { self.s.cold_parent };
-            let Some(p) = self.peers.get_mut(m) else { return false };
-            if !warm && p.cold_room(&self.s, &rule, size, sharers, now) < cost {
-                return false;
-            }
+        if !ends.iter().all(|m| self.has_room(*m)) {
+            return false;
         }
+        let Some(o) = self.open.get(&id) else { return false };
+        let class = &self.s.classes[o.r.class];
         // No answer is given up early: a long wait means a crowded link, which a second try would crowd more.
         let trial = ends.iter().any(|m| self.peers[m].trial);
         let (until, bound) = (o.r.expires, self.purge_bound(&o.r));
@@ -667,7 +662,7 @@
         let (load, crowd) = (self.load(&self.peers[&to]), self.crowd());
         for m in &ends {
             let Some(p) = self.peers.get_mut(m) else { continue };
-            p.spent += cost;
+            p.saved = p.saved.map(|saved| saved - cost);
             p.trial_out |= p.trial;
             p.held.add(1.0, now);
             if *m == to {
@@ -689,6 +684,17 @@
         true
     }
 
+    /// Whether a member is warm, or has room by the rule on cold ones.
+    fn has_room(&mut self, id: MemberId) -> bool {
+        let Some(m) = self.peers.get(&id).map(|p| p.m) else { return false };
+        let (sharers, size) = (self.sharers(&m), self.size(&m).unwrap_or(1.0));
+        let dearest = self.means.iter().map(|m| m.0 * COLD_COST).fold(1.0, f64::max);
+        let rule = if self.is_cache(&m) { self.s.cold_cache } else { self.s.cold_parent };
+        let warm = self.is_origin(&m);
+        let p = self.peers.get_mut(&id);
+        p.is_some_and(|p| warm || p.cold_room(&self.s, &rule, size, sharers, dearest, self.now))
+    }
+
     fn leads(&self, id: RequestId) -> bool {
         let key = self.open.get(&id).map(|o| (o.r.object, o.r.part));
         key.and_then(|k| self.table.get(&k)).is_some_and(|e| e.leader == id)
@@ -777,9 +783,17 @@
             return self.give_up(id);
         }
         let bad = o.bad.clone();
-        if !order.into_iter().any(|c| !bad.contains(&c) && self.emit(id, c, None, Kind::LookUp)) {
-            self.direct(id);
+        for c in order.into_iter().filter(|c| !bad.contains(c)) {
+            // A cold cache is empty, and a look-up weighs on it as much as its fill: that comes at once.
+            let ramp = self.s.cold_cache.ramp;
+            let cold = |p: &Peer| p.usable(self.now) && p.m.started.is_some_and(|at| self.now - at < ramp);
+            if self.peers.get(&c).is_some_and(cold) && self.has_room(c) {
+                return self.missed(id, c);
+            } else if self.emit(id, c, None, Kind::LookUp) {
+                return;
+            }
         }
+        self.direct(id);
     }
 
     /// No cache will do: straight to the parents, in their order, then to the origin. A write runs at the
@@ -992,8 +1006,15 @@
         let origin = origin.is_some_and(|p| a.member == p.m.id || a.source == Some(p.m.id));
         match end.ending {
             Ending::Ok => {
-                self.see(a, |expected| end.elapsed / expected);
-                if end.note == Note::FilledByOrigin && !self.s.classes[r.class].write {
+                // What came by way of the origin shows the origin, where notes tell, unless the parent is slow.
+                let through = source.and_then(|s| self.peers.get(&s)).filter(|p| self.is_parent(&p.m));
+                let slow = through.is_some_and(|p| p.drag(self.now) > PASS_DRAG);
+                let parent = through.is_some();
+                let by_origin = end.note == Note::FilledByOrigin && !self.s.classes[r.class].write;
+                if !(by_origin && parent) {
+                    self.see(a, |expected| end.elapsed / expected);
+                }
+                if by_origin && !slow {
                     let ((old, at), over) = (self.origin_wait, (end.elapsed - a.work).max(0.0));
                     let old = old * (-(self.now - at) / TOLD_SPAN).exp();
                     self.origin_wait = (old + TOLD_STEP * (over - old), self.now);
--- a/crates/deckproxy-control/tests/common/mod.rs
+++ b/crates/deckproxy-control/tests/common/mod.rs
@@ -57,6 +57,7 @@
         joins: true,
         siblings: Siblings::None,
         flow: 1000.0,
+        sized: true,
         cold_cache: ColdRule { from: 0.2, ramp: 16_000.0, multiple: 3.0, window: 2000.0 },
         cold_parent: ColdRule { from: 0.1, ramp: 20_000.0, multiple: 2.0, window: 2000.0 },
         purge_grace: 300.0,
--- a/crates/deckproxy-control/tests/trouble.rs
+++ b/crates/deckproxy-control/tests/trouble.rs
@@ -3,6 +3,7 @@
 mod common;
 use common::*;
 use deckproxy_control::interface::*;
+use std::collections::VecDeque;
 
 /// Lets a member's answers to look-ups be hits in the time given, for as many requests as told.
 fn hits(rig: &mut Rig, count: u64, elapsed: impl Fn(MemberId) -> Millis) {
@@ -444,34 +445,130 @@
     assert_eq!(rig.sends()[0].0, waiter);
 }
 
-/// Fills hovered at a parent that answered three times too slowly, while the origin had room.
-#[test]
-fn a_source_seen_to_be_slow_gives_way_to_the_origin_until_that_is_old() {
-    let mut rig = Rig::new();
-    let slow = PARENTS[0];
+/// Ends an attempt with what an answer tells beside its ending.
+fn answer(rig: &mut Rig, request: RequestId, attempt: u32, member: MemberId, elapsed: Millis, note: Note) {
+    let (ending, finished, load) = (Ending::Ok, true, None);
+    rig.event(Event::Outcome { request, attempt, member, ending, elapsed, finished, note, load });
+}
+
+/// The sources of fills of many objects, the slow ones taking eight times as long as the others.
+fn sources(rig: &mut Rig, slow: &[MemberId]) -> Vec<MemberId> {
     let mut sources = vec![];
     for object in 0..60 {
         let (request, member) = rig.ask_and_miss(SMALL, object);
         let Some((_, _, Some(source))) = rig.sends().first().copied() else { continue };
         sources.push(source);
-        let elapsed = if source == slow { 800.0 } else { 100.0 };
-        let (ending, note, load, finished) = (Ending::Ok, Note::None, None, true);
-        let attempt = 1;
-        rig.event(Event::Outcome { request, attempt, member, ending, elapsed, finished, note, load });
+        let elapsed = if slow.contains(&source) { 800.0 } else { 100.0 };
+        answer(rig, request, 1, member, elapsed, Note::None);
     }
-    assert!(sources.contains(&slow));
-    let late = &sources[20..];
-    assert!(!late.contains(&slow) && late.contains(&PARENTS[1]) && late.contains(&THE_ORIGIN));
-    rig.now += 30_000.0;
-    let later: Vec<_> = (100..130)
-        .map(|object| {
-            let (id, cache) = rig.ask_and_miss(SMALL, object);
-            let source = rig.sends()[0].2;
-            rig.end(id, 1, cache, Ending::Ok);
-            source
-        })
-        .collect();
-    assert!(later.contains(&Some(slow)));
+    sources
+}
+
+/// Fills hovered at a parent that answered three times too slowly, while others had room; and with the origin as
+/// the only stand-in, it was crowded once half of the parents aged.
+#[test]
+fn a_slow_source_gives_way_to_the_next_parent_then_the_origin_until_that_is_old() {
+    let mut rig = Rig::new();
+    let seen = sources(&mut rig, &PARENTS[..1]);
+    assert!(seen.contains(&PARENTS[0]));
+    assert!(seen[20..].iter().all(|s| *s == PARENTS[1]), "{seen:?}");
+    // A router meets a given parent seldom: what it saw holds for more than the moment.
+    rig.now += 6000.0;
+    assert!(!sources(&mut rig, &PARENTS[..1])[..5].contains(&PARENTS[0]));
+    let both = sources(&mut rig, &PARENTS);
+    assert!(both[55..].iter().all(|s| *s == THE_ORIGIN), "{both:?}");
+    rig.now += 60_000.0;
+    assert!(sources(&mut rig, &[]).contains(&PARENTS[0]));
+}
+
+/// On a crowded link every source looked slow, and fills went to and fro between them.
+#[test]
+fn sources_that_are_all_slow_keep_their_order() {
+    let mut rig = Rig::new();
+    let all = [PARENTS[0], PARENTS[1], THE_ORIGIN];
+    let mut seen = vec![];
+    for object in 0..60 {
+        let (request, member) = rig.ask_and_miss(SMALL, object);
+        let Some((_, _, Some(source))) = rig.sends().first().copied() else { continue };
+        seen.push(source);
+        answer(&mut rig, request, 1, member, 420.0, Note::None);
+    }
+    assert!(all[..2].iter().all(|s| seen[30..].contains(s)), "{seen:?}");
+}
+
+/// The list told no sizes, units 1 was taken for a link of one answer, and a quarter of a quiet day was refused.
+#[test]
+fn a_size_that_is_not_told_is_judged_by_what_members_bear() {
+    let told = |sized: bool, busy: f64| {
+        let list = everyone().into_iter().map(|m| Member { weight: 1.0, ..m }).collect();
+        let mut rig = Rig::with(Settings { sized, ..settings() }, list);
+        let (mut out, mut refusals): (VecDeque<(RequestId, u32, MemberId)>, usize) = (VecDeque::new(), 0);
+        for object in 0..2000 {
+            rig.now += 10.0;
+            let request = rig.ask(SMALL, object, 0);
+            refusals += usize::from(refused(&rig.acts, request));
+            out.extend(rig.sends().first().map(|s| (request, 0, s.1)));
+            // Ten answers are out at any time, over three caches.
+            if out.len() > 10
+                && let Some((request, attempt, member)) = out.pop_front()
+            {
+                let load = Some(Load { cpu: Some(busy), ..Load::default() });
+                let (ending, note, elapsed, finished) = (Ending::Ok, Note::Hit, 60.0, true);
+                rig.event(Event::Outcome { request, attempt, member, ending, elapsed, finished, note, load });
+            }
+        }
+        refusals
+    };
+    eprintln!("{} {} {}", told(true, 0.3), told(false, 0.3), told(false, 1.0));
+    assert!(told(true, 0.3) > 100, "seventeen answers over a link of one are too many");
+    assert_eq!(told(false, 0.3), 0);
+    assert!(told(false, 1.0) > 0, "members that are busy all the time have no room");
+}
+
+/// After a mass purge all fills came by way of the origin, which got slower and slower, while what parents held
+/// was still to be had at once.
+#[test]
+fn a_crowded_origin_is_spared_and_what_parents_hold_still_serves() {
+    let mut rig = Rig::new();
+    let held_only = |rig: &Rig| {
+        let get = rig.acts.iter().find_map(|a| match a {
+            Action::Get { how, .. } => Some(how.held_only),
+            _ => None,
+        });
+        get.expect("a fill")
+    };
+    for object in 0..8 {
+        let (request, member) = rig.ask_and_miss(SMALL, object);
+        let (elapsed, note) =
+            if held_only(&rig) { (90.0, Note::Filled) } else { (2000.0, Note::FilledByOrigin) };
+        answer(&mut rig, request, 1, member, elapsed, note);
+    }
+    let (request, member) = rig.ask_and_miss(SMALL, 100);
+    assert!(held_only(&rig));
+    let (ending, note, load, elapsed, finished, attempt) =
+        (Ending::Miss, Note::SourceLacks, None, 40.0, false, 1);
+    rig.event(Event::Outcome { request, attempt, member, ending, elapsed, finished, note, load });
+    assert!(refused(&rig.acts, request), "at once");
+    rig.now += 8000.0;
+    rig.ask_and_miss(SMALL, 101);
+    assert!(!held_only(&rig), "without news it is asked again");
+}
+
+/// A look-up at an empty cache weighed as much on it as its fill, and was a miss.
+#[test]
+fn a_cold_cache_is_asked_for_a_fill_at_once() {
+    let cold = |m: Member| Member { started: (m.id == CACHES[0]).then_some(0.0), ..m };
+    let mut rig = Rig::with(settings(), everyone().into_iter().map(cold).collect());
+    let mut fills = 0;
+    for object in 0..200 {
+        rig.now += 20.0;
+        let id = rig.ask(SMALL, object, 0);
+        let (_, at, source) = rig.sends()[0];
+        assert_eq!(source.is_some(), at == CACHES[0], "the others are looked up at first");
+        fills += u32::from(source.is_some());
+        rig.end(id, 0, at, Ending::Ok);
+    }
+    assert!(fills > 5, "{fills}");
 }
 
 fn told_of(held: f64, routers: u32) -> bool {
