How busy a cache is tells its load where what it holds is not reported; ranges of settings

Settings are checked against what each key may hold, all faults at once, with field, value and what is allowed.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -730,8 +730,10 @@
     fn told(&mut self, id: MemberId, load: Load) {
         let (now, here) = (self.now, self.s.zone);
         let Some(p) = self.peers.get_mut(&id) else { return };
-        load.held.into_iter().for_each(|held| p.held.tell(held, now));
-        let m = p.m;
+        let (m, busy) = (p.m, load.cpu.filter(|_| self.s.sized));
+        // Where what it holds is not reported, how busy it is tells how much of its link is taken.
+        let held = load.held.or(busy.map(|x| x * m.weight));
+        held.into_iter().for_each(|held| p.held.tell(held, now));
         self.bear(id, 0.0, load.cpu);
         let Some(full) = load.link.filter(|_| self.is_cache(&m) && m.zone == here) else { return };
         let all = self.link_fit().map_or(full + self.link.own, |fit| full * fit);
--- a/crates/deckproxy-settings/src/lib.rs
+++ b/crates/deckproxy-settings/src/lib.rs
@@ -2,9 +2,12 @@
 //! them. The simulator sends the pairs as text; a gateway's configuration holds the same object as JSON, which
 //! its decoder flattens to the same pairs. Unknown keys are ignored.
 //!
-//! Where a key may be absent, a neutral value stands in; a value that does not parse is an error.
+//! Where a key may be absent, a neutral value stands in; a value outside what [`keys`] allows is an error, and all
+//! of them are told at once.
 #![forbid(unsafe_code)]
 
+pub mod keys;
+
 use deckproxy_control::interface::{Class, ColdRule, Effect, Group, Load, Settings, Siblings};
 use std::collections::BTreeMap;
 use std::str::FromStr;
@@ -100,10 +103,15 @@
 /// Reads the settings from pairs of path and value.
 pub fn read_pairs<'a>(pairs: impl IntoIterator<Item = (&'a str, &'a str)>) -> Result<Conf, String> {
     let text = Text(pairs.into_iter().collect());
-    let count: usize = text.parse("services.count")?.unwrap_or(0);
-    if count > 256 {
-        return Err(format!("setting services.count: {count} classes are more than a request can name"));
+    let faults: Vec<String> = text
+        .0
+        .iter()
+        .filter_map(|(key, value)| keys::fault(key, value).map(|what| format!("setting {key}: {what}")))
+        .collect();
+    if !faults.is_empty() {
+        return Err(faults.join("; "));
     }
+    let count: usize = text.parse("services.count")?.unwrap_or(0);
     let fresh: Vec<f64> = text.list("familyInfo.maxAgeMs")?;
     let grace: Vec<f64> = text.list("familyInfo.usableAfterMs")?;
     let stale: Vec<f64> = text.list("familyInfo.agedWorth")?;
@@ -195,9 +203,6 @@
         max_retry_after: text.number("limits.maxRetryAfterMs", 0.0)?,
     };
     let streams = text.parse("limits.maxStreams")?.unwrap_or(1);
-    if streams == 0 {
-        return Err("setting limits.maxStreams: a connection that carries nothing".to_string());
-    }
     let connect = text.number("limits.connectTimeoutMs", 1000.0)?;
     let graces = [text.number("rules.drainGraceMs", 0.0)?, text.number("familyInfo.obeyAfterMs", 0.0)?];
     let limits = Limits {
--- a/crates/deckproxy-settings/tests/settings.rs
+++ b/crates/deckproxy-settings/tests/settings.rs
@@ -73,3 +73,24 @@
     assert_eq!(unsent("limits.connectTimeoutMs=400.0\nrules.drainGraceMs=300.0"), 300.0);
     assert!(settings::read("limits.maxStreams=0").is_err(), "a connection that carries nothing");
 }
+
+#[test]
+fn sizes_are_told_unless_the_settings_say_that_they_are_not() {
+    let sized = |text: &str| settings::read(text).unwrap().settings.sized;
+    assert!(sized("") && sized("weightKind=nominal") && sized("weightKind=rough"));
+    assert!(!sized("weightKind=none") && !sized("weightKind=live"));
+}
+
+#[test]
+fn a_value_out_of_range_is_refused_with_field_value_and_what_is_allowed() {
+    let text =
+        settings::read("rules.coldFrom=1.5\nweightKind=heavy\nlimits.sendCap=-1\nunknown.key=x").unwrap_err();
+    for part in [
+        "setting rules.coldFrom: \"1.5\" is not allowed; allowed: a number from 0 to 1",
+        "setting weightKind: \"heavy\" is not allowed; allowed: none, nominal, rough, live",
+        "setting limits.sendCap: \"-1\" is not allowed",
+    ] {
+        assert!(text.contains(part), "{text}");
+    }
+    assert!(!text.contains("unknown.key"), "{text}");
+}
