--- a/crates/deckproxy-lab/src/main.rs
+++ b/crates/deckproxy-lab/src/main.rs
@@ -50,7 +50,7 @@
         Command::Gateway { words } => {
             let words = std::iter::once("deckproxy".into()).chain(words);
             match deckproxy::program::main(words) {
-                Ok(()) => ExitCode::SUCCESS,
+                Ok(code) => code,
                 Err(why) => {
                     eprintln!("deckproxy: {why}");
                     ExitCode::FAILURE
--- a/crates/deckproxy/src/main.rs
+++ b/crates/deckproxy/src/main.rs
@@ -6,7 +6,7 @@
 
 fn main() -> ExitCode {
     match deckproxy::program::main(std::env::args_os()) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(why) => {
             // Where even that can't be written, the exit code still tells.
             let _ = writeln!(io::stderr(), "deckproxy: {why}");
--- a/crates/deckproxy/src/program/cli.rs
+++ b/crates/deckproxy/src/program/cli.rs
@@ -22,13 +22,16 @@
 pub enum Command {
     /// Serve.
     Run(Run),
-    /// Check operator files: exit code 0, or each fault as FILE:LINE:COLUMN: FIELD: WHAT. Several sites' files are
-    /// checked for routes that go round, too.
+    /// Check operator files and configurations (*.json): exit code 0, or each fault as
+    /// FILE:LINE:COLUMN: FIELD: WHAT. Several sites' files are checked for routes that go round, too.
     Check {
         /// The files.
         #[arg(required = true)]
         files: Vec<PathBuf>,
     },
+    /// Write the counterpart of a configuration file for the shape of another deployment, and list what could not be
+    /// carried over. Exit code 0: clean; 3: with losses; 1: failed, and nothing was written.
+    Migrate(Migrate),
     /// Print the version.
     Version,
 }
@@ -44,6 +47,29 @@
     pub operator: Option<PathBuf>,
 }
 
+/// What is migrated.
+#[derive(Clone, Debug, Args)]
+pub struct Migrate {
+    /// The configuration of the old shape (JSON); it is only read.
+    pub old: PathBuf,
+    /// Where its counterpart goes.
+    #[arg(long, value_name = "FILE")]
+    pub out: PathBuf,
+    /// What the new shape sets: a part of a configuration (JSON), laid over the old one; null takes a field away.
+    #[arg(long, value_name = "FILE")]
+    pub shape: Option<PathBuf>,
+    /// One field that the new shape sets, as settings.weightKind=none; the value is JSON, else a text. Laid over
+    /// the shape; may be given often.
+    #[arg(long, value_name = "PATH=VALUE")]
+    pub set: Vec<String>,
+    /// Write over a file that is there already.
+    #[arg(long)]
+    pub replace: bool,
+    /// Tell what would be done, and change nothing.
+    #[arg(long)]
+    pub dry_run: bool,
+}
+
 /// How to log.
 #[derive(Clone, Copy, Debug, Default, Args)]
 pub struct Log {
--- a/crates/deckproxy/src/program/mod.rs
+++ b/crates/deckproxy/src/program/mod.rs
@@ -7,6 +7,7 @@
 pub mod gateway;
 pub mod logging;
 mod members;
+pub mod migrate;
 mod recovery;
 mod sites;
 pub mod usage;
@@ -22,6 +23,7 @@
 use slog::{Logger, info};
 use std::ffi::OsString;
 use std::path::Path;
+use std::process::ExitCode;
 use std::time::Duration;
 
 /// Longest wait of the loop, as a net below the alarm.
@@ -37,17 +39,16 @@
 }
 
 /// Does what the command line says, and tells what went wrong.
-pub fn main(arguments: impl IntoIterator<Item = OsString>) -> Result<(), String> {
+pub fn main(arguments: impl IntoIterator<Item = OsString>) -> Result<ExitCode, String> {
     let cli = Cli::try_parse_from(arguments).unwrap_or_else(|e| e.exit());
     match cli.command {
-        None => run(&Run::default(), cli.log),
-        Some(Command::Run(run)) => self::run(&run, cli.log),
-        Some(Command::Check { files }) => check(&files),
-        Some(Command::Version) => {
-            println!("deckproxy {}", env!("CARGO_PKG_VERSION"));
-            Ok(())
-        }
+        None => run(&Run::default(), cli.log)?,
+        Some(Command::Run(run)) => self::run(&run, cli.log)?,
+        Some(Command::Check { files }) => check(&files)?,
+        Some(Command::Migrate(args)) => return migrate::run(&args),
+        Some(Command::Version) => println!("deckproxy {}", env!("CARGO_PKG_VERSION")),
     }
+    Ok(ExitCode::SUCCESS)
 }
 
 /// Reads what it is told to, and serves until told to end.
@@ -106,6 +107,10 @@
     let mut faults = Vec::new();
     let mut good = Vec::new();
     for path in paths {
+        if path.extension().is_some_and(|e| e.eq_ignore_ascii_case("json")) {
+            faults.extend(migrate::configuration(path, false).err().into_iter().flatten());
+            continue;
+        }
         match operator(path) {
             Ok(file) => good.push((path, file)),
             Err(what) => faults.extend(what),
--- a/crates/deckproxy/src/protocol/config.rs
+++ b/crates/deckproxy/src/protocol/config.rs
@@ -91,11 +91,15 @@
     match value {
         Value::String(text) => text.replace([' ', ','], "_"),
         Value::Null => String::new(),
-        // Whole numbers may be written with a fraction of zero.
-        Value::Number(n) => match n.as_f64() {
-            Some(x) if x.fract() == 0.0 && x.abs() < 1e15 => format!("{x:.0}"),
-            _ => n.to_string(),
-        },
+        Value::Number(n) => number(&n.to_string()),
         other => other.to_string(),
     }
 }
+
+/// A number as the settings' text has it: whole ones may be written with a fraction of zero.
+pub(super) fn number(text: &str) -> String {
+    match text.parse::<f64>() {
+        Ok(x) if x.fract() == 0.0 && x.abs() < 1e15 => format!("{x:.0}"),
+        _ => text.to_string(),
+    }
+}
--- a/crates/deckproxy/src/protocol/mod.rs
+++ b/crates/deckproxy/src/protocol/mod.rs
@@ -6,3 +6,4 @@
 pub mod front;
 pub mod limits;
 pub mod link;
+pub mod shape;
--- /dev/null
+++ b/crates/deckproxy/tests/migrate.rs
@@ -0,0 +1,211 @@
+//! `deckproxy migrate` as an operator runs it: the real program on files of the old shape.
+
+mod common;
+use common::*;
+use serde_json::{Value, json};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+/// A folder of one test's own.
+struct Desk(tempfile::TempDir);
+
+impl Desk {
+    fn new() -> Desk {
+        Desk(tempfile::tempdir().unwrap())
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.0.path().join(name)
+    }
+
+    fn put(&self, name: &str, text: &str) -> PathBuf {
+        std::fs::write(self.path(name), text).unwrap();
+        self.path(name)
+    }
+
+    fn files(&self) -> usize {
+        std::fs::read_dir(self.0.path()).unwrap().count()
+    }
+}
+
+fn run(words: &[&str]) -> (Option<i32>, String, String) {
+    let Output { status, stdout, stderr } =
+        Command::new(env!("CARGO_BIN_EXE_deckproxy")).args(words).output().unwrap();
+    (status.code(), String::from_utf8(stdout).unwrap(), String::from_utf8(stderr).unwrap())
+}
+
+fn text(path: &Path) -> &str {
+    path.to_str().unwrap()
+}
+
+/// A configuration of the old shape that holds nothing this program does not read.
+fn clean() -> Value {
+    let mut config = Setup::knowing(&[]).config();
+    config["settings"]["report"].as_object_mut().unwrap().remove("via");
+    config
+}
+
+#[test]
+fn a_clean_file_moves_to_the_new_shape_and_a_second_run_changes_nothing() {
+    let desk = Desk::new();
+    let old = desk.put("old.json", &clean().to_string());
+    let shape =
+        desk.put("shape.json", r#"{"settings": {"weightKind": "none", "limits": {"retryAfter": false}}}"#);
+    let new = desk.path("new.json");
+    let words = ["migrate", text(&old), "--out", text(&new), "--shape", text(&shape)];
+    let (code, out, err) = run(&words);
+    assert_eq!((code, err.as_str()), (Some(0), ""), "{out}");
+    let first = std::fs::read(&new).unwrap();
+    let moved: Value = serde_json::from_slice(&first).unwrap();
+    wanted["settings"]["weightKind"] = json!("none");
+    wanted["settings"]["limits"]["retryAfter"] = json!(false);
+    assert_eq!(moved, wanted);
+    assert_eq!(run(&["check", text(&new)]).0, Some(0));
+    let (code, out, _) = run(&words);
+    assert_eq!(code, Some(0));
+    assert!(out.contains("is that already"), "{out}");
+    // And the counterpart's counterpart is itself.
+    let again = desk.path("again.json");
+    assert_eq!(run(&["migrate", text(&new), "--out", text(&again), "--shape", text(&shape)]).0, Some(0));
+    assert_eq!(std::fs::read(&again).unwrap(), first);
+}
+
+#[test]
+fn a_dry_run_tells_the_same_and_changes_nothing() {
+    let desk = Desk::new();
+    let old = desk.put("old.json", &Setup::knowing(&[]).config().to_string());
+    let new = desk.path("new.json");
+    let (code, out, _) = run(&["migrate", text(&old), "--out", text(&new), "--dry-run"]);
+    assert_eq!(code, Some(3));
+    assert!(out.contains("settings.report.via: not read by this program"), "{out}");
+    assert!(out.contains("nothing was changed"), "{out}");
+    assert_eq!(desk.files(), 1);
+}
+
+#[test]
+fn what_can_not_be_carried_over_is_listed_with_field_and_reason() {
+    let desk = Desk::new();
+    let world = World::start();
+    let mut config = world.setup().config();
+    config["flavour"] = json!("of old");
+    config["settings"]["familyInfo"]["colour"] = json!(3);
+    let old = desk.put("old.json", &config.to_string());
+    // Another number of classes and zones, and no kind of the name that the old members have.
+    let shape = json!({"settings": {
+        "services": [{"name": "page", "aimMs": 600.0, "deadlineMs": 1500.0, "effect": "retryable"}],
+        "zones": ["hub", "edge", "far"], "machineTypes": ["small", "parent", "origin"]}});
+    let shape = desk.put("shape.json", &shape.to_string());
+    let new = desk.path("new.json");
+    let (code, out, err) = run(&["migrate", text(&old), "--out", text(&new), "--shape", text(&shape)]);
+    assert_eq!((code, err.as_str()), (Some(3), ""));
+    for line in [
+        "flavour: not read by this program",
+        "settings.familyInfo.colour: not read by this program",
+        "settings.familyInfo.maxAgeMs: has 3 values for 1 classes; give it in the shape",
+        "settings.familyInfo.zoneBalancers: has 2 values for 3 zones; give it in the shape",
+        "known.events.0.members.members.0: flavor \"box\" is none of the machineTypes",
+        "known.events.0.members.members.1: flavor \"box\" is none of the machineTypes",
+    ] {
+        assert!(out.contains(line), "{line} in {out}");
+    }
+    let moved: Value = serde_json::from_slice(&std::fs::read(&new).unwrap()).unwrap();
+    assert_eq!(moved["known"]["events"][0]["members"]["members"].as_array().unwrap().len(), 2);
+    assert_eq!(run(&["check", text(&new)]).0, Some(0));
+}
+
+#[test]
+fn all_faults_are_told_at_once_with_their_places_and_nothing_is_written() {
+    let desk = Desk::new();
+    let bad = "{\n  \"listen\": \"nowhere\",\n  \"seed\": \"8c1f\",\n  \"settings\": {\"rules\": {\"coldFrom\": 1.5},\n    \
+               \"weightKind\": \"heavy\", \"weightKind\": \"none\"}\n}\n";
+    let old = desk.put("old.json", bad);
+    let shape = desk.put("shape.json", "{\"settings\": {\"limits\": {\"sendCap\": -1}}}");
+    let new = desk.path("new.json");
+    let (code, out, err) = run(&["migrate", text(&old), "--out", text(&new), "--shape", text(&shape)]);
+    assert_eq!((code, out.as_str()), (Some(1), ""));
+    for line in [
+        format!("{}:2:13: listen: \"nowhere\" is not allowed; allowed: an address", old.display()),
+        format!("{}:4:38: settings.rules.coldFrom: \"1.5\" is not allowed; allowed: a number", old.display()),
+        format!("{}:5:19: settings.weightKind: \"heavy\" is not allowed", old.display()),
+        format!("{}:5:28: settings.weightKind: given twice", old.display()),
+        format!("{}:1:37: settings.limits.sendCap: \"-1\" is not allowed", shape.display()),
+    ] {
+        assert!(err.contains(&line), "{line} in {err}");
+    }
+    assert_eq!(desk.files(), 2);
+    assert_eq!(run(&["check", text(&old)]).0, Some(1));
+}
+
+#[test]
+fn empty_truncated_and_foreign_files_are_refused() {
+    let desk = Desk::new();
+    let whole = clean().to_string();
+    let cut = &whole[..whole.len() / 2];
+    for (name, held) in [("empty", ""), ("cut", cut), ("list", "[]"), ("comment", "// x\n{}"), ("bare", "{}")]
+    {
+        let old = desk.put(name, held);
+        let (code, _, err) = run(&["migrate", text(&old), "--out", text(&desk.path("new.json"))]);
+        assert_eq!(code, Some(1), "{name}");
+        assert!(err.contains(&format!("{}:1:", old.display())), "{name}: {err}");
+    }
+    assert!(!desk.path("new.json").exists());
+    let gone = desk.path("none.json");
+    assert!(run(&["migrate", text(&gone), "--out", "x.json"]).2.contains("cannot be read"));
+}
+
+#[test]
+fn the_input_is_never_written_over_and_an_output_only_when_told_to() {
+    let desk = Desk::new();
+    let old = desk.put("old.json", &clean().to_string());
+    let before = std::fs::read(&old).unwrap();
+    let (code, _, err) = run(&["migrate", text(&old), "--out", text(&old), "--replace"]);
+    assert_eq!(code, Some(1));
+    assert!(err.contains("is the input"), "{err}");
+    assert_eq!(std::fs::read(&old).unwrap(), before);
+    let new = desk.put("new.json", "mine");
+    let words = ["migrate", text(&old), "--out", text(&new), "--set", "settings.weightKind=rough"];
+    let (code, _, err) = run(&words);
+    assert_eq!(code, Some(1));
+    assert!(err.contains("--replace"), "{err}");
+    assert_eq!(std::fs::read(&new).unwrap(), b"mine");
+    assert_eq!(run(&[&words[..], &["--replace"]].concat()).0, Some(0));
+    let moved: Value = serde_json::from_slice(&std::fs::read(&new).unwrap()).unwrap();
+    assert_eq!(moved["settings"]["weightKind"], "rough");
+    assert_eq!(desk.files(), 2, "no temporary file is left");
+    let (code, _, err) =
+        run(&["migrate", text(&old), "--out", "x.json", "--set", "settings.weightKind=heavy"]);
+    assert_eq!(code, Some(1));
+    assert!(err.contains("settings.weightKind: \"heavy\" is not allowed"), "{err}");
+}
+
+/// The real gateway serves on a file of the old shape, and on what becomes of it in the new one.
+#[test]
+fn a_gateway_starts_and_serves_on_the_old_file_and_on_its_counterpart() {
+    let desk = Desk::new();
+    let world = World::start();
+    let setup = world.setup();
+    let old = desk.put("old.json", &setup.config().to_string());
+    let new = desk.path("new.json");
+    let shape = json!({"settings": {"weightKind": "none",
+        "limits": {"retryAfter": false, "secondCopies": true, "sendCap": 8}, "report": {"fields": ["util", "x0"]},
+        "familyInfo": {"canJoin": false, "sideways": "any"}, "rules": {"fallMultiple": 2.0, "fallMs": 3000.0}}});
+    let shape = desk.put("shape.json", &shape.to_string());
+    let words = ["migrate", text(&old), "--out", text(&new), "--shape", text(&shape)];
+    assert_eq!(run(&words).0, Some(3), "only report.via is left out");
+    for path in [&old, &new] {
+        let gateway = Gateway::spawn(&std::fs::read_to_string(path).unwrap(), setup.listen);
+        until("the gateway listens", || std::net::TcpStream::connect(setup.listen).is_ok());
+        let mut client = gateway.client();
+        let id = client.get("7f3a9c21e0b4d655");
+        let (cache, ask) = world.ask();
+        cache.answer(&ask, "200", b"x");
+        client.served(id, b"x");
+    }
+    // A value out of range is refused at the start, with field, value and what is allowed.
+    let mut bad: Value = serde_json::from_slice(&std::fs::read(&new).unwrap()).unwrap();
+    bad["settings"]["weightKind"] = json!("heavy");
+    let mut gateway = Gateway::spawn(&bad.to_string(), setup.listen);
+    assert_eq!(gateway.ended(), Some(1));
+    let wanted = "setting weightKind: \"heavy\" is not allowed; allowed: none, nominal, rough, live";
+    until("the refusal is told", || gateway.log().contains(wanted));
+}
