--- a/crates/deckproxy/tests/migrate.rs
+++ b/crates/deckproxy/tests/migrate.rs
@@ -48,7 +48,8 @@
 #[test]
 fn a_clean_file_moves_to_the_new_shape_and_a_second_run_changes_nothing() {
     let desk = Desk::new();
-    let old = desk.put("old.json", &clean().to_string());
+    let mut wanted = clean();
+    let old = desk.put("old.json", &wanted.to_string());
     let shape =
         desk.put("shape.json", r#"{"settings": {"weightKind": "none", "limits": {"retryAfter": false}}}"#);
     let new = desk.path("new.json");
