--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -981,6 +981,13 @@
         self.too_late(o, self.work(&o.r) + wait * (-(self.now - at) / TOLD_SPAN).exp())
     }
 
+    /// Takes what an answer by way of the origin took, or takes so far, beyond its sending time.
+    fn origin_took(&mut self, over: Millis) {
+        let (old, at) = self.origin_wait;
+        let old = old * (-(self.now - at) / TOLD_SPAN).exp();
+        self.origin_wait = (old + TOLD_STEP * (over - old), self.now);
+    }
+
     fn see(&mut self, a: &Attempt, slowdown: impl Fn(Millis) -> f64) {
         let Some((m, expected)) = a.shows() else { return };
         self.peers.get_mut(&m).into_iter().for_each(|p| p.see(slowdown(expected), self.now));
@@ -1017,9 +1024,7 @@
                     self.see(a, |expected| end.elapsed / expected);
                 }
                 if by_origin && !slow {
-                    let ((old, at), over) = (self.origin_wait, (end.elapsed - a.work).max(0.0));
-                    let old = old * (-(self.now - at) / TOLD_SPAN).exp();
-                    self.origin_wait = (old + TOLD_STEP * (over - old), self.now);
+                    self.origin_took((end.elapsed - a.work).max(0.0));
                 }
                 // Where it is not reported, the time of a fill tells how full the link is; not one by the origin,
                 // where notes tell, as that shows the origin.
@@ -1076,11 +1081,17 @@
         }
         // Late attempts: a fill makes room, as it waits for a source that hangs and does not use the links it
         // would keep from others, and its source counts as slow. On a crowded link this lets a few more on.
-        let mut again = vec![];
+        let (mut again, mut waits) = (vec![], vec![]);
         for (id, o) in &mut self.open {
             let many = o.out.len() > 1 || o.ended;
             for a in o.out.iter_mut().filter(|a| !a.late && now >= a.late_at) {
                 a.late = true;
+                // Late by the origin, if not by a slow parent.
+                let brisk =
+                    a.source.and_then(|s| self.peers.get(&s)).is_some_and(|p| p.drag(now) <= PASS_DRAG);
+                if a.kind == Kind::Fill && brisk && self.origin_wait.1 > 0.0 {
+                    waits.push(now - a.sent - a.work);
+                }
                 if let Some((m, _)) = a.shows().filter(|_| a.sure && a.kind == Kind::Fill) {
                     self.peers.get_mut(&m).into_iter().for_each(|p| p.see(LATE_DRAG, now));
                 }
@@ -1100,6 +1111,7 @@
                 self.retries -= 1.0;
             }
         }
+        waits.into_iter().for_each(|over| self.origin_took(over));
         let silent = |p: &&Peer| {
             let sends = if p.trial { 1 } else { SILENT_SENDS };
             p.unanswered >= sends && now - p.unanswered_since > SILENT_FOR && !self.is_origin(&p.m)
