--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -1029,7 +1029,7 @@
                 // Where it is not reported, the time of a fill tells how full the link is; not one by the origin,
                 // where notes tell, as that shows the origin.
                 let shows = a.kind == Kind::Fill && end.load.is_none_or(|l| l.link.is_none());
-                let shows = shows && !matches!(end.note, Note::FilledByOrigin | Note::Joined);
+                let shows = shows && a.sure && !matches!(end.note, Note::FilledByOrigin | Note::Joined);
                 if let Some(fit) = self.link_fit().filter(|_| shows) {
                     self.link.tell(FILL_PACE * fit * end.elapsed / (a.work + 2.0 * WAY), self.now);
                 }
