--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -200,8 +200,6 @@
     /// Nothing is owed any more; kept while an outcome is still to come.
     ended: bool,
     streaming: bool,
-    /// An ageing copy will do by now.
-    stale: bool,
     sends: u32,
     out: Vec<Attempt>,
     /// First attempt that may have run: when it was sent, and where.
@@ -650,15 +648,13 @@
         // No answer is given up early: a long wait means a crowded link, which a second try would crowd more.
         let trial = ends.iter().any(|m| self.peers[m].trial);
         let (until, bound) = (o.r.expires, self.purge_bound(&o.r));
-        let most = class.fresh + if o.stale { class.grace } else { 0.0 };
-        let plain = if o.stale { most } else { 0.0 };
-        let age = bound.map_or(plain, |b| if class.fresh > 0.0 { b.min(most) } else { b });
+        let age = bound.map_or(0.0, |b| if class.fresh > 0.0 { b.min(class.fresh) } else { b });
         // A crowded origin is spared: the parent gives what it holds, the rest is given up at once.
         let held_only = kind == Kind::Fill && source.is_some_and(|s| self.is_parent(&self.peers[&s].m));
         let held_only = held_only && self.origin_late(o);
         let how = How { join: self.s.joins && kind != Kind::LookUp, held_only, ..How::default() };
         let keep = if class.write || !local { 0 } else { RANK };
-        self.acts.push(if kind == Kind::LookUp && age == 0.0 || self.is_origin(&target) {
+        self.acts.push(if kind == Kind::LookUp && bound.is_none() || self.is_origin(&target) {
             Action::LookUp { request: id, member: to, until }
         } else {
             Action::Get { request: id, member: to, until, source: source.unwrap_or(to), keep, age, how }
@@ -862,16 +858,6 @@
 
     /// The final answer when nothing more can be done: at once, as a refusal where that is harmless.
     fn give_up(&mut self, id: RequestId) {
-        let Some(o) = self.open.get_mut(&id) else { return };
-        // Looked up before, what is not to be had fresh may still be served past its fresh time.
-        let class = &self.s.classes[o.r.class];
-        if !o.stale && o.sends > 0 && o.out.is_empty() && class.fresh > 0.0 && class.grace > 0.0 {
-            o.stale = true;
-            let r = o.r;
-            if self.caches(&r).into_iter().any(|c| self.emit(id, c, None, Kind::LookUp)) {
-                return;
-            }
-        }
         let Some(o) = self.open.get_mut(&id) else { return };
         if !o.ended {
             let class = &self.s.classes[o.r.class];
@@ -963,11 +949,12 @@
         let missed = end.ending == Ending::Miss && a.kind == Kind::LookUp;
         if o.waiting.is_some() || o.out.iter().any(|other| !missed || other.kind == Kind::Fill) {
             return;
-        } else if o.stale || end.note == Note::SourceLacks {
-            return self.give_up(id);
         } else if missed {
             return self.missed(id, a.member);
         }
+        if end.note == Note::SourceLacks {
+            return self.give_up(id);
+        }
         // A failure: whom the request avoids from now on.
         let at_cache = matches!(end.ending, Ending::ConnectFailed | Ending::Reset | Ending::Cancelled);
         let at_source = a.kind == Kind::Fill && !at_cache && end.note != Note::NoPlace;
