--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -291,6 +291,8 @@
     since: Millis,
     at: Millis,
     busy: (f64, f64),
+    /// The most that it bore.
+    most: f64,
 }
 
 impl Borne {
@@ -299,12 +301,16 @@
         (self.work, self.at, self.busy) = (self.work * keep, now, (self.busy.0 * keep, self.busy.1 * keep));
     }
 
+    fn bears(&self) -> f64 {
+        self.work / (BORNE_SPAN * (1.0 - (-(self.at - self.since) / BORNE_SPAN).exp()))
+    }
+
     /// The size that explains it: answers at full pace over the share of the link that they took. Where no
-    /// busy share is reported it is at least what was borne.
+    /// busy share is reported it is at least the most that was borne.
     fn size(&self, now: Millis) -> Option<f64> {
-        let span = BORNE_SPAN * (1.0 - (-(self.at - self.since) / BORNE_SPAN).exp());
-        let busy = if self.busy.1 > 0.0 { self.busy.0 / self.busy.1 } else { 1.0 };
-        (now - self.since > BORNE_FROM).then(|| (self.work / span / busy.clamp(0.05, 1.0)).max(1.0))
+        let busy = (self.busy.1 > 0.0).then(|| (self.busy.0 / self.busy.1).clamp(0.05, 1.0));
+        let size = busy.map_or(self.most, |busy| self.bears() / busy);
+        (now - self.since > BORNE_FROM).then_some(size.max(1.0))
     }
 }
 
@@ -507,13 +513,14 @@
     /// Books what a member bore, or its report of how busy it is.
     fn bear(&mut self, id: MemberId, work: Millis, busy: Option<f64>) {
         let Some(m) = self.peers.get(&id).filter(|_| !self.s.sized).map(|p| p.m) else { return };
-        let new = Borne { work: 0.0, since: self.now, at: self.now, busy: (0.0, 0.0) };
+        let new = Borne { work: 0.0, since: self.now, at: self.now, busy: (0.0, 0.0), most: 0.0 };
         let alike = 1.0 + self.pool(&m).filter(|p| p.m.kind == m.kind).count() as f64;
         let all = work * self.sharers(&m) / alike;
         let b = self.borne.entry(m.kind).or_insert(new);
         b.fade(self.now);
         b.work += all;
         b.busy = busy.map_or(b.busy, |x| (b.busy.0 + x, b.busy.1 + 1.0));
+        b.most = if self.now - b.since > BORNE_FROM { b.most.max(b.bears()) } else { 0.0 };
     }
 
     /// Ready members of a pool in the hash's order, those holding too much of our work moved behind.
