--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -554,7 +554,7 @@
         let mut all = self.sources(&o.r);
         let limit = self.slow_from(&all);
         all.sort_by_key(|s| drag(s) > limit);
-        all.retain(|s| drag(s) <= 1.0 || !self.too_late(o, self.work(&o.r) * drag(s)));
+        all.retain(|s| drag(s) <= 1.0 || !self.too_late(o, (self.work(&o.r) + 2.0 * WAY) * drag(s) - WAY));
         all
     }
 
