--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -1091,14 +1091,7 @@
         let (mut again, mut waits) = (vec![], vec![]);
         for (id, o) in &mut self.open {
             let many = o.out.len() > 1 || o.ended;
-            for a in &mut o.out {
-                if a.linked && now >= a.sent + a.work + 2.0 * WAY {
-                    self.link.add(-1.0, now);
-                    a.linked = false;
-                }
-                if a.late || now < a.late_at {
-                    continue;
-                }
+            for a in o.out.iter_mut().filter(|a| !a.late && now >= a.late_at) {
                 a.late = true;
                 // Late by the origin, if not by a slow parent.
                 let brisk =
@@ -1112,6 +1105,8 @@
                 if !many && a.sure {
                     again.push((*id, *a));
                 }
+                self.link.add(-f64::from(u8::from(a.linked)), now);
+                a.linked = false;
                 if let Some(p) = self.peers.get_mut(&a.member).filter(|_| a.kind != Kind::LookUp) {
                     p.held.add(-1.0, now);
                 }
