Misses that cannot join another router's fill wait for it and look again

The design has them wait; what stands in for joining is a bounded wait of the sending time and a second look-up, twice at most.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -957,6 +957,13 @@
         if o.waiting.is_some() || o.out.iter().any(|other| !missed || other.kind == Kind::Fill) {
             return;
         } else if missed {
+            // Where misses cannot join another router's fill that is under way, they wait and look again.
+            let under_way = end.note == Note::Joined && !self.s.joins && o.sends < 3 && !self.last_call(o);
+            if under_way && !self.table.contains_key(&(r.object, r.part)) {
+                let since = self.now - WAIT + self.work(&r) + WAY;
+                self.open.get_mut(&id).into_iter().for_each(|o| o.waiting = Some(since));
+                return;
+            }
             return self.missed(id, a.member);
         }
         if end.note == Note::SourceLacks {
@@ -1136,7 +1143,10 @@
             // One that came to lead meanwhile waits no more.
             let Some(o) = self.open.get_mut(&id).filter(|o| o.waiting.is_some()) else { continue };
             o.waiting = None;
-            let Some(entry) = self.table.get_mut(&(o.r.object, o.r.part)) else { continue };
+            let Some(entry) = self.table.get_mut(&(o.r.object, o.r.part)) else {
+                self.route(id);
+                continue;
+            };
             entry.waiters.retain(|w| *w != id);
             let cache = entry.cache;
             self.fill(id, cache);
--- a/crates/deckproxy-control/tests/ordinary_path.rs
+++ b/crates/deckproxy-control/tests/ordinary_path.rs
@@ -275,3 +275,29 @@
     };
     assert_eq!(run(), run());
 }
+
+/// Several routers of a location filled the same object at once where caches cannot join fills.
+#[test]
+fn where_misses_cannot_join_another_routers_fill_they_wait_and_look_again() {
+    for joins in [false, true] {
+        let mut rig = Rig::with(Settings { joins, ..settings() }, everyone());
+        let request = rig.ask(SMALL, 5, 0);
+        let member = rig.sends()[0].1;
+        let miss = |rig: &mut Rig, attempt| {
+            let (ending, note, load, elapsed, finished) = (Ending::Miss, Note::Joined, None, 2.0, false);
+            rig.event(Event::Outcome { request, attempt, member, ending, elapsed, finished, note, load });
+        };
+        miss(&mut rig, 0);
+        if joins {
+            assert!(rig.sends()[0].2.is_some(), "a fill that joins");
+            continue;
+        }
+        assert_eq!(rig.sends(), [], "it waits");
+        rig.sweep_until(rig.now + SIZES[SMALL] + 100.0);
+        assert_eq!(rig.sends(), [(request, member, None)], "and looks again");
+        miss(&mut rig, 1);
+        rig.sweep_until(rig.now + SIZES[SMALL] + 100.0);
+        miss(&mut rig, 2);
+        assert!(rig.sends()[0].2.is_some(), "not for ever");
+    }
+}
