The origin's pace is what answers took over what they should, large ones weighing more

Large objects by way of the origin were let in on a wait learned mostly from small ones (0.3 s), crowded its thin link, and were dropped when their clients left (abort_fill), so they were never kept and came again. A waiting time that adds is the wrong measure of a shared link.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -38,6 +38,9 @@
 /// ms over which is averaged what the members of a kind bear, and of it until their size is judged by that.
 const BORNE_SPAN: Millis = 10_000.0;
 const BORNE_FROM: Millis = 3000.0;
+/// ms over which the origin's pace is seen, and weight of an answer as due put in beside it.
+const ORIGIN_SPAN: Millis = 5000.0;
+const ORIGIN_DUE: Millis = 500.0;
 /// Share of the cold rule that all routers use, of a window's part that one may save up, and times a class's
 /// mean sending time that one send weighs: room for misjudged times and uneven turns.
 const COLD_SHARE: f64 = 0.6;
@@ -337,8 +340,8 @@
     objects: BTreeMap<u64, Known>,
     /// What members bear, by kind, where the list tells no sizes.
     borne: BTreeMap<u32, Borne>,
-    /// How long answers by way of the origin took of late beyond their sending time, and the last one's time.
-    origin_wait: (Millis, Millis),
+    /// What answers by way of the origin took of late, what they should take, and when that was brought up to date.
+    origin_pace: (Millis, Millis, Millis),
     /// Attempts that draw on the location's link.
     link: Shared,
     retries: f64,
@@ -989,17 +992,20 @@
         self.missed(id, a.member);
     }
 
-    /// Whether the origin was seen to be so crowded that what comes from it would be too late.
+    /// Whether the origin was seen to be so crowded that what comes from it would be too late. Large answers
+    /// weigh the more, as they suffer most on its thin link, and are lost if their clients leave before the end.
     fn origin_late(&self, o: &Open) -> bool {
-        let (wait, at) = self.origin_wait;
-        self.too_late(o, self.work(&o.r) + wait * (-(self.now - at) / TOLD_SPAN).exp())
+        let (took, due, at) = self.origin_pace;
+        let keep = (-(self.now - at) / ORIGIN_SPAN).exp();
+        let drag = (took * keep + ORIGIN_DUE) / (due * keep + ORIGIN_DUE);
+        drag > 1.0 && self.too_late(o, (self.work(&o.r) + 2.0 * WAY) * drag - WAY)
     }
 
-    /// Takes what an answer by way of the origin took, or takes so far, beyond its sending time.
-    fn origin_took(&mut self, over: Millis) {
-        let (old, at) = self.origin_wait;
-        let old = old * (-(self.now - at) / TOLD_SPAN).exp();
-        self.origin_wait = (old + TOLD_STEP * (over - old), self.now);
+    /// Takes what an answer by way of the origin took, and what it should have.
+    fn origin_took(&mut self, took: Millis, due: Millis) {
+        let (old, was, at) = self.origin_pace;
+        let keep = (-(self.now - at) / ORIGIN_SPAN).exp();
+        self.origin_pace = (old * keep + took, was * keep + due, self.now);
     }
 
     fn see(&mut self, a: &Attempt, slowdown: impl Fn(Millis) -> f64) {
@@ -1038,7 +1044,10 @@
                     self.see(a, |expected| end.elapsed / expected);
                 }
                 if by_origin && !slow {
-                    self.origin_took((end.elapsed - a.work).max(0.0));
+                    // What was late is counted already, up to then.
+                    let (before, due) =
+                        if a.late { (a.late_at - a.sent, 0.0) } else { (0.0, a.work + 2.0 * WAY) };
+                    self.origin_took(end.elapsed - before, due);
                 }
                 // Where it is not reported, the time of a fill tells how full the link is; not one by the origin,
                 // where notes tell, as that shows the origin.
@@ -1103,8 +1112,8 @@
                 // Late by the origin, if not by a slow parent.
                 let brisk =
                     a.source.and_then(|s| self.peers.get(&s)).is_some_and(|p| p.drag(now) <= PASS_DRAG);
-                if a.kind == Kind::Fill && brisk && self.origin_wait.1 > 0.0 {
-                    waits.push(now - a.sent - a.work);
+                if a.kind == Kind::Fill && brisk && self.origin_pace.2 > 0.0 {
+                    waits.push((now - a.sent, a.work + 2.0 * WAY));
                 }
                 if let Some((m, _)) = a.shows().filter(|_| a.sure && a.kind == Kind::Fill) {
                     self.peers.get_mut(&m).into_iter().for_each(|p| p.see(LATE_DRAG, now));
@@ -1125,7 +1134,7 @@
                 self.retries -= 1.0;
             }
         }
-        waits.into_iter().for_each(|over| self.origin_took(over));
+        waits.into_iter().for_each(|(took, due)| self.origin_took(took, due));
         let silent = |p: &&Peer| {
             let sends = if p.trial { 1 } else { SILENT_SENDS };
             p.unanswered >= sends && now - p.unanswered_since > SILENT_FOR && !self.is_origin(&p.m)
