--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -86,6 +86,8 @@
     /// when that was brought up to date.
     saved: Option<f64>,
     saved_at: Millis,
+    /// When it was last left out: it may have restarted since, and the list tells that late.
+    fell: Millis,
     /// Attempts out that draw on its link, and fills out that name it as the source.
     held: Shared,
     /// Its pace: slowdowns seen of late, their weight, and when that was brought up to date.
@@ -105,7 +107,7 @@
 
 impl Peer {
     fn new(m: Member, known: Millis) -> Self {
-        Peer { m, saved_at: known, out_until: f64::MIN, ..Peer::default() }
+        Peer { m, saved_at: known, out_until: f64::MIN, fell: f64::MIN, ..Peer::default() }
     }
 
     fn usable(&self, now: Millis) -> bool {
@@ -138,7 +140,7 @@
         dearest: f64,
         now: Millis,
     ) -> bool {
-        let started = self.m.started.unwrap_or(f64::MIN);
+        let started = self.m.started.unwrap_or(f64::MIN).max(self.fell);
         if now - started >= rule.ramp {
             return true;
         }
@@ -453,6 +455,7 @@
         }
         p.out_span = (p.out_span * 2.0).clamp(OUT_FIRST, OUT_MOST);
         p.out_until = self.now + p.out_span;
+        p.fell = self.now;
         (p.trial, p.trial_out, p.fails, p.unanswered) = (true, false, 0, 0);
         if self.logs < LOGS {
             self.logs += 1;
