--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -48,6 +48,8 @@
 const COLD_COST: f64 = 1.1;
 /// The golden ratio's fraction: its multiples spread evenly over 0 to 1.
 const GOLDEN: f64 = 0.618_033_988_749_895;
+/// Busy share from which a member may hold more than it tells.
+const BUSY: f64 = 0.9;
 /// Failures in a row that leave a member out; and times its peers' pace from which it is slow.
 const FAILS_CERTAIN: u32 = 6;
 const SLOW_FROM: f64 = 1.6;
@@ -86,8 +88,6 @@
     /// when that was brought up to date.
     saved: Option<f64>,
     saved_at: Millis,
-    /// When it was last left out: it may have restarted since, and the list tells that late.
-    fell: Millis,
     /// Attempts out that draw on its link, and fills out that name it as the source.
     held: Shared,
     /// Its pace: slowdowns seen of late, their weight, and when that was brought up to date.
@@ -107,7 +107,7 @@
 
 impl Peer {
     fn new(m: Member, known: Millis) -> Self {
-        Peer { m, saved_at: known, out_until: f64::MIN, fell: f64::MIN, ..Peer::default() }
+        Peer { m, saved_at: known, out_until: f64::MIN, ..Peer::default() }
     }
 
     fn usable(&self, now: Millis) -> bool {
@@ -140,7 +140,7 @@
         dearest: f64,
         now: Millis,
     ) -> bool {
-        let started = self.m.started.unwrap_or(f64::MIN).max(self.fell);
+        let started = self.m.started.unwrap_or(f64::MIN);
         if now - started >= rule.ramp {
             return true;
         }
@@ -455,7 +455,6 @@
         }
         p.out_span = (p.out_span * 2.0).clamp(OUT_FIRST, OUT_MOST);
         p.out_until = self.now + p.out_span;
-        p.fell = self.now;
         (p.trial, p.trial_out, p.fails, p.unanswered) = (true, false, 0, 0);
         if self.logs < LOGS {
             self.logs += 1;
@@ -741,12 +740,15 @@
 
     /// Takes a member's report of its load.
     fn told(&mut self, id: MemberId, load: Load) {
-        let (now, here) = (self.now, self.s.zone);
+        let (now, here, sized) = (self.now, self.s.zone, self.s.sized);
+        let sharers = self.peers.get(&id).map_or(1.0, |p| self.sharers(&p.m));
         let Some(p) = self.peers.get_mut(&id) else { return };
-        let (m, busy) = (p.m, load.cpu.filter(|_| self.s.sized));
-        // Where what it holds is not reported, how busy it is tells how much of its link is taken.
-        let held = load.held.or(busy.map(|x| x * m.weight));
-        held.into_iter().for_each(|held| p.held.tell(held, now));
+        let m = p.m;
+        // Where what it holds is not reported, how busy it is tells how much of its link is taken; if it is busy
+        // all the time, that it is at least so much.
+        let taken = load.cpu.filter(|_| sized).map(|x| (x, x * m.weight));
+        let taken = taken.filter(|(x, held)| *x < BUSY || *held > p.held.all(sharers, now)).map(|x| x.1);
+        load.held.or(taken).into_iter().for_each(|held| p.held.tell(held, now));
         self.bear(id, 0.0, load.cpu);
         let Some(full) = load.link.filter(|_| self.is_cache(&m) && m.zone == here) else { return };
         let all = self.link_fit().map_or(full + self.link.own, |fit| full * fit);
