--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -42,11 +42,10 @@
 const ORIGIN_SPAN: Millis = 5000.0;
 const ORIGIN_DUE: Millis = 500.0;
 /// Share of the cold rule that all routers use, of a window's part that one may save up, and times a class's
-/// mean sending time that one send weighs: room for misjudged times and uneven turns.
+/// mean sending time that one send weighs (room for misjudged times); and the golden ratio's fraction.
 const COLD_SHARE: f64 = 0.6;
 const COLD_SAVED: f64 = 0.5;
 const COLD_COST: f64 = 1.1;
-/// The golden ratio's fraction: its multiples spread evenly over 0 to 1.
 const GOLDEN: f64 = 0.618_033_988_749_895;
 /// Busy share from which a member may hold more than it tells.
 const BUSY: f64 = 0.9;
@@ -84,14 +83,14 @@
 #[derive(Default)]
 struct Peer {
     m: Member,
-    /// While it is cold: our part of its budget not yet spent, in ms of sending, none before the first send, and
-    /// when that was brought up to date.
+    /// While it is cold: our part of its budget not yet spent, in ms of sending, none before the first send,
+    /// and when that was brought up to date.
     saved: Option<f64>,
     saved_at: Millis,
     /// Attempts out that draw on its link, and fills out that name it as the source.
     held: Shared,
     /// Its pace: slowdowns seen of late, their weight, and when that was brought up to date.
-    seen: (f64, f64, Millis),
+    seen: Pace,
     /// Failures in a row, and when the last one was.
     fails: u32,
     failed_at: Millis,
@@ -116,38 +115,28 @@
 
     /// Takes one answer's slowdown against what it should take.
     fn see(&mut self, slowdown: f64, now: Millis) {
-        let keep = (-(now - self.seen.2) / SEEN_SPAN).exp();
-        self.seen = (self.seen.0 * keep + slowdown, self.seen.1 * keep + 1.0, now);
+        self.seen.take(slowdown, 1.0, SEEN_SPAN, now);
     }
 
     /// The slowdown to be expected, by what was seen; without news it turns to none.
     fn drag(&self, now: Millis) -> f64 {
-        let keep = (-(now - self.seen.2) / SEEN_SPAN).exp();
-        (1.0 + self.seen.0 * keep) / (1.0 + self.seen.1 * keep)
-    }
-
-    /// Whether a router may send to a member that is cold. What the rule allows all routers on the slowest ramp
-    /// comes to each evenly as time passes, COLD_SHARE of it. An even part is small, so it is saved up until it
-    /// holds the dearest send, or without other routers a part of what a window allows. They start to save at places
-    /// that are spread evenly over that (by the golden ratio, which spreads any run of positions), so their turns
-    /// come one after the other, whoever knows of the start, and one that restarts gains nothing by it.
-    fn cold_room(
-        &mut self,
-        s: &Settings,
-        rule: &ColdRule,
-        size: f64,
-        sharers: f64,
-        dearest: f64,
-        now: Millis,
-    ) -> bool {
+        self.seen.drag(1.0, SEEN_SPAN, now)
+    }
+
+    /// Whether a router whose part of a member's size is that may send to it, if it is cold. What the rule
+    /// allows all routers on the slowest ramp comes to each evenly with time, and is saved up until it holds
+    /// the dearest send, or without other routers a part of a window. They start to save at places spread
+    /// evenly over that (by the golden ratio, which spreads any run of positions): their turns come one after
+    /// the other, whoever knows of the start, and one that restarts gains nothing by it.
+    fn cold_room(&mut self, place: u32, rule: &ColdRule, part: f64, dearest: f64, now: Millis) -> bool {
         let started = self.m.started.unwrap_or(f64::MIN);
         if now - started >= rule.ramp {
             return true;
         }
         let capacity = rule.from + (1.0 - rule.from) * (now - started).max(0.0) / rule.ramp;
-        let pace = COLD_SHARE * rule.multiple * capacity * size / sharers;
+        let pace = COLD_SHARE * rule.multiple * capacity * part;
         let shift = mix(u64::from(self.m.id)) as f64 / u64::MAX as f64;
-        let first = dearest * (f64::from(s.position) * GOLDEN + shift).fract();
+        let first = dearest * (f64::from(place) * GOLDEN + shift).fract();
         let most = dearest.max(pace * rule.window * COLD_SAVED);
         let saved = self.saved.unwrap_or(first) + pace * (now - self.saved_at).max(0.0);
         (self.saved, self.saved_at) = (Some(saved.min(most)), now);
@@ -288,16 +277,35 @@
     }
 }
 
-/// What one member of a kind bears, all routers' guessed from ours: the sending time served, since when and until
-/// when that was counted, and its busy share by the reports (their sum and number). All fade.
+/// What answers took of late, what they should take, and when that was brought up to date.
+#[derive(Clone, Copy, Default)]
+struct Pace {
+    took: f64,
+    due: f64,
+    at: Millis,
+}
+
+impl Pace {
+    fn take(&mut self, took: f64, due: f64, span: Millis, now: Millis) {
+        let keep = (-(now - self.at) / span).exp();
+        *self = Pace { took: self.took * keep + took, due: self.due * keep + due, at: now };
+    }
+
+    /// The slowdown to be expected, with so much as it should be put in beside.
+    fn drag(&self, beside: f64, span: Millis, now: Millis) -> f64 {
+        let keep = (-(now - self.at) / span).exp();
+        (beside + self.took * keep) / (beside + self.due * keep)
+    }
+}
+
+/// What one member of a kind bears, all routers' guessed from ours: the sending time served, since when and
+/// until when that was counted, and its busy share by the reports (their sum and number). All fade.
 #[derive(Clone, Copy)]
 struct Borne {
     work: Millis,
     since: Millis,
     at: Millis,
     busy: (f64, f64),
-    /// The most that it bore.
-    most: f64,
 }
 
 impl Borne {
@@ -306,16 +314,12 @@
         (self.work, self.at, self.busy) = (self.work * keep, now, (self.busy.0 * keep, self.busy.1 * keep));
     }
 
-    fn bears(&self) -> f64 {
-        self.work / (BORNE_SPAN * (1.0 - (-(self.at - self.since) / BORNE_SPAN).exp()))
-    }
-
     /// The size that explains it: answers at full pace over the share of the link that they took. Where no
-    /// busy share is reported it is at least the most that was borne.
+    /// busy share is reported it is at least what was borne.
     fn size(&self, now: Millis) -> Option<f64> {
-        let busy = (self.busy.1 > 0.0).then(|| (self.busy.0 / self.busy.1).clamp(0.05, 1.0));
-        let size = busy.map_or(self.most, |busy| self.bears() / busy);
-        (now - self.since > BORNE_FROM).then_some(size.max(1.0))
+        let span = BORNE_SPAN * (1.0 - (-(self.at - self.since) / BORNE_SPAN).exp());
+        let busy = if self.busy.1 > 0.0 { self.busy.0 / self.busy.1 } else { 1.0 };
+        (now - self.since > BORNE_FROM).then(|| (self.work / span / busy.clamp(0.05, 1.0)).max(1.0))
     }
 }
 
@@ -342,8 +346,8 @@
     objects: BTreeMap<u64, Known>,
     /// What members bear, by kind, where the list tells no sizes.
     borne: BTreeMap<u32, Borne>,
-    /// What answers by way of the origin took of late, what they should take, and when that was brought up to date.
-    origin_pace: (Millis, Millis, Millis),
+    /// The pace of answers by way of the origin.
+    origin_pace: Pace,
     /// Attempts that draw on the location's link.
     link: Shared,
     retries: f64,
@@ -518,14 +522,13 @@
     /// Books what a member bore, or its report of how busy it is.
     fn bear(&mut self, id: MemberId, work: Millis, busy: Option<f64>) {
         let Some(m) = self.peers.get(&id).filter(|_| !self.s.sized).map(|p| p.m) else { return };
-        let new = Borne { work: 0.0, since: self.now, at: self.now, busy: (0.0, 0.0), most: 0.0 };
+        let new = Borne { work: 0.0, since: self.now, at: self.now, busy: (0.0, 0.0) };
         let alike = 1.0 + self.pool(&m).filter(|p| p.m.kind == m.kind).count() as f64;
         let all = work * self.sharers(&m) / alike;
         let b = self.borne.entry(m.kind).or_insert(new);
         b.fade(self.now);
         b.work += all;
         b.busy = busy.map_or(b.busy, |x| (b.busy.0 + x, b.busy.1 + 1.0));
-        b.most = if self.now - b.since > BORNE_FROM { b.most.max(b.bears()) } else { 0.0 };
     }
 
     /// Ready members of a pool in the hash's order, those holding too much of our work moved behind.
@@ -559,7 +562,7 @@
         let mut all = self.sources(&o.r);
         let limit = self.slow_from(&all);
         all.sort_by_key(|s| drag(s) > limit);
-        all.retain(|s| drag(s) <= 1.0 || !self.too_late(o, (self.work(&o.r) + 2.0 * WAY) * drag(s) - WAY));
+        all.retain(|s| !self.too_slow(o, drag(s)));
         all
     }
 
@@ -619,6 +622,11 @@
     /// The only way out for attempts: every check of the rules is here. Tells whether it was sent.
     fn emit(&mut self, id: RequestId, to: MemberId, source: Option<MemberId>, kind: Kind) -> bool {
         let now = self.now;
+        // Cold budgets, of both; look-ups count, and so do fills that may turn out to be hits.
+        let ends: Vec<MemberId> = [Some(to), source.filter(|s| *s != to)].into_iter().flatten().collect();
+        if !ends.iter().all(|m| self.has_room(*m)) {
+            return false;
+        }
         let Some(o) = self.open.get(&id) else { return false };
         let class = &self.s.classes[o.r.class];
         // One at a time or, where allowed, two; attempt count, deadline, a stream that has begun.
@@ -641,7 +649,6 @@
             }
         }
         // Drain, of the member asked and of the source; zone.
-        let ends: Vec<MemberId> = [Some(to), source.filter(|s| *s != to)].into_iter().flatten().collect();
         if ends.iter().any(|m| self.peers.get(m).is_none_or(|p| !p.usable(now))) {
             return false;
         }
@@ -650,13 +657,7 @@
         if !local && (!self.s.direct || self.is_cache(&target)) {
             return false;
         }
-        // Cold budgets, of both; look-ups count, and so do fills that may turn out to be hits.
         let (work, cost) = (self.work(&o.r), self.means[o.r.class].0 * COLD_COST);
-        if !ends.iter().all(|m| self.has_room(*m)) {
-            return false;
-        }
-        let Some(o) = self.open.get(&id) else { return false };
-        let class = &self.s.classes[o.r.class];
         // No answer is given up early: a long wait means a crowded link, which a second try would crowd more.
         let trial = ends.iter().any(|m| self.peers[m].trial);
         let (until, bound) = (o.r.expires, self.purge_bound(&o.r));
@@ -699,12 +700,11 @@
     /// Whether a member is warm, or has room by the rule on cold ones.
     fn has_room(&mut self, id: MemberId) -> bool {
         let Some(m) = self.peers.get(&id).map(|p| p.m) else { return false };
-        let (sharers, size) = (self.sharers(&m), self.size(&m).unwrap_or(1.0));
+        let part = self.size(&m).unwrap_or(1.0) / self.sharers(&m);
         let dearest = self.means.iter().map(|m| m.0 * COLD_COST).fold(1.0, f64::max);
         let rule = if self.is_cache(&m) { self.s.cold_cache } else { self.s.cold_parent };
-        let warm = self.is_origin(&m);
-        let p = self.peers.get_mut(&id);
-        p.is_some_and(|p| warm || p.cold_room(&self.s, &rule, size, sharers, dearest, self.now))
+        let (warm, place, now) = (self.is_origin(&m), self.s.position, self.now);
+        self.peers.get_mut(&id).is_some_and(|p| warm || p.cold_room(place, &rule, part, dearest, now))
     }
 
     fn leads(&self, id: RequestId) -> bool {
@@ -723,6 +723,11 @@
         takes + WAY > left
     }
 
+    /// Whether a source of that drag would answer too late.
+    fn too_slow(&self, o: &Open, drag: f64) -> bool {
+        drag > 1.0 && self.too_late(o, (self.work(&o.r) + 2.0 * WAY) * drag - WAY)
+    }
+
     /// How crowded the location's link is with one more transfer: over those that fit where its room is told,
     /// else as the caches report it; 0 where neither is known.
     fn crowd(&self) -> f64 {
@@ -744,8 +749,8 @@
         let sharers = self.peers.get(&id).map_or(1.0, |p| self.sharers(&p.m));
         let Some(p) = self.peers.get_mut(&id) else { return };
         let m = p.m;
-        // Where what it holds is not reported, how busy it is tells how much of its link is taken; if it is busy
-        // all the time, that it is at least so much.
+        // Where what it holds is not reported, how busy it is tells how much of its link is taken; if it is
+        // busy all the time, that it is at least so much.
         let taken = load.cpu.filter(|_| sized).map(|x| (x, x * m.weight));
         let taken = taken.filter(|(x, held)| *x < BUSY || *held > p.held.all(sharers, now)).map(|x| x.1);
         load.held.or(taken).into_iter().for_each(|held| p.held.tell(held, now));
@@ -969,8 +974,7 @@
             let under_way = end.note == Note::Joined && !self.s.joins && o.sends < 3 && !self.last_call(o);
             if under_way && !self.table.contains_key(&(r.object, r.part)) {
                 let since = self.now - WAIT + self.work(&r) + WAY;
-                self.open.get_mut(&id).into_iter().for_each(|o| o.waiting = Some(since));
-                return;
+                return self.open.get_mut(&id).into_iter().for_each(|o| o.waiting = Some(since));
             }
             return self.missed(id, a.member);
         }
@@ -998,19 +1002,9 @@
     }
 
     /// Whether the origin was seen to be so crowded that what comes from it would be too late. Large answers
-    /// weigh the more, as they suffer most on its thin link, and are lost if their clients leave before the end.
+    /// weigh more in its pace: they suffer most on its thin link, and are lost if their clients leave first.
     fn origin_late(&self, o: &Open) -> bool {
-        let (took, due, at) = self.origin_pace;
-        let keep = (-(self.now - at) / ORIGIN_SPAN).exp();
-        let drag = (took * keep + ORIGIN_DUE) / (due * keep + ORIGIN_DUE);
-        drag > 1.0 && self.too_late(o, (self.work(&o.r) + 2.0 * WAY) * drag - WAY)
-    }
-
-    /// Takes what an answer by way of the origin took, and what it should have.
-    fn origin_took(&mut self, took: Millis, due: Millis) {
-        let (old, was, at) = self.origin_pace;
-        let keep = (-(self.now - at) / ORIGIN_SPAN).exp();
-        self.origin_pace = (old * keep + took, was * keep + due, self.now);
+        self.too_slow(o, self.origin_pace.drag(ORIGIN_DUE, ORIGIN_SPAN, self.now))
     }
 
     fn see(&mut self, a: &Attempt, slowdown: impl Fn(Millis) -> f64) {
@@ -1040,22 +1034,21 @@
         let origin = origin.is_some_and(|p| a.member == p.m.id || a.source == Some(p.m.id));
         match end.ending {
             Ending::Ok => {
-                // What came by way of the origin shows the origin, where notes tell, unless the parent is slow.
-                let through = source.and_then(|s| self.peers.get(&s)).filter(|p| self.is_parent(&p.m));
-                let slow = through.is_some_and(|p| p.drag(self.now) > PASS_DRAG);
-                let parent = through.is_some();
+                // What came by way of the origin shows that, where notes tell, unless the parent is slow.
+                let parent = source.and_then(|s| self.peers.get(&s)).filter(|p| self.is_parent(&p.m));
+                let (parent, slow) = (parent.is_some(), parent.is_some_and(|p| p.drag(self.now) > PASS_DRAG));
                 let by_origin = end.note == Note::FilledByOrigin && !self.s.classes[r.class].write;
                 if !(by_origin && parent) {
                     self.see(a, |expected| end.elapsed / expected);
                 }
                 if by_origin && !slow {
                     // What was late is counted already, up to then.
-                    let (before, due) =
-                        if a.late { (a.late_at - a.sent, 0.0) } else { (0.0, a.work + 2.0 * WAY) };
-                    self.origin_took(end.elapsed - before, due);
+                    let before = if a.late { a.late_at - a.sent } else { 0.0 };
+                    let due = if a.late { 0.0 } else { a.work + 2.0 * WAY };
+                    self.origin_pace.take(end.elapsed - before, due, ORIGIN_SPAN, self.now);
                 }
-                // Where it is not reported, the time of a fill tells how full the link is; not one by the origin,
-                // where notes tell, as that shows the origin.
+                // Where it is not reported, the time of a fill tells how full the link is; not one by the
+                // origin, where notes tell, as that shows the origin.
                 let shows = a.kind == Kind::Fill && end.load.is_none_or(|l| l.link.is_none());
                 let shows = shows && a.sure && !matches!(end.note, Note::FilledByOrigin | Note::Joined);
                 if let Some(fit) = self.link_fit().filter(|_| shows) {
@@ -1087,9 +1080,7 @@
             Ending::ConnectFailed | Ending::Reset => self.judge(a.member, false),
             _ if matches!(end.note, Note::NoPlace | Note::SourceLacks | Note::OriginFailed) => {}
             // A fill that failed: nearly always the source, as the cache had room to look up.
-            _ => {
-                self.judge(source.unwrap_or(a.member), false);
-            }
+            _ => self.judge(source.unwrap_or(a.member), false),
         }
     }
 
@@ -1109,16 +1100,15 @@
         }
         // Late attempts: a fill makes room, as it waits for a source that hangs and does not use the links it
         // would keep from others, and its source counts as slow. On a crowded link this lets a few more on.
-        let (mut again, mut waits) = (vec![], vec![]);
+        let mut again = vec![];
         for (id, o) in &mut self.open {
             let many = o.out.len() > 1 || o.ended;
             for a in o.out.iter_mut().filter(|a| !a.late && now >= a.late_at) {
                 a.late = true;
                 // Late by the origin, if not by a slow parent.
-                let brisk =
-                    a.source.and_then(|s| self.peers.get(&s)).is_some_and(|p| p.drag(now) <= PASS_DRAG);
-                if a.kind == Kind::Fill && brisk && self.origin_pace.2 > 0.0 {
-                    waits.push((now - a.sent, a.work + 2.0 * WAY));
+                let brisk = a.source.and_then(|s| self.peers.get(&s)).filter(|p| p.drag(now) <= PASS_DRAG);
+                if a.kind == Kind::Fill && brisk.is_some() && self.origin_pace.at > 0.0 {
+                    self.origin_pace.take(now - a.sent, a.work + 2.0 * WAY, ORIGIN_SPAN, now);
                 }
                 if let Some((m, _)) = a.shows().filter(|_| a.sure && a.kind == Kind::Fill) {
                     self.peers.get_mut(&m).into_iter().for_each(|p| p.see(LATE_DRAG, now));
@@ -1139,7 +1129,6 @@
                 self.retries -= 1.0;
             }
         }
-        waits.into_iter().for_each(|(took, due)| self.origin_took(took, due));
         let silent = |p: &&Peer| {
             let sends = if p.trial { 1 } else { SILENT_SENDS };
             p.unanswered >= sends && now - p.unanswered_since > SILENT_FOR && !self.is_origin(&p.m)
