On a crowded link nothing comes from the origin, and parents give what they hold

Where notes tell what comes by way of the origin, a leader on a crowded link asks the parent for what it holds in place of being refused, and never the origin.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -624,10 +624,8 @@
         let now = self.now;
         // Cold budgets, of both; look-ups count, and so do fills that may turn out to be hits.
         let ends: Vec<MemberId> = [Some(to), source.filter(|s| *s != to)].into_iter().flatten().collect();
-        if !ends.iter().all(|m| self.has_room(*m)) {
-            return false;
-        }
-        let Some(o) = self.open.get(&id) else { return false };
+        let room = ends.iter().all(|m| self.has_room(*m));
+        let Some(o) = self.open.get(&id).filter(|_| room) else { return false };
         let class = &self.s.classes[o.r.class];
         // One at a time or, where allowed, two; attempt count, deadline, a stream that has begun.
         let most = if self.s.second_copies && class.effect == Effect::Safe { 2 } else { 1 };
@@ -662,9 +660,9 @@
         let trial = ends.iter().any(|m| self.peers[m].trial);
         let (until, bound) = (o.r.expires, self.purge_bound(&o.r));
         let age = bound.map_or(0.0, |b| if class.fresh > 0.0 { b.min(class.fresh) } else { b });
-        // A crowded origin is spared: the parent gives what it holds, the rest is given up at once.
-        let held_only = kind == Kind::Fill && source.is_some_and(|s| self.is_parent(&self.peers[&s].m));
-        let held_only = held_only && self.origin_late(o);
+        // A crowded origin or link is spared: the parent gives what it holds, the rest is given up at once.
+        let spared = kind == Kind::Fill && (self.origin_late(o) || self.leads(id) && self.link_full(o));
+        let held_only = spared && source.is_some_and(|s| self.is_parent(&self.peers[&s].m));
         let how = How { join: self.s.joins && kind != Kind::LookUp, held_only, ..How::default() };
         let keep = if class.write || !local { 0 } else { RANK };
         self.acts.push(if kind == Kind::LookUp && bound.is_none() || self.is_origin(&target) {
@@ -861,10 +859,13 @@
     fn fill(&mut self, id: RequestId, cache: MemberId) {
         let Some(o) = self.open.get(&id) else { return };
         let (r, bad) = (o.r, o.bad.clone());
-        if self.leads(id) && self.link_full(o) {
+        // On a crowded link nothing comes from the origin, and where notes do not tell that, nothing at all.
+        let full = self.leads(id) && self.link_full(o);
+        if full && self.origin_pace.at == 0.0 {
             return self.give_up(id);
         }
-        let (sources, others) = (self.brisk(o), self.caches(&r).into_iter().filter(|c| *c != cache));
+        let (mut sources, others) = (self.brisk(o), self.caches(&r).into_iter().filter(|c| *c != cache));
+        sources.retain(|s| !full || self.origin() != Some(*s));
         for at in std::iter::once(cache).chain(others.collect::<Vec<_>>()).filter(|c| !bad.contains(c)) {
             if sources.iter().any(|s| !bad.contains(s) && self.emit(id, at, Some(*s), Kind::Fill)) {
                 if let Some(e) = self.table.get_mut(&(r.object, r.part)).filter(|e| e.leader == id) {
--- a/crates/deckproxy-control/tests/trouble.rs
+++ b/crates/deckproxy-control/tests/trouble.rs
@@ -658,3 +658,27 @@
         );
     }
 }
+
+/// Fills that waited for a slow origin made the link look crowded, and what parents held was refused with the rest.
+#[test]
+fn on_a_crowded_link_parents_give_what_they_hold_where_notes_tell() {
+    for notes in [false, true] {
+        let mut rig =
+            Rig::with(Settings { zone_link: vec![0.0, 0.0, 3000.0, 0.0], ..settings() }, everyone());
+        let (request, member) = rig.ask_and_miss(SMALL, 1);
+        answer(&mut rig, request, 1, member, 100.0, if notes { Note::FilledByOrigin } else { Note::None });
+        let (mut whole, mut held, mut refusals) = (0, 0, 0);
+        for object in 10..40 {
+            let (id, _) = rig.ask_and_miss(LARGE, object);
+            refusals += u32::from(refused(&rig.acts, id));
+            for act in &rig.acts {
+                if let Action::Get { source, how, .. } = act {
+                    assert!(!(how.held_only && *source == THE_ORIGIN));
+                    (whole, held) = (whole + u32::from(!how.held_only), held + u32::from(how.held_only));
+                }
+            }
+        }
+        assert!(whole > 0 && whole < 10, "the link carries a few: {whole}");
+        assert_eq!((held > 0, refusals > 0), (notes, !notes), "{held} held, {refusals} refused");
+    }
+}
