Sources that were all slow are asked again, and a quick fill ends a slow time

Cause: once ways counted in a slow source's time and paces were kept for 12 s (too_slow(), SEEN_SPAN), everything was refused, no fill went, and nothing told that the origin was quick again. Now a source not asked for a second is asked where all are too slow, and one fill in under three quarters of its time ends the slow time. A test of the module fails without it.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -27,6 +27,7 @@
 const PASS_AT: f64 = 3.0;
 const BOUND: f64 = 1.3;
 const PASS_DRAG: f64 = 2.0;
+const QUICK: f64 = 0.75;
 /// ms over which our part of a load is averaged to guess the other routers'.
 const MEAN_SPAN: Millis = 2000.0;
 /// Weight of new reports against that guess, ms over which they lose it, and of one report in their mean; ms
@@ -35,8 +36,7 @@
 const TOLD_SPAN: Millis = 2000.0;
 const TOLD_STEP: f64 = 0.3;
 const SEEN_SPAN: Millis = 12000.0;
-/// ms over which is averaged what the members of a kind bear, and of it until their size is judged by that.
-const BORNE_SPAN: Millis = 10_000.0;
+/// ms of what the members of a kind bear until their size is judged by that.
 const BORNE_FROM: Millis = 3000.0;
 /// ms over which the origin's pace is seen, and weight of an answer as due put in beside it.
 const ORIGIN_SPAN: Millis = 5000.0;
@@ -97,6 +97,8 @@
     /// Sends since its last sign of life, and when the first of them went.
     unanswered: u32,
     unanswered_since: Millis,
+    /// When it was last sent to, or named as a source.
+    asked: Millis,
     /// Left out until then, and for how long; afterwards on trial, a send at a time, until a good answer.
     out_until: Millis,
     out_span: Millis,
@@ -124,10 +126,9 @@
     }
 
     /// Whether a router whose part of a member's size is that may send to it, if it is cold. What the rule
-    /// allows all routers on the slowest ramp comes to each evenly with time, and is saved up until it holds
-    /// the dearest send, or without other routers a part of a window. They start to save at places spread
-    /// evenly over that (by the golden ratio, which spreads any run of positions): their turns come one after
-    /// the other, whoever knows of the start, and one that restarts gains nothing by it.
+    /// allows on the slowest ramp comes to each evenly with time, and is saved up until it holds the dearest
+    /// send, or without other routers a part of a window. Where they start to save is spread evenly (by the
+    /// golden ratio, for any run of positions): turns come one by one, and a restart gains nothing.
     fn cold_room(&mut self, place: u32, rule: &ColdRule, part: f64, dearest: f64, now: Millis) -> bool {
         let started = self.m.started.unwrap_or(f64::MIN);
         if now - started >= rule.ramp {
@@ -241,8 +242,7 @@
 }
 
 /// What the routers that share a member or link hold of it: our part, its mean of late, and the others' by
-/// their last reports. A few attempts of the moment times the routers would be noise, so the others' part is
-/// guessed from the mean; reports weigh beside that while they are new.
+/// their last reports, beside a guess from the mean (a few attempts of the moment would be noise).
 #[derive(Clone, Copy, Default)]
 struct Shared {
     own: f64,
@@ -310,14 +310,14 @@
 
 impl Borne {
     fn fade(&mut self, now: Millis) {
-        let keep = (-(now - self.at) / BORNE_SPAN).exp();
+        let keep = (-(now - self.at) / SEEN_SPAN).exp();
         (self.work, self.at, self.busy) = (self.work * keep, now, (self.busy.0 * keep, self.busy.1 * keep));
     }
 
     /// The size that explains it: answers at full pace over the share of the link that they took. Where no
     /// busy share is reported it is at least what was borne.
     fn size(&self, now: Millis) -> Option<f64> {
-        let span = BORNE_SPAN * (1.0 - (-(self.at - self.since) / BORNE_SPAN).exp());
+        let span = SEEN_SPAN * (1.0 - (-(self.at - self.since) / SEEN_SPAN).exp());
         let busy = if self.busy.1 > 0.0 { self.busy.0 / self.busy.1 } else { 1.0 };
         (now - self.since > BORNE_FROM).then(|| (self.work / span / busy.clamp(0.05, 1.0)).max(1.0))
     }
@@ -484,8 +484,7 @@
     }
 
     /// How many times slower than its peers a member answers, from 1. A slow one counts as a smaller one, and
-    /// its objects spill sooner, whatever slows it (pauses, a lame core, age). It can hurt where one only got
-    /// the harder requests; then some of its objects are kept twice.
+    /// its objects spill sooner; one that only got the harder requests has some of its objects kept twice.
     fn slowness(&self, p: &Peer) -> f64 {
         let mut drags: Vec<f64> = self.pool(&p.m).map(|q| q.drag(self.now)).collect();
         if drags.is_empty() {
@@ -562,12 +561,13 @@
         let mut all = self.sources(&o.r);
         let limit = self.slow_from(&all);
         all.sort_by_key(|s| drag(s) > limit);
-        all.retain(|s| !self.too_slow(o, drag(s)));
-        all
+        let (good, slow): (Vec<_>, Vec<_>) = all.into_iter().partition(|s| !self.too_slow(o, drag(s)));
+        // Where all are too slow, what was not asked for a while is: refusing all tells of no end to that.
+        let idle = |s: &MemberId| self.peers.get(s).is_some_and(|p| self.now - p.asked > OUT_FIRST);
+        if good.is_empty() { slow.into_iter().filter(idle).collect() } else { good }
     }
 
-    /// The drag from which a source is passed: all of them are slow where the location's link is crowded, and
-    /// then only those count that are slow beside the best.
+    /// The drag from which a source is passed; where all are slow, as on a crowded link, beside the best.
     fn slow_from(&self, sources: &[MemberId]) -> f64 {
         let usable = sources.iter().filter_map(|s| self.peers.get(s)).filter(|p| p.usable(self.now));
         (usable.map(|p| p.drag(self.now)).fold(f64::MAX, f64::min) * BOUND).clamp(PASS_DRAG, LATE_DRAG)
@@ -656,7 +656,6 @@
             return false;
         }
         let (work, cost) = (self.work(&o.r), self.means[o.r.class].0 * COLD_COST);
-        // No answer is given up early: a long wait means a crowded link, which a second try would crowd more.
         let trial = ends.iter().any(|m| self.peers[m].trial);
         let (until, bound) = (o.r.expires, self.purge_bound(&o.r));
         let age = bound.map_or(0.0, |b| if class.fresh > 0.0 { b.min(class.fresh) } else { b });
@@ -676,6 +675,7 @@
             p.saved = p.saved.map(|saved| saved - cost);
             p.trial_out |= p.trial;
             p.held.add(1.0, now);
+            p.asked = now;
             if *m == to {
                 p.unanswered_since = if p.unanswered == 0 { now } else { p.unanswered_since };
                 p.unanswered += 1;
@@ -747,8 +747,7 @@
         let sharers = self.peers.get(&id).map_or(1.0, |p| self.sharers(&p.m));
         let Some(p) = self.peers.get_mut(&id) else { return };
         let m = p.m;
-        // Where what it holds is not reported, how busy it is tells how much of its link is taken; if it is
-        // busy all the time, that it is at least so much.
+        // Where what it holds is not reported, how busy it is tells that, if not busy all the time.
         let taken = load.cpu.filter(|_| sized).map(|x| (x, x * m.weight));
         let taken = taken.filter(|(x, held)| *x < BUSY || *held > p.held.all(sharers, now)).map(|x| x.1);
         load.held.or(taken).into_iter().for_each(|held| p.held.tell(held, now));
@@ -758,9 +757,8 @@
         self.link.tell(all, now);
     }
 
-    /// Whether the location's link is so crowded that one more transfer would not be through anywhere near
-    /// the aim. Guards against a link that everyone fills and nobody gets through (a mass purge, dead
-    /// caches, a cut link); it could hurt where the link's room is told or learned too low.
+    /// Whether the location's link is so crowded that one more transfer would not be through near the aim:
+    /// a link that everyone fills and nobody gets through. It hurts where its room is told too low.
     fn link_full(&self, o: &Open) -> bool {
         let crowd = self.crowd();
         crowd > 0.0 && self.too_late(o, self.work(&o.r) * crowd.max(1.0))
@@ -982,7 +980,6 @@
         if end.note == Note::SourceLacks {
             return self.give_up(id);
         }
-        // A failure: whom the request avoids from now on.
         let at_cache = matches!(end.ending, Ending::ConnectFailed | Ending::Reset | Ending::Cancelled);
         let at_source = a.kind == Kind::Fill && !at_cache && end.note != Note::NoPlace;
         let guilty = a.source.filter(|_| at_source).unwrap_or(a.member);
@@ -1002,15 +999,20 @@
         self.missed(id, a.member);
     }
 
-    /// Whether the origin was seen to be so crowded that what comes from it would be too late. Large answers
-    /// weigh more in its pace: they suffer most on its thin link, and are lost if their clients leave first.
+    /// Whether the origin was seen to be too crowded. Large answers, which suffer most there, weigh more.
     fn origin_late(&self, o: &Open) -> bool {
         self.too_slow(o, self.origin_pace.drag(ORIGIN_DUE, ORIGIN_SPAN, self.now))
     }
 
     fn see(&mut self, a: &Attempt, slowdown: impl Fn(Millis) -> f64) {
         let Some((m, expected)) = a.shows() else { return };
-        self.peers.get_mut(&m).into_iter().for_each(|p| p.see(slowdown(expected), self.now));
+        let Some(p) = self.peers.get_mut(&m) else { return };
+        let slowdown = slowdown(expected);
+        // A fill that is quicker than it should be ends its source's slow time: much was seen of that.
+        if a.kind == Kind::Fill && slowdown < QUICK && p.drag(self.now) > PASS_DRAG {
+            p.seen = Pace::default();
+        }
+        p.see(slowdown, self.now);
     }
 
     /// Books an outcome: loads, learned times, health.
@@ -1048,8 +1050,7 @@
                     let due = if a.late { 0.0 } else { a.work + 2.0 * WAY };
                     self.origin_pace.take(end.elapsed - before, due, ORIGIN_SPAN, self.now);
                 }
-                // Where it is not reported, the time of a fill tells how full the link is; not one by the
-                // origin, where notes tell, as that shows the origin.
+                // Where it is not reported, fills from parents' copies tell how full the link is.
                 let shows = a.kind == Kind::Fill && end.load.is_none_or(|l| l.link.is_none());
                 let shows = shows && a.sure && !matches!(end.note, Note::FilledByOrigin | Note::Joined);
                 if let Some(fit) = self.link_fit().filter(|_| shows) {
@@ -1099,8 +1100,7 @@
         if self.objects.len() * 2 > OBJECTS_MOST {
             self.objects.retain(|_, o| now - o.asked.1 < 10.0 * HOT_SPAN);
         }
-        // Late attempts: a fill makes room, as it waits for a source that hangs and does not use the links it
-        // would keep from others, and its source counts as slow. On a crowded link this lets a few more on.
+        // Late attempts: a fill waits for a source that hangs; it makes room, its source counts as slow.
         let mut again = vec![];
         for (id, o) in &mut self.open {
             let many = o.out.len() > 1 || o.ended;
--- a/crates/deckproxy-control/tests/trouble.rs
+++ b/crates/deckproxy-control/tests/trouble.rs
@@ -682,3 +682,22 @@
         assert_eq!((held > 0, refusals > 0), (notes, !notes), "{held} held, {refusals} refused");
     }
 }
+
+/// All sources had been slow for a while, everything was refused, and so nothing told that they were quick again.
+#[test]
+fn sources_that_were_all_slow_are_asked_again_and_one_good_answer_ends_it() {
+    let mut rig = Rig::new();
+    let mut ask = |rig: &mut Rig, object, elapsed| {
+        rig.now += 20.0;
+        let (request, member) = rig.ask_and_miss(SMALL, object);
+        let sent = !rig.sends().is_empty();
+        if sent {
+            answer(rig, request, 1, member, elapsed, Note::None);
+        }
+        sent
+    };
+    let slow = (0..200).filter(|object| ask(&mut rig, *object, 1300.0)).count();
+    assert!(slow < 40, "{slow}");
+    let quick: Vec<bool> = (200..400).map(|object| ask(&mut rig, object, 30.0)).collect();
+    assert!(quick[60..].iter().all(|sent| *sent), "asked again within a second");
+}
