--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -34,12 +34,17 @@
 const TRUST: f64 = 0.5;
 const TOLD_SPAN: Millis = 2000.0;
 const TOLD_STEP: f64 = 0.3;
-const SEEN_SPAN: Millis = 4000.0;
-/// Share of the cold rule that all routers use, times a class's mean sending time that one send weighs, and
-/// share of the longest deadline that a whole send may weigh: room for misjudged times.
-const COLD_SHARE: f64 = 0.8;
+const SEEN_SPAN: Millis = 12000.0;
+/// ms over which is averaged what the members of a kind bear, and of it until their size is judged by that.
+const BORNE_SPAN: Millis = 10_000.0;
+const BORNE_FROM: Millis = 3000.0;
+/// Share of the cold rule that all routers use, of a window's part that one may save up, and times a class's
+/// mean sending time that one send weighs: room for misjudged times and uneven turns.
+const COLD_SHARE: f64 = 0.6;
+const COLD_SAVED: f64 = 0.5;
 const COLD_COST: f64 = 1.1;
-const WHOLE: f64 = 0.125;
+/// The golden ratio's fraction: its multiples spread evenly over 0 to 1.
+const GOLDEN: f64 = 0.618_033_988_749_895;
 /// Failures in a row that leave a member out; and times its peers' pace from which it is slow.
 const FAILS_CERTAIN: u32 = 6;
 const SLOW_FROM: f64 = 1.6;
@@ -74,11 +79,10 @@
 #[derive(Default)]
 struct Peer {
     m: Member,
-    /// The window in which it was last sent to while cold, and the ms of sending spent on it then.
-    turn: f64,
-    spent: f64,
-    /// When this router first heard of it; what it sent in that window before its own restart is not known.
-    known: Millis,
+    /// While it is cold: our part of its budget not yet spent, in ms of sending, none before the first send, and
+    /// when that was brought up to date.
+    saved: Option<f64>,
+    saved_at: Millis,
     /// Attempts out that draw on its link, and fills out that name it as the source.
     held: Shared,
     /// Its pace: slowdowns seen of late, their weight, and when that was brought up to date.
@@ -98,7 +102,7 @@
 
 impl Peer {
     fn new(m: Member, known: Millis) -> Self {
-        Peer { m, known, turn: f64::MIN, out_until: f64::MIN, ..Peer::default() }
+        Peer { m, saved_at: known, out_until: f64::MIN, ..Peer::default() }
     }
 
     fn usable(&self, now: Millis) -> bool {
@@ -117,33 +121,32 @@
         (1.0 + self.seen.0 * keep) / (1.0 + self.seen.1 * keep)
     }
 
-    /// What is left for one router in this window to send to a cold member, in ms of sending.
-    /// Time is cut into windows of the rule's length on the common clock. In each all routers together may
-    /// send half of COLD_SHARE of what the rule allows on the slowest ramp, so that any span of that length,
-    /// which touches two windows, stays under it, whoever knows of the start and whoever does not. It is
-    /// split evenly while every part holds a whole send; else half of it goes in whole sends to those whose
-    /// turn it is, a run of positions that all routers find alike and that grows as the member warms.
-    fn cold_room(&mut self, s: &Settings, rule: &ColdRule, sharers: f64, now: Millis) -> f64 {
+    /// Whether a router may send to a member that is cold. What the rule allows all routers on the slowest ramp
+    /// comes to each evenly as time passes, COLD_SHARE of it. An even part is small, so it is saved up until it
+    /// holds the dearest send, or without other routers a part of what a window allows. They start to save at places
+    /// that are spread evenly over that (by the golden ratio, which spreads any run of positions), so their turns
+    /// come one after the other, whoever knows of the start, and one that restarts gains nothing by it.
+    fn cold_room(
+        &mut self,
+        s: &Settings,
+        rule: &ColdRule,
+        size: f64,
+        sharers: f64,
+        dearest: f64,
+        now: Millis,
+    ) -> bool {
         let started = self.m.started.unwrap_or(f64::MIN);
-        let (window, turn) = (rule.window.max(1.0), (now / rule.window.max(1.0)).floor());
         if now - started >= rule.ramp {
-            return f64::MAX;
+            return true;
         }
-        if self.turn != turn {
-            (self.turn, self.spent) = (turn, if turn * window < self.known { f64::MAX } else { 0.0 });
-        }
-        let age = (turn * window - started).max(0.0);
-        let capacity = (rule.from + (1.0 - rule.from) * age / rule.ramp) * self.m.weight;
-        let quota = COLD_SHARE * rule.multiple * capacity * window * 0.5;
-        let whole = s.classes.iter().map(|c| c.deadline * WHOLE).fold(1.0, f64::max);
-        if quota / sharers >= whole {
-            return quota / sharers - self.spent;
-        }
-        let all = u64::from(s.routers.max(1));
-        let first = mix(u64::from(self.m.id) ^ mix(turn as u64)) % all;
-        let place = (u64::from(s.position) + first) % all;
-        let extra = if (place as f64) < (quota * 0.5 / whole).floor() { whole } else { 0.0 };
-        quota * 0.5 / sharers + extra - self.spent
+        let capacity = rule.from + (1.0 - rule.from) * (now - started).max(0.0) / rule.ramp;
+        let pace = COLD_SHARE * rule.multiple * capacity * size / sharers;
+        let shift = mix(u64::from(self.m.id)) as f64 / u64::MAX as f64;
+        let first = dearest * (f64::from(s.position) * GOLDEN + shift).fract();
+        let most = dearest.max(pace * rule.window * COLD_SAVED);
+        let saved = self.saved.unwrap_or(first) + pace * (now - self.saved_at).max(0.0);
+        (self.saved, self.saved_at) = (Some(saved.min(most)), now);
+        saved >= dearest
     }
 }
 
@@ -280,6 +283,31 @@
     }
 }
 
+/// What one member of a kind bears, all routers' guessed from ours: the sending time served, since when and until
+/// when that was counted, and its busy share by the reports (their sum and number). All fade.
+#[derive(Clone, Copy)]
+struct Borne {
+    work: Millis,
+    since: Millis,
+    at: Millis,
+    busy: (f64, f64),
+}
+
+impl Borne {
+    fn fade(&mut self, now: Millis) {
+        let keep = (-(now - self.at) / BORNE_SPAN).exp();
+        (self.work, self.at, self.busy) = (self.work * keep, now, (self.busy.0 * keep, self.busy.1 * keep));
+    }
+
+    /// The size that explains it: answers at full pace over the share of the link that they took. Where no
+    /// busy share is reported it is at least what was borne.
+    fn size(&self, now: Millis) -> Option<f64> {
+        let span = BORNE_SPAN * (1.0 - (-(self.at - self.since) / BORNE_SPAN).exp());
+        let busy = if self.busy.1 > 0.0 { self.busy.0 / self.busy.1 } else { 1.0 };
+        (now - self.since > BORNE_FROM).then(|| (self.work / span / busy.clamp(0.05, 1.0)).max(1.0))
+    }
+}
+
 /// What is left of an amount after a while.
 fn faded((amount, at): (f64, Millis), now: Millis) -> f64 {
     amount * (-(now - at) / HOT_SPAN).exp()
@@ -301,6 +329,10 @@
     /// Work asked for lately in all, and when that was brought up to date; what is known by object.
     asked: (f64, Millis),
     objects: BTreeMap<u64, Known>,
+    /// What members bear, by kind, where the list tells no sizes.
+    borne: BTreeMap<u32, Borne>,
+    /// How long answers by way of the origin took of late beyond their sending time, and the last one's time.
+    origin_wait: (Millis, Millis),
     /// Attempts that draw on the location's link.
     link: Shared,
     retries: f64,
@@ -365,7 +397,9 @@
             let left = self.peers.values_mut().filter(|p| !list.iter().any(|m| m.id == p.m.id));
             left.for_each(|p| p.m.lifecycle = Lifecycle::Gone);
         }
-        for m in list {
+        for mut m in list {
+            // What is no size must not weigh in the hash.
+            m.weight = if self.s.sized { m.weight } else { 1.0 };
             match self.peers.get_mut(&m.id) {
                 Some(p) if m.lifecycle == Lifecycle::Gone => p.m.lifecycle = Lifecycle::Gone,
                 None if m.lifecycle == Lifecycle::Gone => {}
@@ -461,7 +495,25 @@
     /// Answers out over the member's link, all routers' guessed from ours.
     fn load(&self, p: &Peer) -> f64 {
         let all = p.held.all(self.sharers(&p.m), self.now);
-        all * self.slowness(p) / p.m.weight.max(0.1)
+        self.size(&p.m).map_or(0.0, |size| all * self.slowness(p) / size.max(0.1))
+    }
+
+    /// A member's link in answers at full pace: told, else judged by what its kind bears, as soon as there is
+    /// enough to go by.
+    fn size(&self, m: &Member) -> Option<f64> {
+        if self.s.sized { Some(m.weight) } else { self.borne.get(&m.kind)?.size(self.now) }
+    }
+
+    /// Books what a member bore, or its report of how busy it is.
+    fn bear(&mut self, id: MemberId, work: Millis, busy: Option<f64>) {
+        let Some(m) = self.peers.get(&id).filter(|_| !self.s.sized).map(|p| p.m) else { return };
+        let new = Borne { work: 0.0, since: self.now, at: self.now, busy: (0.0, 0.0) };
+        let alike = 1.0 + self.pool(&m).filter(|p| p.m.kind == m.kind).count() as f64;
+        let all = work * self.sharers(&m) / alike;
+        let b = self.borne.entry(m.kind).or_insert(new);
+        b.fade(self.now);
+        b.work += all;
+        b.busy = busy.map_or(b.busy, |x| (b.busy.0 + x, b.busy.1 + 1.0));
     }
 
     /// Ready members of a pool in the hash's order, those holding too much of our work moved behind.
@@ -489,18 +541,23 @@
         all
     }
 
-    /// Those whose fills were not seen to take too long of late, the origin first where the home is slow.
+    /// Those whose fills were not seen to take too long of late, in the hash's order; the slow ones behind.
     fn brisk(&self, o: &Open) -> Vec<MemberId> {
         let drag = |s: &MemberId| self.peers.get(s).map_or(1.0, |p| p.drag(self.now));
         let mut all = self.sources(&o.r);
-        let slow = |s: Option<&MemberId>| s.is_some_and(|s| drag(s) > PASS_DRAG);
-        if slow(all.first()) && !slow(all.last()) {
-            all.rotate_right(1);
-        }
+        let limit = self.slow_from(&all);
+        all.sort_by_key(|s| drag(s) > limit);
         all.retain(|s| drag(s) <= 1.0 || !self.too_late(o, self.work(&o.r) * drag(s)));
         all
     }
 
+    /// The drag from which a source is passed: all of them are slow where the location's link is crowded, and
+    /// then only those count that are slow beside the best.
+    fn slow_from(&self, sources: &[MemberId]) -> f64 {
+        let usable = sources.iter().filter_map(|s| self.peers.get(s)).filter(|p| p.usable(self.now));
+        (usable.map(|p| p.drag(self.now)).fold(f64::MAX, f64::min) * BOUND).clamp(PASS_DRAG, LATE_DRAG)
+    }
+
     fn origin(&self) -> Option<MemberId> {
         let mut ready = self.peers.values().filter(|p| p.m.lifecycle == Lifecycle::Ready);
         ready.find(|p| self.is_origin(&p.m)).map(|p| p.m.id)
@@ -583,20 +640,19 @@
         }
         // Cold budgets, of both; look-ups count, and so do fills that may turn out to be hits.
         let (work, cost) = (self.work(&o.r), self.means[o.r.class].0 * COLD_COST);
-        for m in &ends {
-            let member = self.peers[m].m;
-            let (sharers, warm) = (self.sharers(&member), self.is_origin(&member));
-            let rule = if self.is_cache(&member) { self.s.cold_cache } else { self.s.cold_parent };
-            let Some(p) = self.peers.get_mut(m) else { return false };
-            if !warm && p.cold_room(&self.s, &rule, sharers, now) < cost {
-                return false;
-            }
+        if !ends.iter().all(|m| self.has_room(*m)) {
+            return false;
         }
+        let Some(o) = self.open.get(&id) else { return false };
+        let class = &self.s.classes[o.r.class];
         // No answer is given up early: a long wait means a crowded link, which a second try would crowd more.
         let trial = ends.iter().any(|m| self.peers[m].trial);
         let (until, bound) = (o.r.expires, self.purge_bound(&o.r));
         let age = bound.map_or(0.0, |b| if class.fresh > 0.0 { b.min(class.fresh) } else { b });
-        let how = How { join: self.s.joins && kind != Kind::LookUp, ..How::default() };
+        // A crowded origin is spared: the parent gives what it holds, the rest is given up at once.
+        let held_only = kind == Kind::Fill && source.is_some_and(|s| self.is_parent(&self.peers[&s].m));
+        let held_only = held_only && self.origin_late(o);
+        let how = How { join: self.s.joins && kind != Kind::LookUp, held_only, ..How::default() };
         let keep = if class.write || !local { 0 } else { RANK };
         self.acts.push(if kind == Kind::LookUp && bound.is_none() || self.is_origin(&target) {
             Action::LookUp { request: id, member: to, until }
@@ -606,7 +662,7 @@
         let (load, crowd) = (self.load(&self.peers[&to]), self.crowd());
         for m in &ends {
             let Some(p) = self.peers.get_mut(m) else { continue };
-            p.spent += cost;
+            p.saved = p.saved.map(|saved| saved - cost);
             p.trial_out |= p.trial;
             p.held.add(1.0, now);
             if *m == to {
@@ -628,6 +684,17 @@
         true
     }
 
+    /// Whether a member is warm, or has room by the rule on cold ones.
+    fn has_room(&mut self, id: MemberId) -> bool {
+        let Some(m) = self.peers.get(&id).map(|p| p.m) else { return false };
+        let (sharers, size) = (self.sharers(&m), self.size(&m).unwrap_or(1.0));
+        let dearest = self.means.iter().map(|m| m.0 * COLD_COST).fold(1.0, f64::max);
+        let rule = if self.is_cache(&m) { self.s.cold_cache } else { self.s.cold_parent };
+        let warm = self.is_origin(&m);
+        let p = self.peers.get_mut(&id);
+        p.is_some_and(|p| warm || p.cold_room(&self.s, &rule, size, sharers, dearest, self.now))
+    }
+
     fn leads(&self, id: RequestId) -> bool {
         let key = self.open.get(&id).map(|o| (o.r.object, o.r.part));
         key.and_then(|k| self.table.get(&k)).is_some_and(|e| e.leader == id)
@@ -663,8 +730,11 @@
     fn told(&mut self, id: MemberId, load: Load) {
         let (now, here) = (self.now, self.s.zone);
         let Some(p) = self.peers.get_mut(&id) else { return };
-        load.held.into_iter().for_each(|held| p.held.tell(held, now));
-        let m = p.m;
+        let (m, busy) = (p.m, load.cpu.filter(|_| self.s.sized));
+        // Where what it holds is not reported, how busy it is tells how much of its link is taken.
+        let held = load.held.or(busy.map(|x| x * m.weight));
+        held.into_iter().for_each(|held| p.held.tell(held, now));
+        self.bear(id, 0.0, load.cpu);
         let Some(full) = load.link.filter(|_| self.is_cache(&m) && m.zone == here) else { return };
         let all = self.link_fit().map_or(full + self.link.own, |fit| full * fit);
         self.link.tell(all, now);
@@ -715,9 +785,17 @@
             return self.give_up(id);
         }
         let bad = o.bad.clone();
-        if !order.into_iter().any(|c| !bad.contains(&c) && self.emit(id, c, None, Kind::LookUp)) {
-            self.direct(id);
+        for c in order.into_iter().filter(|c| !bad.contains(c)) {
+            // A cold cache is empty, and a look-up weighs on it as much as its fill: that comes at once.
+            let ramp = self.s.cold_cache.ramp;
+            let cold = |p: &Peer| p.usable(self.now) && p.m.started.is_some_and(|at| self.now - at < ramp);
+            if self.peers.get(&c).is_some_and(cold) && self.has_room(c) {
+                return self.missed(id, c);
+            } else if self.emit(id, c, None, Kind::LookUp) {
+                return;
+            }
         }
+        self.direct(id);
     }
 
     /// No cache will do: straight to the parents, in their order, then to the origin. A write runs at the
@@ -874,6 +952,9 @@
         } else if missed {
             return self.missed(id, a.member);
         }
+        if end.note == Note::SourceLacks {
+            return self.give_up(id);
+        }
         // A failure: whom the request avoids from now on.
         let at_cache = matches!(end.ending, Ending::ConnectFailed | Ending::Reset | Ending::Cancelled);
         let at_source = a.kind == Kind::Fill && !at_cache && end.note != Note::NoPlace;
@@ -894,6 +975,12 @@
         self.missed(id, a.member);
     }
 
+    /// Whether the origin was seen to be so crowded that what comes from it would be too late.
+    fn origin_late(&self, o: &Open) -> bool {
+        let (wait, at) = self.origin_wait;
+        self.too_late(o, self.work(&o.r) + wait * (-(self.now - at) / TOLD_SPAN).exp())
+    }
+
     fn see(&mut self, a: &Attempt, slowdown: impl Fn(Millis) -> f64) {
         let Some((m, expected)) = a.shows() else { return };
         self.peers.get_mut(&m).into_iter().for_each(|p| p.see(slowdown(expected), self.now));
@@ -921,16 +1008,35 @@
         let origin = origin.is_some_and(|p| a.member == p.m.id || a.source == Some(p.m.id));
         match end.ending {
             Ending::Ok => {
-                self.see(a, |expected| end.elapsed / expected);
-                // Where nothing is reported, the time of a fill tells how full the link is.
-                if let Some(fit) = self.link_fit().filter(|_| a.kind == Kind::Fill && end.load.is_none()) {
+                // What came by way of the origin shows the origin, where notes tell, unless the parent is slow.
+                let through = source.and_then(|s| self.peers.get(&s)).filter(|p| self.is_parent(&p.m));
+                let slow = through.is_some_and(|p| p.drag(self.now) > PASS_DRAG);
+                let parent = through.is_some();
+                let by_origin = end.note == Note::FilledByOrigin && !self.s.classes[r.class].write;
+                if !(by_origin && parent) {
+                    self.see(a, |expected| end.elapsed / expected);
+                }
+                if by_origin && !slow {
+                    let ((old, at), over) = (self.origin_wait, (end.elapsed - a.work).max(0.0));
+                    let old = old * (-(self.now - at) / TOLD_SPAN).exp();
+                    self.origin_wait = (old + TOLD_STEP * (over - old), self.now);
+                }
+                // Where it is not reported, the time of a fill tells how full the link is; not one by the origin,
+                // where notes tell, as that shows the origin.
+                let shows = a.kind == Kind::Fill && end.load.is_none_or(|l| l.link.is_none());
+                let shows = shows && !matches!(end.note, Note::FilledByOrigin | Note::Joined);
+                if let Some(fit) = self.link_fit().filter(|_| shows) {
                     self.link.tell(FILL_PACE * fit * end.elapsed / (a.work + 2.0 * WAY), self.now);
                 }
                 if r.size.is_none() && a.kind == Kind::LookUp {
                     self.learn_sending(r, a, end.elapsed);
                 }
                 self.judge(a.member, true);
-                source.into_iter().for_each(|s| self.judge(s, true));
+                self.bear(a.member, a.work, None);
+                if let Some(s) = source {
+                    self.judge(s, true);
+                    self.bear(s, if end.note == Note::Joined { 0.0 } else { a.work }, None);
+                }
             }
             Ending::Miss => self.judge(a.member, true),
             // What fails at a parent while the origin does is not held against it: it still has its copies.
@@ -948,7 +1054,9 @@
             Ending::ConnectFailed | Ending::Reset => self.judge(a.member, false),
             _ if matches!(end.note, Note::NoPlace | Note::SourceLacks | Note::OriginFailed) => {}
             // A fill that failed: nearly always the source, as the cache had room to look up.
-            _ => self.judge(source.unwrap_or(a.member), false),
+            _ => {
+                self.judge(source.unwrap_or(a.member), false);
+            }
         }
     }
 
