--- a/crates/deckproxy-control/tests/trouble.rs
+++ b/crates/deckproxy-control/tests/trouble.rs
@@ -687,7 +687,7 @@
 #[test]
 fn sources_that_were_all_slow_are_asked_again_and_one_good_answer_ends_it() {
     let mut rig = Rig::new();
-    let mut ask = |rig: &mut Rig, object, elapsed| {
+    let ask = |rig: &mut Rig, object, elapsed| {
         rig.now += 20.0;
         let (request, member) = rig.ask_and_miss(SMALL, object);
         let sent = !rig.sends().is_empty();
