Where all sources are too slow one is asked again after half a second

With 0.3 s, or paces of 4 s, or ways left out it passes; half a second is the span in which a broken subscription is asked again.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -11,7 +11,7 @@
 /// ms between sweeps, fine enough for aims of some hundred ms; and lateness of one that slept itself.
 const SWEEP: Millis = 20.0;
 const ASLEEP: Millis = 100.0;
-/// ms until a broken subscription to the list is asked for again.
+/// ms until a broken subscription, or a source where all are too slow, is asked again.
 const REWATCH: Millis = 500.0;
 /// ms: the design's lock time-out; and own sending time from which joining the leader's fill beats waiting.
 const WAIT: Millis = 3000.0;
@@ -563,7 +563,7 @@
         all.sort_by_key(|s| drag(s) > limit);
         let (good, slow): (Vec<_>, Vec<_>) = all.into_iter().partition(|s| !self.too_slow(o, drag(s)));
         // Where all are too slow, what was not asked for a while is: refusing all tells of no end to that.
-        let idle = |s: &MemberId| self.peers.get(s).is_some_and(|p| self.now - p.asked > OUT_FIRST);
+        let idle = |s: &MemberId| self.peers.get(s).is_some_and(|p| self.now - p.asked > REWATCH);
         if good.is_empty() { slow.into_iter().filter(idle).collect() } else { good }
     }
 
