--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -22,7 +22,8 @@
 /// ms: allowance for ways and queues that adds to every sending time.
 const WAY: Millis = 60.0;
 /// Answers out over a member's link from which a cache's objects may spill and a parent is passed, if that is
-/// over so many times its pool's mean (bounded loads); and slowness of a parent for which the origin fills.
+/// over so many times its pool's mean; slowness from which a source is passed, and share of a fill's due time
+/// that ends it.
 const SPILL_AT: f64 = 1.5;
 const PASS_AT: f64 = 3.0;
 const BOUND: f64 = 1.3;
@@ -89,7 +90,7 @@
     saved_at: Millis,
     /// Attempts out that draw on its link, and fills out that name it as the source.
     held: Shared,
-    /// Its pace: slowdowns seen of late, their weight, and when that was brought up to date.
+    /// Its pace, as slowdowns seen of late.
     seen: Pace,
     /// Failures in a row, and when the last one was.
     fails: u32,
@@ -859,7 +860,7 @@
         let (r, bad) = (o.r, o.bad.clone());
         // On a crowded link nothing comes from the origin, and where notes do not tell that, nothing at all.
         let full = self.leads(id) && self.link_full(o);
-        if full && self.origin_pace.at == 0.0 {
+        if full && self.origin_pace.due == 0.0 {
             return self.give_up(id);
         }
         let (mut sources, others) = (self.brisk(o), self.caches(&r).into_iter().filter(|c| *c != cache));
@@ -1108,7 +1109,7 @@
                 a.late = true;
                 // Late by the origin, if not by a slow parent.
                 let brisk = a.source.and_then(|s| self.peers.get(&s)).filter(|p| p.drag(now) <= PASS_DRAG);
-                if a.kind == Kind::Fill && brisk.is_some() && self.origin_pace.at > 0.0 {
+                if a.kind == Kind::Fill && brisk.is_some() && self.origin_pace.due > 0.0 {
                     self.origin_pace.take(now - a.sent, a.work + 2.0 * WAY, ORIGIN_SPAN, now);
                 }
                 if let Some((m, _)) = a.shows().filter(|_| a.sure && a.kind == Kind::Fill) {
--- a/crates/deckproxy-control/tests/common/mod.rs
+++ b/crates/deckproxy-control/tests/common/mod.rs
@@ -114,10 +114,14 @@
 
     /// Asks for an object's part; returns the request's id.
     pub fn ask(&mut self, class: usize, object: u64, part: u32) -> RequestId {
+        self.ask_of_size(class, object, part, Some(SIZES[class]))
+    }
+
+    /// Asks for an object's part of that size, or of none told; returns the request's id.
+    pub fn ask_of_size(&mut self, class: usize, object: u64, part: u32, size: Option<f64>) -> RequestId {
         let id = self.next;
         self.next += 1;
         let expires = self.now + 5000.0;
-        let size = Some(SIZES[class]);
         self.event(Event::Request(Request { id, object, part, group: 7, size, class, expires }));
         id
     }
@@ -129,6 +133,27 @@
         self.event(Event::Outcome { request, attempt, member, ending, elapsed, finished, note, load });
     }
 
+    /// Ends an attempt with what its answer tells.
+    pub fn answer(
+        &mut self,
+        (request, attempt): (RequestId, u32),
+        member: MemberId,
+        (ending, note): (Ending, Note),
+        elapsed: Millis,
+        load: Option<Load>,
+    ) {
+        let finished = ending == Ending::Ok;
+        self.event(Event::Outcome { request, attempt, member, ending, elapsed, finished, note, load });
+    }
+
+    /// Whether the last step's get asks its source only for what that holds; nothing without a get.
+    pub fn held_only(&self) -> Option<bool> {
+        self.acts.iter().find_map(|a| match a {
+            Action::Get { how, .. } => Some(how.held_only),
+            _ => None,
+        })
+    }
+
     /// Fires the router's timers in step until then; what all of them brought is in `acts`.
     pub fn sweep_until(&mut self, end: Millis) {
         let mut all = vec![];
--- a/crates/deckproxy-control/tests/ordinary_path.rs
+++ b/crates/deckproxy-control/tests/ordinary_path.rs
@@ -284,8 +284,7 @@
         let request = rig.ask(SMALL, 5, 0);
         let member = rig.sends()[0].1;
         let miss = |rig: &mut Rig, attempt| {
-            let (ending, note, load, elapsed, finished) = (Ending::Miss, Note::Joined, None, 2.0, false);
-            rig.event(Event::Outcome { request, attempt, member, ending, elapsed, finished, note, load });
+            rig.answer((request, attempt), member, (Ending::Miss, Note::Joined), 2.0, None);
         };
         miss(&mut rig, 0);
         if joins {
--- a/crates/deckproxy-control/tests/rules.rs
+++ b/crates/deckproxy-control/tests/rules.rs
@@ -247,6 +247,41 @@
     }
 }
 
+/// The turns went by the places of all routers, and the thirteen that may send to a cache had next to none of them.
+#[test]
+fn the_routers_of_one_location_use_a_cold_caches_budget_and_keep_it() {
+    let rule = settings().cold_cache;
+    for (here, weight) in [(13, 6.0), (40, 3.0)] {
+        let cold = Member { started: Some(900.0), weight, ..member(101) };
+        let mut rigs: Vec<Rig> = (100..100 + here)
+            .map(|position| {
+                let zone_routers = vec![0, 0, here, 300 - here];
+                let set = Settings { position, routers: 300, zone_routers, ..settings() };
+                Rig::with(set, vec![cold, member(102), member(201)])
+            })
+            .collect();
+        let mut sent: Vec<(Millis, f64)> = vec![];
+        for step in 0..1200_u32 {
+            let rig = &mut rigs[(step % here) as usize];
+            rig.now = 1000.0 + 5.0 * f64::from(step);
+            let id = rig.ask(LARGE, u64::from(step), 0);
+            let (_, at, _) = rig.sends()[0];
+            if at == 101 {
+                sent.push((rig.now, SIZES[LARGE]));
+            }
+            rig.end(id, 0, at, Ending::Ok);
+        }
+        let load: f64 = sent.iter().map(|s| s.1).sum();
+        let least = rule.multiple * rule.from * weight * 6000.0;
+        assert!(load > 0.3 * least, "{here}: {load} of {least}");
+        for (end, _) in &sent {
+            let load: f64 = sent.iter().filter(|s| s.0 <= *end && s.0 > end - rule.window).map(|s| s.1).sum();
+            let capacity = rule.from + (1.0 - rule.from) * (end - 900.0) / rule.ramp;
+            assert!(load <= rule.multiple * capacity * weight * rule.window, "{here}: {load} by {end}");
+        }
+    }
+}
+
 /// A router that comes back within a window does not know what it sent in it before.
 #[test]
 fn a_router_that_started_in_this_window_leaves_cold_members_alone() {
--- a/crates/deckproxy-control/tests/trouble.rs
+++ b/crates/deckproxy-control/tests/trouble.rs
@@ -445,10 +445,9 @@
     assert_eq!(rig.sends()[0].0, waiter);
 }
 
-/// Ends an attempt with what an answer tells beside its ending.
+/// Serves an attempt.
 fn answer(rig: &mut Rig, request: RequestId, attempt: u32, member: MemberId, elapsed: Millis, note: Note) {
-    let (ending, finished, load) = (Ending::Ok, true, None);
-    rig.event(Event::Outcome { request, attempt, member, ending, elapsed, finished, note, load });
+    rig.answer((request, attempt), member, (Ending::Ok, note), elapsed, None);
 }
 
 /// The sources of fills of many objects, the slow ones taking eight times as long as the others.
@@ -481,19 +480,20 @@
     assert!(sources(&mut rig, &[]).contains(&PARENTS[0]));
 }
 
-/// On a crowded link every source looked slow, and fills went to and fro between them.
+/// On a crowded link every source looked slow, and the origin, a little less so, stood in for all parents.
 #[test]
-fn sources_that_are_all_slow_keep_their_order() {
+fn parents_hardly_slower_than_the_best_source_are_not_passed() {
     let mut rig = Rig::new();
-    let all = [PARENTS[0], PARENTS[1], THE_ORIGIN];
     let mut seen = vec![];
-    for object in 0..60 {
+    for object in 0..120 {
         let (request, member) = rig.ask_and_miss(SMALL, object);
         let Some((_, _, Some(source))) = rig.sends().first().copied() else { continue };
         seen.push(source);
-        answer(&mut rig, request, 1, member, 420.0, Note::None);
+        answer(&mut rig, request, 1, member, if source == THE_ORIGIN { 330.0 } else { 400.0 }, Note::None);
     }
-    assert!(all[..2].iter().all(|s| seen[30..].contains(s)), "{seen:?}");
+    assert!(seen.contains(&THE_ORIGIN), "while nothing was known of it");
+    let passed = seen[80..].iter().filter(|s| **s == THE_ORIGIN).count();
+    assert!(PARENTS.iter().all(|s| seen[80..].contains(s)) && passed < 4, "{seen:?}");
 }
 
 /// The list told no sizes, units 1 was taken for a link of one answer, and a quarter of a quiet day was refused.
@@ -529,28 +529,22 @@
 #[test]
 fn a_crowded_origin_is_spared_and_what_parents_hold_still_serves() {
     let mut rig = Rig::new();
-    let held_only = |rig: &Rig| {
-        let get = rig.acts.iter().find_map(|a| match a {
-            Action::Get { how, .. } => Some(how.held_only),
-            _ => None,
-        });
-        get.expect("a fill")
-    };
     for object in 0..8 {
         let (request, member) = rig.ask_and_miss(SMALL, object);
-        let (elapsed, note) =
-            if held_only(&rig) { (90.0, Note::Filled) } else { (2000.0, Note::FilledByOrigin) };
+        let (elapsed, note) = if rig.held_only().expect("a fill") {
+            (90.0, Note::Filled)
+        } else {
+            (2000.0, Note::FilledByOrigin)
+        };
         answer(&mut rig, request, 1, member, elapsed, note);
     }
     let (request, member) = rig.ask_and_miss(SMALL, 100);
-    assert!(held_only(&rig));
-    let (ending, note, load, elapsed, finished, attempt) =
-        (Ending::Miss, Note::SourceLacks, None, 40.0, false, 1);
-    rig.event(Event::Outcome { request, attempt, member, ending, elapsed, finished, note, load });
+    assert_eq!(rig.held_only(), Some(true));
+    rig.answer((request, 1), member, (Ending::Miss, Note::SourceLacks), 40.0, None);
     assert!(refused(&rig.acts, request), "at once");
     rig.now += 8000.0;
     rig.ask_and_miss(SMALL, 101);
-    assert!(!held_only(&rig), "without news it is asked again");
+    assert_eq!(rig.held_only(), Some(false), "without news it is asked again");
 }
 
 /// A look-up at an empty cache weighed as much on it as its fill, and was a miss.
@@ -671,18 +665,99 @@
         for object in 10..40 {
             let (id, _) = rig.ask_and_miss(LARGE, object);
             refusals += u32::from(refused(&rig.acts, id));
-            for act in &rig.acts {
-                if let Action::Get { source, how, .. } = act {
-                    assert!(!(how.held_only && *source == THE_ORIGIN));
-                    (whole, held) = (whole + u32::from(!how.held_only), held + u32::from(how.held_only));
-                }
-            }
+            let get = rig.held_only();
+            (whole, held) = (whole + u32::from(get == Some(false)), held + u32::from(get == Some(true)));
         }
         assert!(whole > 0 && whole < 10, "the link carries a few: {whole}");
         assert_eq!((held > 0, refusals > 0), (notes, !notes), "{held} held, {refusals} refused");
     }
 }
 
+#[test]
+fn on_a_crowded_link_nothing_comes_from_the_origin() {
+    let list = everyone().into_iter().filter(|m| m.kind != PARENT).collect();
+    let mut rig = Rig::with(Settings { zone_link: vec![0.0, 0.0, 3000.0, 0.0], ..settings() }, list);
+    let (request, member) = rig.ask_and_miss(SMALL, 1);
+    answer(&mut rig, request, 1, member, 100.0, Note::FilledByOrigin);
+    let fills: Vec<bool> = (10..40)
+        .map(|object| {
+            rig.ask_and_miss(LARGE, object);
+            rig.held_only().is_some()
+        })
+        .collect();
+    assert!(fills[0] && !fills[10..].contains(&true), "{fills:?}");
+}
+
+/// A parent was passed for the origin's slowness, and the origin was spared for an ageing parent's.
+#[test]
+fn a_parent_and_the_origin_behind_it_are_each_judged_for_themselves() {
+    let roomy = || everyone().into_iter().map(|m| Member { weight: 400.0, ..m }).collect();
+    let mut rig = Rig::with(settings(), roomy());
+    let mut at = vec![];
+    for object in 0..40_u64 {
+        let (request, member) = rig.ask_and_miss(SMALL, object);
+        let source = rig.sends()[0].2.expect("a fill");
+        at.push((object, request, member, source));
+    }
+    let home = |source| at.iter().filter(move |x| x.3 == source);
+    // The origin is slow, the parent is not: it stays its objects' source.
+    for (_, request, member, _) in home(PARENTS[0]).take(6) {
+        answer(&mut rig, *request, 1, *member, 1200.0, Note::FilledByOrigin);
+    }
+    let first = at.iter().find(|x| x.3 == PARENTS[0]).map(|x| x.0).unwrap();
+    let (request, _) = rig.ask_and_miss(SMALL, first);
+    assert_eq!(rig.sends().first().map(|s| (s.0, s.2)), Some((request, Some(PARENTS[0]))));
+    assert_eq!(rig.held_only(), Some(true), "the origin is seen to be slow");
+    // The other way round: the parent is slow with its own copies, then by way of the origin too, and late.
+    for late in [false, true] {
+        let mut rig = Rig::with(Settings { zone_link: vec![0.0, 0.0, 15_000.0, 0.0], ..settings() }, roomy());
+        let (request, member) = rig.ask_and_miss(SMALL, 1000);
+        answer(&mut rig, request, 1, member, 170.0, Note::FilledByOrigin);
+        let mut at = vec![];
+        for object in 0..24_u64 {
+            let id = rig.ask_of_size(SMALL, object, 0, None);
+            let member = rig.sends()[0].1;
+            rig.end(id, 0, member, Ending::Miss);
+            at.push((object, id, member, rig.sends()[0].2.expect("a fill")));
+        }
+        let slow: Vec<_> = at.iter().filter(|x| x.3 == PARENTS[0]).collect();
+        for (_, request, member, _) in &slow[..4] {
+            answer(&mut rig, *request, 1, *member, 9000.0, Note::Filled);
+        }
+        // The other parent's are through.
+        for (_, request, member, _) in at.iter().filter(|x| x.3 != PARENTS[0]) {
+            answer(&mut rig, *request, 1, *member, 900.0, Note::Filled);
+        }
+        if late {
+            rig.sweep_until(rig.now + 4500.0);
+        } else {
+            for (_, request, member, _) in &slow[4..] {
+                answer(&mut rig, *request, 1, *member, 9000.0, Note::FilledByOrigin);
+            }
+        }
+        let request = rig.ask_of_size(SMALL, 2000, 0, None);
+        let member = rig.sends()[0].1;
+        rig.end(request, 0, member, Ending::Miss);
+        assert_eq!(rig.sends().first().map(|s| (s.0, s.2)), Some((request, Some(PARENTS[1]))), "{late}");
+        assert_eq!(rig.held_only(), Some(false), "{late}: the origin is not known to be slow");
+    }
+}
+
+/// What is told as a size but changes all the time moved homes with each list.
+#[test]
+fn what_is_no_size_does_not_move_homes() {
+    let moved = |sized: bool| {
+        let mut rig = Rig::with(Settings { sized, ..settings() }, everyone());
+        let before: Vec<_> = (0..60).map(|object| home(&mut rig, object)).collect();
+        let list =
+            everyone().into_iter().map(|m| Member { weight: f64::from(m.id % 10) * 3.0, ..m }).collect();
+        rig.event(Event::Members(ListKind::Full, list));
+        (0..60).zip(before).filter(|(object, at)| home(&mut rig, *object) != *at).count()
+    };
+    assert!(moved(true) > 5);
+    assert_eq!(moved(false), 0);
+}
+
 /// All sources had been slow for a while, everything was refused, and so nothing told that they were quick again.
 #[test]
 fn sources_that_were_all_slow_are_asked_again_and_one_good_answer_ends_it() {
@@ -701,3 +776,99 @@
     let quick: Vec<bool> = (200..400).map(|object| ask(&mut rig, object, 30.0)).collect();
     assert!(quick[60..].iter().all(|sent| *sent), "asked again within a second");
 }
+
+/// Large answers by way of the origin took eight times their time on its thin link, small ones what they should;
+/// what was learned let the large ones in, and they were dropped when their clients left.
+#[test]
+fn large_answers_weigh_more_in_the_origins_pace() {
+    let mut rig = Rig::new();
+    for object in 0..12 {
+        let class = if object % 3 == 0 { LARGE } else { SMALL };
+        let due = SIZES[class] + 120.0;
+        let (request, member) = rig.ask_and_miss(class, object);
+        if rig.held_only() == Some(false) {
+            let times = if class == LARGE { 8.0 } else { 1.0 };
+            answer(&mut rig, request, 1, member, due * times, Note::FilledByOrigin);
+        }
+    }
+    rig.ask_and_miss(LARGE, 100);
+    assert_eq!(rig.held_only(), Some(true));
+}
+
+/// The origin's pace was learned only from fills that ended, seconds after it had become slow.
+#[test]
+fn fills_that_are_late_by_the_origin_count_before_they_end() {
+    for notes in [false, true] {
+        let mut rig =
+            Rig::with(Settings { zone_link: vec![0.0, 0.0, 15_000.0, 0.0], ..settings() }, everyone());
+        let miss = |rig: &mut Rig, object| {
+            let id = rig.ask_of_size(SMALL, object, 0, None);
+            let member = rig.sends()[0].1;
+            rig.end(id, 0, member, Ending::Miss);
+            (id, member)
+        };
+        let (request, member) = miss(&mut rig, 1);
+        answer(&mut rig, request, 1, member, 920.0, if notes { Note::FilledByOrigin } else { Note::None });
+        (10..30).for_each(|object| {
+            miss(&mut rig, object);
+        });
+        rig.sweep_until(rig.now + 4500.0);
+        miss(&mut rig, 40);
+        assert_eq!(rig.held_only(), Some(notes));
+    }
+}
+
+/// A report without the link's fullness came with every answer, and the time of fills was not taken for one; nor
+/// is it one where the object may just be large.
+#[test]
+fn the_time_of_fills_of_known_size_tells_of_the_link_beside_reports_of_other_things() {
+    let shuts = |size: Option<f64>, held: u64, elapsed: Millis, note: Note, link: Option<f64>| {
+        let set = Settings {
+            zone_link: vec![0.0, 0.0, 30_000.0, 0.0],
+            zone_routers: vec![0, 0, 20, 1],
+            ..settings()
+        };
+        // Caches that are never crowded themselves.
+        let list = everyone().into_iter().map(|m| Member { weight: 400.0, ..m }).collect();
+        let mut rig = Rig::with(set, list);
+        let miss = |rig: &mut Rig, object| {
+            let id = rig.ask_of_size(LARGE, object, 0, size);
+            let member = rig.sends()[0].1;
+            rig.end(id, 0, member, Ending::Miss);
+            (id, member)
+        };
+        (0..held).for_each(|object| {
+            miss(&mut rig, object);
+        });
+        rig.now += 3000.0;
+        let (id, member) = miss(&mut rig, 100);
+        let load = Some(Load { cpu: Some(0.3), link, ..Load::default() });
+        rig.answer((id, 1), member, (Ending::Ok, note), elapsed, load);
+        miss(&mut rig, 101);
+        rig.held_only() != Some(false)
+    };
+    assert!(shuts(Some(400.0), 4, 1350.0, Note::Filled, None));
+    assert!(!shuts(Some(400.0), 4, 1350.0, Note::Filled, Some(0.1)), "the link is reported to be idle");
+    assert!(!shuts(Some(400.0), 4, 400.0, Note::Filled, None), "nothing crowds it");
+    assert!(!shuts(Some(400.0), 4, 1350.0, Note::FilledByOrigin, None), "it is the origin that is slow");
+    assert!(!shuts(None, 2, 2300.0, Note::Filled, None), "an object not met before may just be large");
+}
+
+/// Where reports tell only how busy a cache is, its load was our own sends times the routers, which is noise; and
+/// once that share was taken for the load, a cache that was busy all the time had a load of 1 whatever it held.
+#[test]
+fn how_busy_a_cache_is_tells_its_load_but_no_upper_bound() {
+    let spills = |busy: Option<f64>| {
+        let mut rig = Rig::with(Settings { zone_routers: vec![0, 0, 20, 1], ..settings() }, everyone());
+        let held = [rig.ask(SMALL, 5, 0), rig.ask(SMALL, 5, 0)];
+        let first = rig.sends()[0].1;
+        rig.now += 380.0;
+        let load = busy.map(|cpu| Load { cpu: Some(cpu), ..Load::default() });
+        rig.answer((held[1], 0), first, (Ending::Ok, Note::Hit), 60.0, load);
+        rig.ask(SMALL, 5, 0);
+        rig.sends()[0].1 != first
+    };
+    assert!(spills(None), "by the guess it is crowded");
+    assert!(!spills(Some(0.3)));
+    assert!(spills(Some(1.0)), "it holds that much at least");
+}
