migrate: the counterpart is as readable as the old file; the library's merge alone

Read once more: the output had the mode of a temporary file (0600), so a gateway under another user could not read it; and a second merge stood beside the library's, as null had to stay in a shape. Shapes are laid over one after the other now.

--- a/crates/deckproxy/src/program/migrate.rs
+++ b/crates/deckproxy/src/program/migrate.rs
@@ -30,7 +30,7 @@
         configuration(path, partial).map_err(|what| faults.extend(what)).unwrap_or_default()
     };
     let old = read(&args.old, false);
-    let mut new_shape = args.shape.as_deref().map_or(json!({}), |path| read(path, true));
+    let mut shapes: Vec<Value> = args.shape.iter().map(|path| read(path, true)).collect();
     for set in &args.set {
         let (path, value) = set.split_once('=').ok_or(format!("--set {set}: no PATH=VALUE"))?;
         let value = serde_json::from_str(value).unwrap_or_else(|_| Value::String(value.to_string()));
@@ -40,12 +40,12 @@
             let what = what.splitn(3, ':').last().unwrap_or_default().to_string();
             format!("--set {set}:{what}")
         }));
-        merge(&mut new_shape, one);
+        shapes.push(one);
     }
     if !faults.is_empty() {
         return Err(format!("{}\nnothing was written", faults.join("\n")));
     }
-    let (new, losses) = shape::migrate(&old, &new_shape);
+    let (new, losses) = shape::migrate(&old, &shapes);
     let text = format!("{new:#}\n");
     config::read(text.as_bytes())
         .map_err(|e| format!("the counterpart would not start: {e}\nnothing was written"))?;
@@ -64,18 +64,6 @@
     Ok(if losses.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(WITH_LOSSES) })
 }
 
-/// Adds one field's value to a shape; unlike the merge into a configuration, `null` stays.
-fn merge(into: &mut Value, one: Value) {
-    match (into, one) {
-        (Value::Object(into), Value::Object(one)) => {
-            for (field, value) in one {
-                merge(into.entry(field).or_insert_with(|| json!({})), value);
-            }
-        }
-        (into, one) => *into = one,
-    }
-}
-
 /// Writes a file whole or not at all; tells whether it had to be.
 fn write(input: &Path, out: &Path, bytes: &[u8], replace: bool) -> Result<bool, String> {
     let shown = out.display();
@@ -91,6 +79,9 @@
     }
     let folder = out.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
     let mut file = tempfile::NamedTempFile::new_in(folder).map_err(|e| failed(&e))?;
+    // A temporary file is its owner's alone; who could read the old one is to read the new one.
+    let mode = std::fs::metadata(input).map_err(|e| failed(&e))?.permissions();
+    file.as_file().set_permissions(mode).map_err(|e| failed(&e))?;
     file.write_all(bytes).and_then(|()| file.as_file().sync_all()).map_err(|e| failed(&e))?;
     // Without leave to replace, one that came meanwhile stays.
     let done = if replace { file.persist(out) } else { file.persist_noclobber(out) };
--- a/crates/deckproxy/src/protocol/shape.rs
+++ b/crates/deckproxy/src/protocol/shape.rs
@@ -199,13 +199,13 @@
     }
 }
 
-/// Moves a configuration to another shape: what the shape holds replaces what the file holds, field by field
-/// (RFC 7386, so `null` takes a field away), and what then fits nowhere is left out and told.
-pub fn migrate(old: &Value, shape: &Value) -> (Value, Vec<Loss>) {
+/// Moves a configuration to another shape: what the shape's parts hold, one after the other, replaces what the file
+/// holds, field by field (RFC 7386, so `null` takes a field away), and what then fits nowhere is left out and told.
+pub fn migrate(old: &Value, shape: &[Value]) -> (Value, Vec<Loss>) {
     let mut new = old.clone();
     let mut losses = Vec::new();
     unread(&mut new, &mut losses);
-    json_patch::merge(&mut new, shape);
+    shape.iter().for_each(|part| json_patch::merge(&mut new, part));
     let names = |settings: &Value, list: &str| -> Option<Vec<String>> {
         let names = settings.get(list)?.as_array()?;
         Some(names.iter().filter_map(|n| n.as_str().map(str::to_string)).collect())
--- a/crates/deckproxy/tests/migrate.rs
+++ b/crates/deckproxy/tests/migrate.rs
@@ -62,6 +62,9 @@
     wanted["settings"]["limits"]["retryAfter"] = json!(false);
     assert_eq!(moved, wanted);
     assert_eq!(run(&["check", text(&new)]).0, Some(0));
+    // A gateway that runs as another user reads it as it read the old one.
+    let mode = |path| std::fs::metadata(path).unwrap().permissions();
+    assert_eq!(mode(&new), mode(&old));
     let (code, out, _) = run(&words);
     assert_eq!(code, Some(0));
     assert!(out.contains("is that already"), "{out}");
@@ -173,6 +176,23 @@
     let moved: Value = serde_json::from_slice(&std::fs::read(&new).unwrap()).unwrap();
     assert_eq!(moved["settings"]["weightKind"], "rough");
     assert_eq!(desk.files(), 2, "no temporary file is left");
+    // Fields given one by one lie over the shape, the later over the earlier; null takes one away.
+    let shape =
+        desk.put("shape.json", r#"{"settings": {"weightKind": "none", "limits": {"probes": false}}}"#);
+    let last =
+        [&words[..4], &["--shape", text(&shape), "--set", "settings.weightKind=live", "--replace"]].concat();
+    assert_eq!(run(&[&last[..], &["--set", "settings.limits.probes=null"]].concat()).0, Some(0));
+    let moved: Value = serde_json::from_slice(&std::fs::read(&new).unwrap()).unwrap();
+    assert_eq!(
+        (&moved["settings"]["weightKind"], moved["settings"]["limits"].get("probes")),
+        (&json!("live"), None)
+    );
+    let (code, _, err) = run(&["migrate", text(&old), "--out", text(&desk.path("no/x.json"))]);
+    assert_eq!(code, Some(1));
+    assert!(err.contains("no/x.json: cannot be written"), "{err}");
+    let (code, _, err) = run(&["migrate", text(&old), "--out", "x.json", "--set", "weightKind"]);
+    assert_eq!(code, Some(1));
+    assert!(err.contains("--set weightKind: no PATH=VALUE"), "{err}");
     let (code, _, err) =
         run(&["migrate", text(&old), "--out", "x.json", "--set", "settings.weightKind=heavy"]);
     assert_eq!(code, Some(1));
