The stand-in link cuts what it read before a throttle came to pieces too

To blame: relay() in deckproxy-standins/src/shim.rs took the size of a piece when it began to read and the pace when it passed it on; a read that waited when the throttle came took 16 KB, passed them at once and then nothing for 680 ms, longer than the 250 ms of silence. The gateway was right. The new test of the stand-in failed without the fix (16,384 bytes at once).

--- a/crates/deckproxy-standins/src/shim.rs
+++ b/crates/deckproxy-standins/src/shim.rs
@@ -154,10 +154,18 @@
     }
 }
 
+/// Bytes that a link passes at once, at most.
+const PIECE: usize = 16 * 1024;
+
+/// Bytes that a link of so many bytes a millisecond (0: no bound) passes at once: what it carries in 5 ms.
+fn piece_at(pace: u64) -> usize {
+    if pace > 0 { (pace as usize * 5).clamp(256, PIECE) } else { PIECE }
+}
+
 fn relay(all: &Shared, id: u64, mut from: &TcpStream, mut to: &TcpStream, forward: bool) {
     let _ = from.set_read_timeout(Some(Duration::from_millis(1)));
     let mut waiting: VecDeque<(Instant, Vec<u8>)> = VecDeque::new();
-    let mut chunk = vec![0; 16 * 1024];
+    let mut chunk = vec![0; PIECE];
     let mut free = Instant::now();
     while all.running.load(Ordering::SeqCst) && all.open.lock().unwrap().contains_key(&id) {
         let state = *all.state.lock().unwrap();
@@ -169,11 +177,10 @@
         }
         let held: usize = waiting.iter().map(|(_, bytes)| bytes.len()).sum();
         // A throttled link has a short queue, and passes little at a time: what waits longer waits at who sends it.
-        let pace = all.pace.load(Ordering::SeqCst) as usize;
-        let (most, piece) =
-            if pace > 0 { (16 * 1024, (pace * 5).clamp(256, 16 * 1024)) } else { (256 * 1024, 16 * 1024) };
+        let pace = all.pace.load(Ordering::SeqCst);
+        let most = if pace > 0 { PIECE } else { 256 * 1024 };
         if held < most {
-            match from.read(&mut chunk[..piece]) {
+            match from.read(&mut chunk[..piece_at(pace)]) {
                 Ok(0) => return,
                 Ok(n) => {
                     let due = Instant::now() + Duration::from_micros(all.delay.load(Ordering::SeqCst));
@@ -186,8 +193,14 @@
             thread::sleep(Duration::from_millis(1));
         }
         while waiting.front().is_some_and(|(due, _)| *due <= Instant::now() && free <= Instant::now()) {
-            let Some((_, bytes)) = waiting.pop_front() else { break };
+            let Some((due, mut bytes)) = waiting.pop_front() else { break };
+            // What was read before a throttle came is cut to its pieces too: passed as a whole, it would leave a
+            // hush as long as all of it takes, and a slow link would look like a cut one.
             let pace = all.pace.load(Ordering::SeqCst);
+            let rest = bytes.split_off(piece_at(pace).min(bytes.len()));
+            if !rest.is_empty() {
+                waiting.push_front((due, rest));
+            }
             if let Some(took) = (bytes.len() as u64 * 1000).checked_div(pace) {
                 free = free.max(Instant::now()) + Duration::from_micros(took);
             }
@@ -198,3 +211,28 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_throttle_holds_for_what_was_read_before_it_came() {
+        let behind = TcpListener::bind("127.0.0.1:0").unwrap();
+        let shim = Shim::to(behind.local_addr().unwrap());
+        let mut near = TcpStream::connect(shim.address).unwrap();
+        let (mut far, _) = behind.accept().unwrap();
+        // On its way for longer than the throttle takes to come.
+        shim.delay(Duration::from_millis(800));
+        near.write_all(&[7; PIECE]).unwrap();
+        std::thread::sleep(Duration::from_millis(30));
+        shim.throttle(64);
+        // The whole takes 256 ms.
+        let mut chunk = vec![0; PIECE];
+        let first = far.read(&mut chunk).unwrap();
+        let start = Instant::now();
+        far.read_exact(&mut chunk[first..]).unwrap();
+        assert!(first < PIECE / 4, "{first} bytes at once");
+        assert!(start.elapsed() > Duration::from_millis(100), "{:?}", start.elapsed());
+    }
+}
