--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -90,6 +90,8 @@
     saved_at: Millis,
     /// Attempts out that draw on its link, and fills out that name it as the source.
     held: Shared,
+    /// Its last report of how busy it is, and when that came.
+    busy: Option<(f64, Millis)>,
     /// Its pace, as slowdowns seen of late.
     seen: Pace,
     /// Failures in a row, and when the last one was.
@@ -507,10 +509,13 @@
         if self.is_cache(m) { self.routers_in(m.zone) } else { f64::from(self.s.routers.max(1)) }
     }
 
-    /// Answers out over the member's link, all routers' guessed from ours.
+    /// Answers out over the member's link, all routers' guessed from ours. One that tells of spare room has it:
+    /// what it holds then waits for sources and sends nothing.
     fn load(&self, p: &Peer) -> f64 {
         let all = p.held.all(self.sharers(&p.m), self.now);
-        self.size(&p.m).map_or(0.0, |size| all * self.slowness(p) / size.max(0.1))
+        let load = self.size(&p.m).map_or(0.0, |size| all * self.slowness(p) / size.max(0.1));
+        let spare = p.busy.is_some_and(|(x, at)| x < BUSY && self.now - at < TOLD_SPAN);
+        if spare { load.min(1.0) } else { load }
     }
 
     /// A member's link in answers at full pace: told, else judged by what its kind bears, as soon as there is
@@ -748,6 +753,7 @@
         let sharers = self.peers.get(&id).map_or(1.0, |p| self.sharers(&p.m));
         let Some(p) = self.peers.get_mut(&id) else { return };
         let m = p.m;
+        p.busy = load.cpu.map(|x| (x, now)).or(p.busy);
         // Where what it holds is not reported, how busy it is tells that, if not busy all the time.
         let taken = load.cpu.filter(|_| sized).map(|x| (x, x * m.weight));
         let taken = taken.filter(|(x, held)| *x < BUSY || *held > p.held.all(sharers, now)).map(|x| x.1);
