--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -28,8 +28,6 @@
 const PASS_AT: f64 = 3.0;
 const BOUND: f64 = 1.3;
 const PASS_DRAG: f64 = 2.0;
-const TAKES: f64 = 1.3;
-const TAKES_BESIDE: f64 = 3.0;
 const QUICK: f64 = 0.75;
 /// ms over which our part of a load is averaged to guess the other routers'.
 const MEAN_SPAN: Millis = 2000.0;
@@ -96,8 +94,6 @@
     busy: Option<(f64, Millis)>,
     /// Its pace, as slowdowns seen of late.
     seen: Pace,
-    /// Fills wanted from it of late, over those that came in good time.
-    wanted: Pace,
     /// Failures in a row, and when the last one was.
     fails: u32,
     failed_at: Millis,
@@ -565,27 +561,8 @@
         all
     }
 
-    /// The sources that take this object.
-    fn brisk(&mut self, id: RequestId) -> Vec<MemberId> {
-        let Some(o) = self.open.get(&id) else { return Vec::new() };
-        let (r, now) = (o.r, self.now);
-        let mut all = self.brisk_old(o);
-        let mut first = true;
-        all.retain(|s| {
-            let Some(p) = self.peers.get_mut(s).filter(|p| p.usable(now)) else { return false };
-            let u = mix(r.object ^ mix(u64::from(*s) ^ (u64::from(r.part) << 32) ^ 0x77)) as f64 / u64::MAX as f64;
-            let takes = u * p.wanted.drag(TAKES_BESIDE, SEEN_SPAN, now) < TAKES;
-            if first && !takes {
-                p.wanted.take(1.0, 0.0, SEEN_SPAN, now);
-            }
-            first &= !takes;
-            takes
-        });
-        all
-    }
-
     /// Those whose fills were not seen to take too long of late, in the hash's order; the slow ones behind.
-    fn brisk_old(&self, o: &Open) -> Vec<MemberId> {
+    fn brisk(&self, o: &Open) -> Vec<MemberId> {
         let drag = |s: &MemberId| self.peers.get(s).map_or(1.0, |p| p.drag(self.now));
         let mut all = self.sources(&o.r);
         let limit = self.slow_from(&all);
@@ -849,13 +826,12 @@
     fn direct(&mut self, id: RequestId) {
         let Some(o) = self.open.get(&id) else { return };
         let (bad, origin, write) = (o.bad.clone(), self.origin(), self.s.classes[o.r.class].write);
-        let r = o.r;
-        let closed = if write { origin.is_none() } else { self.link_full(o) };
-        let mut ways = if write { self.sources(&r) } else { self.brisk(id) };
+        let mut ways = if write { self.sources(&o.r) } else { self.brisk(o) };
         if write {
             ways.rotate_right(usize::from(origin.is_some()));
-            ways.extend(self.caches(&r));
+            ways.extend(self.caches(&o.r));
         }
+        let closed = if write { origin.is_none() } else { self.link_full(o) };
         let open = |w: &MemberId| write || !bad.contains(w);
         if closed || !ways.into_iter().filter(open).any(|w| self.emit(id, w, origin, Kind::Direct)) {
             self.give_up(id);
@@ -893,9 +869,9 @@
         if full && self.origin_pace.due == 0.0 {
             return self.give_up(id);
         }
-        let (mut sources, others) = (self.brisk(id), self.caches(&r).into_iter().filter(|c| *c != cache).collect::<Vec<_>>());
+        let (mut sources, others) = (self.brisk(o), self.caches(&r).into_iter().filter(|c| *c != cache));
         sources.retain(|s| !full || self.origin() != Some(*s));
-        for at in std::iter::once(cache).chain(others).filter(|c| !bad.contains(c)) {
+        for at in std::iter::once(cache).chain(others.collect::<Vec<_>>()).filter(|c| !bad.contains(c)) {
             if sources.iter().any(|s| !bad.contains(s) && self.emit(id, at, Some(*s), Kind::Fill)) {
                 if let Some(e) = self.table.get_mut(&(r.object, r.part)).filter(|e| e.leader == id) {
                     e.cache = at;
@@ -1063,14 +1039,6 @@
             }
         }
         end.load.into_iter().for_each(|load| self.told(a.member, load));
-        // What a source gave of what was wanted from it.
-        let from = a.source.filter(|_| a.kind != Kind::LookUp && !self.s.classes[r.class].write);
-        let tells = !matches!(end.note, Note::NoPlace | Note::SourceLacks | Note::OriginFailed | Note::Joined | Note::Hit);
-        let tells = tells && !matches!(end.ending, Ending::Cancelled | Ending::Moot);
-        let from = from.filter(|s| a.kind == Kind::Fill || *s == a.member).filter(|_| tells && !a.late);
-        if let Some(p) = from.and_then(|s| self.peers.get_mut(&s)) {
-            p.wanted.take(1.0, f64::from(u8::from(end.ending == Ending::Ok)), SEEN_SPAN, self.now);
-        }
         let origin = self.origin().and_then(|id| self.peers.get(&id));
         let failing = origin.is_some_and(|p| p.trial || p.drag(self.now) > PASS_DRAG);
         let origin = origin.is_some_and(|p| a.member == p.m.id || a.source == Some(p.m.id));
@@ -1152,7 +1120,6 @@
                 }
                 if let Some((m, _)) = a.shows().filter(|_| a.sure && a.kind == Kind::Fill) {
                     self.peers.get_mut(&m).into_iter().for_each(|p| p.see(LATE_DRAG, now));
-                    self.peers.get_mut(&m).into_iter().for_each(|p| p.wanted.take(1.0, 0.0, SEEN_SPAN, now));
                 }
                 if !many && a.sure {
                     again.push((*id, *a));
