--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -509,13 +509,16 @@
         if self.is_cache(m) { self.routers_in(m.zone) } else { f64::from(self.s.routers.max(1)) }
     }
 
-    /// Answers out over the member's link, all routers' guessed from ours. One that tells of spare room has it:
-    /// what it holds then waits for sources and sends nothing.
+    /// Answers out over the member's link, all routers' guessed from ours.
     fn load(&self, p: &Peer) -> f64 {
         let all = p.held.all(self.sharers(&p.m), self.now);
-        let load = self.size(&p.m).map_or(0.0, |size| all * self.slowness(p) / size.max(0.1));
+        self.size(&p.m).map_or(0.0, |size| all * self.slowness(p) / size.max(0.1))
+    }
+
+    /// Those of them that are being sent: a cache that tells of spare room holds fills that wait for sources.
+    fn sending(&self, p: &Peer) -> f64 {
         let spare = p.busy.is_some_and(|(x, at)| x < BUSY && self.now - at < TOLD_SPAN);
-        if spare { load.min(1.0) } else { load }
+        if spare { self.load(p).min(1.0) } else { self.load(p) }
     }
 
     /// A member's link in answers at full pace: told, else judged by what its kind bears, as soon as there is
@@ -562,9 +565,13 @@
     }
 
     /// Those whose fills were not seen to take too long of late, in the hash's order; the slow ones behind.
-    fn brisk(&self, o: &Open) -> Vec<MemberId> {
+    fn brisk(&mut self, id: RequestId) -> Vec<MemberId> {
+        let Some(r) = self.open.get(&id).map(|o| o.r) else { return Vec::new() };
+        // One that is left out, or cold with no room, stands for nobody.
+        let mut all = self.sources(&r);
+        all.retain(|s| self.peers.get(s).is_some_and(|p| p.usable(self.now)) && self.has_room(*s));
+        let Some(o) = self.open.get(&id) else { return all };
         let drag = |s: &MemberId| self.peers.get(s).map_or(1.0, |p| p.drag(self.now));
-        let mut all = self.sources(&o.r);
         let limit = self.slow_from(&all);
         all.sort_by_key(|s| drag(s) > limit);
         let (good, slow): (Vec<_>, Vec<_>) = all.into_iter().partition(|s| !self.too_slow(o, drag(s)));
@@ -575,8 +582,8 @@
 
     /// The drag from which a source is passed; where all are slow, as on a crowded link, beside the best.
     fn slow_from(&self, sources: &[MemberId]) -> f64 {
-        let usable = sources.iter().filter_map(|s| self.peers.get(s)).filter(|p| p.usable(self.now));
-        (usable.map(|p| p.drag(self.now)).fold(f64::MAX, f64::min) * BOUND).clamp(PASS_DRAG, LATE_DRAG)
+        let drags = sources.iter().filter_map(|s| self.peers.get(s)).map(|p| p.drag(self.now));
+        (drags.fold(f64::MAX, f64::min) * BOUND).clamp(PASS_DRAG, LATE_DRAG)
     }
 
     fn origin(&self) -> Option<MemberId> {
@@ -803,7 +810,7 @@
         let order: Vec<MemberId> = filling.into_iter().chain(self.caches(&o.r)).collect();
         // Even the best cache too crowded: refused before it is sent anywhere.
         let usable = |c: &MemberId| self.peers.get(c).filter(|p| p.usable(self.now));
-        let load = order.iter().find_map(usable).map_or(0.0, |p| self.load(p));
+        let load = order.iter().find_map(usable).map_or(0.0, |p| self.sending(p));
         if o.sends == 0 && self.too_late(o, self.work(&o.r) * load.max(1.0)) {
             return self.give_up(id);
         }
@@ -825,13 +832,13 @@
     /// origin: straight, else through a parent or, where neither is open, a cache.
     fn direct(&mut self, id: RequestId) {
         let Some(o) = self.open.get(&id) else { return };
-        let (bad, origin, write) = (o.bad.clone(), self.origin(), self.s.classes[o.r.class].write);
-        let mut ways = if write { self.sources(&o.r) } else { self.brisk(o) };
+        let (r, bad, origin, write) = (o.r, o.bad.clone(), self.origin(), self.s.classes[o.r.class].write);
+        let closed = if write { origin.is_none() } else { self.link_full(o) };
+        let mut ways = if write { self.sources(&r) } else { self.brisk(id) };
         if write {
             ways.rotate_right(usize::from(origin.is_some()));
-            ways.extend(self.caches(&o.r));
+            ways.extend(self.caches(&r));
         }
-        let closed = if write { origin.is_none() } else { self.link_full(o) };
         let open = |w: &MemberId| write || !bad.contains(w);
         if closed || !ways.into_iter().filter(open).any(|w| self.emit(id, w, origin, Kind::Direct)) {
             self.give_up(id);
@@ -864,12 +871,18 @@
     fn fill(&mut self, id: RequestId, cache: MemberId) {
         let Some(o) = self.open.get(&id) else { return };
         let (r, bad) = (o.r, o.bad.clone());
+        // A cache with too many fills that wait takes look-ups, but no further one.
+        let load = self.peers.get(&cache).map_or(0.0, |p| self.load(p));
+        if o.sends == 1 && self.too_late(o, self.work(&r) * load.max(1.0)) {
+            return self.give_up(id);
+        }
         // On a crowded link nothing comes from the origin, and where notes do not tell that, nothing at all.
         let full = self.leads(id) && self.link_full(o);
         if full && self.origin_pace.due == 0.0 {
             return self.give_up(id);
         }
-        let (mut sources, others) = (self.brisk(o), self.caches(&r).into_iter().filter(|c| *c != cache));
+        let mut sources = self.brisk(id);
+        let others = self.caches(&r).into_iter().filter(|c| *c != cache);
         sources.retain(|s| !full || self.origin() != Some(*s));
         for at in std::iter::once(cache).chain(others.collect::<Vec<_>>()).filter(|c| !bad.contains(c)) {
             if sources.iter().any(|s| !bad.contains(s) && self.emit(id, at, Some(*s), Kind::Fill)) {
