--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -9,6 +9,7 @@
 // ---- Constants: unit and reason -------------------------------------------------------------------------
 
 /// ms between sweeps, fine enough for aims of some hundred ms; and lateness of one that slept itself.
+const AGAIN: f64 = 0.2;
 const SWEEP: Millis = 20.0;
 const ASLEEP: Millis = 100.0;
 /// ms until a broken subscription, or a source where all are too slow, is asked again.
@@ -576,7 +577,9 @@
         all.sort_by_key(|s| drag(s) > limit);
         let (good, slow): (Vec<_>, Vec<_>) = all.into_iter().partition(|s| !self.too_slow(o, drag(s)));
         // Where all are too slow, what was not asked for a while is: refusing all tells of no end to that.
-        let idle = |s: &MemberId| self.peers.get(s).is_some_and(|p| self.now - p.asked > REWATCH);
+        let due = (self.work(&o.r) + 2.0 * WAY) / AGAIN;
+        let rest = |p: &Peer| (due * self.sharers(&p.m) / self.size(&p.m).unwrap_or(1.0)).max(REWATCH);
+        let idle = |s: &MemberId| self.peers.get(s).is_some_and(|p| self.now - p.asked > rest(p));
         if good.is_empty() { slow.into_iter().filter(idle).collect() } else { good }
     }
 
