Sources are passed where they would be too late only; hits pass where fills wait

Checking whether a member drains or is left out is one with its room, so what takes nothing counts nowhere as a source.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -9,11 +9,12 @@
 // ---- Constants: unit and reason -------------------------------------------------------------------------
 
 /// ms between sweeps, fine enough for aims of some hundred ms; and lateness of one that slept itself.
-const AGAIN: f64 = 0.2;
 const SWEEP: Millis = 20.0;
 const ASLEEP: Millis = 100.0;
-/// ms until a broken subscription, or a source where all are too slow, is asked again.
+/// ms until a broken subscription, or a source where all are too slow, is asked again at the earliest; and
+/// share of what such a source can send that all routers ask for.
 const REWATCH: Millis = 500.0;
+const AGAIN: f64 = 0.2;
 /// ms: the design's lock time-out; and own sending time from which joining the leader's fill beats waiting.
 const WAIT: Millis = 3000.0;
 const LARGE: Millis = 100.0;
@@ -22,9 +23,8 @@
 const RANK: u8 = 2;
 /// ms: allowance for ways and queues that adds to every sending time.
 const WAY: Millis = 60.0;
-/// Answers out over a member's link from which a cache's objects may spill and a parent is passed, if that is
-/// over so many times its pool's mean; slowness from which a source is passed, and share of a fill's due time
-/// that ends it.
+/// Answers out over a member's link from which a cache's objects may spill and a parent is passed, if over so
+/// many times its pool's mean; pace from which a source is slow, and share of a fill's due time that ends it.
 const SPILL_AT: f64 = 1.5;
 const PASS_AT: f64 = 3.0;
 const BOUND: f64 = 1.3;
@@ -85,8 +85,7 @@
 #[derive(Default)]
 struct Peer {
     m: Member,
-    /// While it is cold: our part of its budget not yet spent, in ms of sending, none before the first send,
-    /// and when that was brought up to date.
+    /// While it is cold: our part of its budget not spent, in ms of sending (none at first), and as of when.
     saved: Option<f64>,
     saved_at: Millis,
     /// Attempts out that draw on its link, and fills out that name it as the source.
@@ -265,8 +264,7 @@
         self.own = (self.own + change).max(0.0);
     }
 
-    /// Takes a report of what all hold. It tells of one moment, and all routers that took it for more would
-    /// turn the same way at once.
+    /// Takes a report of what all hold, of one moment: routers that took it for more would turn as one.
     fn tell(&mut self, all: f64, now: Millis) {
         let others = (all - self.own).max(0.0);
         self.told = Some((self.told.map_or(others, |(x, _)| x + TOLD_STEP * (others - x)), now));
@@ -516,14 +514,7 @@
         self.size(&p.m).map_or(0.0, |size| all * self.slowness(p) / size.max(0.1))
     }
 
-    /// Those of them that are being sent: a cache that tells of spare room holds fills that wait for sources.
-    fn sending(&self, p: &Peer) -> f64 {
-        let spare = p.busy.is_some_and(|(x, at)| x < BUSY && self.now - at < TOLD_SPAN);
-        if spare { self.load(p).min(1.0) } else { self.load(p) }
-    }
-
-    /// A member's link in answers at full pace: told, else judged by what its kind bears, as soon as there is
-    /// enough to go by.
+    /// A member's link in answers at full pace: told, else judged by what its kind bears, once that is seen.
     fn size(&self, m: &Member) -> Option<f64> {
         if self.s.sized { Some(m.weight) } else { self.borne.get(&m.kind)?.size(self.now) }
     }
@@ -551,8 +542,7 @@
         all.into_iter().map(|x| x.2).collect()
     }
 
-    /// The caches of the location for a request. An object that draws much of the work is spread by its
-    /// parts, in one order that all routers share.
+    /// The location's caches for a request. An object that draws much work is spread by its parts.
     fn caches(&self, r: &Request) -> Vec<MemberId> {
         let hash = if r.part > 0 && self.hot(r) { r.object ^ mix(u64::from(r.part)) } else { r.object };
         self.order(hash, SPILL_AT, |m| self.is_cache(m) && m.zone == self.s.zone)
@@ -565,28 +555,19 @@
         all
     }
 
-    /// Those whose fills were not seen to take too long of late, in the hash's order; the slow ones behind.
+    /// The sources with room whose fills were not seen to come too late, in the hash's order. Where all were,
+    /// those not asked for a while (refusing all tells of no end to that), as many routers share it.
     fn brisk(&mut self, id: RequestId) -> Vec<MemberId> {
         let Some(r) = self.open.get(&id).map(|o| o.r) else { return Vec::new() };
-        // One that is left out, or cold with no room, stands for nobody.
         let mut all = self.sources(&r);
-        all.retain(|s| self.peers.get(s).is_some_and(|p| p.usable(self.now)) && self.has_room(*s));
+        all.retain(|s| self.has_room(*s));
         let Some(o) = self.open.get(&id) else { return all };
-        let drag = |s: &MemberId| self.peers.get(s).map_or(1.0, |p| p.drag(self.now));
-        let limit = self.slow_from(&all);
-        all.sort_by_key(|s| drag(s) > limit);
-        let (good, slow): (Vec<_>, Vec<_>) = all.into_iter().partition(|s| !self.too_slow(o, drag(s)));
-        // Where all are too slow, what was not asked for a while is: refusing all tells of no end to that.
-        let due = (self.work(&o.r) + 2.0 * WAY) / AGAIN;
+        let slow = |p: &Peer| self.too_slow(o, p.drag(self.now));
+        let (mut slow, good): (Vec<_>, Vec<_>) = all.into_iter().partition(|s| slow(&self.peers[s]));
+        let due = (self.work(&r) + 2.0 * WAY) / AGAIN;
         let rest = |p: &Peer| (due * self.sharers(&p.m) / self.size(&p.m).unwrap_or(1.0)).max(REWATCH);
-        let idle = |s: &MemberId| self.peers.get(s).is_some_and(|p| self.now - p.asked > rest(p));
-        if good.is_empty() { slow.into_iter().filter(idle).collect() } else { good }
-    }
-
-    /// The drag from which a source is passed; where all are slow, as on a crowded link, beside the best.
-    fn slow_from(&self, sources: &[MemberId]) -> f64 {
-        let drags = sources.iter().filter_map(|s| self.peers.get(s)).map(|p| p.drag(self.now));
-        (drags.fold(f64::MAX, f64::min) * BOUND).clamp(PASS_DRAG, LATE_DRAG)
+        slow.retain(|s| self.now - self.peers[s].asked > rest(&self.peers[s]));
+        if good.is_empty() { slow } else { good }
     }
 
     fn origin(&self) -> Option<MemberId> {
@@ -638,7 +619,7 @@
     /// The only way out for attempts: every check of the rules is here. Tells whether it was sent.
     fn emit(&mut self, id: RequestId, to: MemberId, source: Option<MemberId>, kind: Kind) -> bool {
         let now = self.now;
-        // Cold budgets, of both; look-ups count, and so do fills that may turn out to be hits.
+        // Drain and cold budgets, of member and source; look-ups count, as do fills that may hit.
         let ends: Vec<MemberId> = [Some(to), source.filter(|s| *s != to)].into_iter().flatten().collect();
         let room = ends.iter().all(|m| self.has_room(*m));
         let Some(o) = self.open.get(&id).filter(|_| room) else { return false };
@@ -662,10 +643,6 @@
                 return false;
             }
         }
-        // Drain, of the member asked and of the source; zone.
-        if ends.iter().any(|m| self.peers.get(m).is_none_or(|p| !p.usable(now))) {
-            return false;
-        }
         let target = self.peers[&to].m;
         let local = self.is_cache(&target) && target.zone == self.s.zone;
         if !local && (!self.s.direct || self.is_cache(&target)) {
@@ -711,9 +688,9 @@
         true
     }
 
-    /// Whether a member is warm, or has room by the rule on cold ones.
+    /// Whether a member takes anything new: it neither drains nor is left out, and if cold it has room.
     fn has_room(&mut self, id: MemberId) -> bool {
-        let Some(m) = self.peers.get(&id).map(|p| p.m) else { return false };
+        let Some(m) = self.peers.get(&id).filter(|p| p.usable(self.now)).map(|p| p.m) else { return false };
         let part = self.size(&m).unwrap_or(1.0) / self.sharers(&m);
         let dearest = self.means.iter().map(|m| m.0 * COLD_COST).fold(1.0, f64::max);
         let rule = if self.is_cache(&m) { self.s.cold_cache } else { self.s.cold_parent };
@@ -811,9 +788,12 @@
         // Where a fill of ours runs, the object is looked up there.
         let filling = self.table.get(&(o.r.object, o.r.part)).map(|e| e.cache);
         let order: Vec<MemberId> = filling.into_iter().chain(self.caches(&o.r)).collect();
-        // Even the best cache too crowded: refused before it is sent anywhere.
+        // Even the best cache too crowded: refused before it is sent anywhere, unless it tells of spare room:
+        // what it holds are fills that wait then, and it takes look-ups, but no more of these.
         let usable = |c: &MemberId| self.peers.get(c).filter(|p| p.usable(self.now));
-        let load = order.iter().find_map(usable).map_or(0.0, |p| self.sending(p));
+        let spare = |p: &&Peer| p.busy.is_some_and(|(x, at)| x < BUSY && self.now - at < TOLD_SPAN);
+        let best = order.iter().find_map(usable).filter(|p| !spare(p));
+        let load = best.map_or(0.0, |p| self.load(p));
         if o.sends == 0 && self.too_late(o, self.work(&o.r) * load.max(1.0)) {
             return self.give_up(id);
         }
@@ -821,7 +801,7 @@
         for c in order.into_iter().filter(|c| !bad.contains(c)) {
             // A cold cache is empty, and a look-up weighs on it as much as its fill: that comes at once.
             let ramp = self.s.cold_cache.ramp;
-            let cold = |p: &Peer| p.usable(self.now) && p.m.started.is_some_and(|at| self.now - at < ramp);
+            let cold = |p: &Peer| p.m.started.is_some_and(|at| self.now - at < ramp);
             if self.peers.get(&c).is_some_and(cold) && self.has_room(c) {
                 return self.missed(id, c);
             } else if self.emit(id, c, None, Kind::LookUp) {
@@ -874,7 +854,6 @@
     fn fill(&mut self, id: RequestId, cache: MemberId) {
         let Some(o) = self.open.get(&id) else { return };
         let (r, bad) = (o.r, o.bad.clone());
-        // A cache with too many fills that wait takes look-ups, but no further one.
         let load = self.peers.get(&cache).map_or(0.0, |p| self.load(p));
         if o.sends == 1 && self.too_late(o, self.work(&r) * load.max(1.0)) {
             return self.give_up(id);
@@ -928,8 +907,7 @@
         }
     }
 
-    /// A request stops waiting or leading. If it led: after a fill its waiters go to that cache, else the
-    /// oldest of them leads.
+    /// A request stops waiting or leading. If it led, its waiters go to the filled cache, or one leads.
     fn pass_on(&mut self, id: RequestId, key: Key, filled: Option<MemberId>, bad: Vec<MemberId>) {
         let Some(entry) = self.table.get_mut(&key) else { return };
         entry.waiters.retain(|w| *w != id);
@@ -1111,8 +1089,7 @@
 
     // ---- The sweep ---------------------------------------------------------------------------------------
 
-    /// Waiters whose time has come go alone; silent members are left out and what they hold called back;
-    /// what has gone out of date is forgotten.
+    /// Waiters whose time has come go alone, silent members are left out and what they hold is called back.
     fn sweep(&mut self) {
         self.sweeping = false;
         let now = self.now;
