--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -1080,7 +1080,12 @@
             // Crowding and the client's own deadline tell nothing of a member's health.
             Ending::Timeout if !a.trial && end.note == Note::None && !origin => {}
             Ending::Full if !a.trial && source.is_none() => {}
-            Ending::ConnectFailed | Ending::Reset => self.judge(a.member, false),
+            Ending::ConnectFailed | Ending::Reset => {
+                if end.ending == Ending::ConnectFailed {
+                    self.peers.get_mut(&a.member).into_iter().for_each(|p| p.fails += 2);
+                }
+                self.judge(a.member, false)
+            }
             _ if matches!(end.note, Note::NoPlace | Note::SourceLacks | Note::OriginFailed) => {}
             // A fill that failed: nearly always the source, as the cache had room to look up.
             _ => self.judge(source.unwrap_or(a.member), false),
