--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -987,10 +987,12 @@
         let Some(o) = self.open.get_mut(&id) else { return };
         o.bad.push(guilty);
         let (key, bad) = ((r.object, r.part), o.bad.clone());
-        if self.retries < 1.0 || self.now >= r.expires || suspect && bad.len() > 2 {
+        // A failed connect weighs on nobody.
+        let cost = f64::from(u8::from(end.ending != Ending::ConnectFailed));
+        if self.retries < cost || self.now >= r.expires || suspect && bad.len() > 2 {
             return self.give_up(id);
         }
-        self.retries -= 1.0;
+        self.retries -= cost;
         if a.kind != Kind::Fill {
             return self.route(id);
         }
@@ -1080,12 +1082,7 @@
             // Crowding and the client's own deadline tell nothing of a member's health.
             Ending::Timeout if !a.trial && end.note == Note::None && !origin => {}
             Ending::Full if !a.trial && source.is_none() => {}
-            Ending::ConnectFailed | Ending::Reset => {
-                if end.ending == Ending::ConnectFailed {
-                    self.peers.get_mut(&a.member).into_iter().for_each(|p| p.fails += 2);
-                }
-                self.judge(a.member, false)
-            }
+            Ending::ConnectFailed | Ending::Reset => self.judge(a.member, false),
             _ if matches!(end.note, Note::NoPlace | Note::SourceLacks | Note::OriginFailed) => {}
             // A fill that failed: nearly always the source, as the cache had room to look up.
             _ => self.judge(source.unwrap_or(a.member), false),
