--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -793,7 +793,7 @@
         let usable = |c: &MemberId| self.peers.get(c).filter(|p| p.usable(self.now));
         let spare = |p: &&Peer| p.busy.is_some_and(|(x, at)| x < BUSY && self.now - at < TOLD_SPAN);
         let best = order.iter().find_map(usable).filter(|p| !spare(p));
-        let load = best.map_or(0.0, |p| self.load(p));
+        let load = best.map_or(0.0, |p| self.load(p).max(1.0) * p.drag(self.now).max(1.0));
         if o.sends == 0 && self.too_late(o, self.work(&o.r) * load.max(1.0)) {
             return self.give_up(id);
         }
@@ -987,12 +987,10 @@
         let Some(o) = self.open.get_mut(&id) else { return };
         o.bad.push(guilty);
         let (key, bad) = ((r.object, r.part), o.bad.clone());
-        // A failed connect weighs on nobody.
-        let cost = f64::from(u8::from(end.ending != Ending::ConnectFailed));
-        if self.retries < cost || self.now >= r.expires || suspect && bad.len() > 2 {
+        if self.retries < 1.0 || self.now >= r.expires || suspect && bad.len() > 2 {
             return self.give_up(id);
         }
-        self.retries -= cost;
+        self.retries -= 1.0;
         if a.kind != Kind::Fill {
             return self.route(id);
         }
