--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -39,7 +39,7 @@
 const TOLD_STEP: f64 = 0.3;
 const SEEN_SPAN: Millis = 12000.0;
 /// ms of what the members of a kind bear until their size is judged by that.
-const BORNE_FROM: Millis = 3000.0;
+const BORNE_FROM: Millis = 1000.0;
 /// ms over which the origin's pace is seen, and weight of an answer as due put in beside it.
 const ORIGIN_SPAN: Millis = 5000.0;
 const ORIGIN_DUE: Millis = 500.0;
@@ -655,7 +655,10 @@
         // A crowded origin or link is spared: the parent gives what it holds, the rest is given up at once.
         let spared = kind == Kind::Fill && (self.origin_late(o) || self.leads(id) && self.link_full(o));
         let held_only = spared && source.is_some_and(|s| self.is_parent(&self.peers[&s].m));
-        let how = How { join: self.s.joins && kind != Kind::LookUp, held_only, ..How::default() };
+        // Where another source stands in, the fill that is under way may hang at the first one.
+        let stands_in = self.leads(id) && source != self.sources(&o.r).first().copied();
+        let join = self.s.joins && kind != Kind::LookUp && !stands_in;
+        let how = How { join, held_only, ..How::default() };
         let keep = if class.write || !local { 0 } else { RANK };
         self.acts.push(if kind == Kind::LookUp && bound.is_none() || self.is_origin(&target) {
             Action::LookUp { request: id, member: to, until }
@@ -793,7 +796,7 @@
         let usable = |c: &MemberId| self.peers.get(c).filter(|p| p.usable(self.now));
         let spare = |p: &&Peer| p.busy.is_some_and(|(x, at)| x < BUSY && self.now - at < TOLD_SPAN);
         let best = order.iter().find_map(usable).filter(|p| !spare(p));
-        let load = best.map_or(0.0, |p| self.load(p).max(1.0) * p.drag(self.now).max(1.0));
+        let load = best.map_or(0.0, |p| self.load(p));
         if o.sends == 0 && self.too_late(o, self.work(&o.r) * load.max(1.0)) {
             return self.give_up(id);
         }
