--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -655,10 +655,7 @@
         // A crowded origin or link is spared: the parent gives what it holds, the rest is given up at once.
         let spared = kind == Kind::Fill && (self.origin_late(o) || self.leads(id) && self.link_full(o));
         let held_only = spared && source.is_some_and(|s| self.is_parent(&self.peers[&s].m));
-        // Where another source stands in, the fill that is under way may hang at the first one.
-        let stands_in = self.leads(id) && source != self.sources(&o.r).first().copied();
-        let join = self.s.joins && kind != Kind::LookUp && !stands_in;
-        let how = How { join, held_only, ..How::default() };
+        let how = How { join: self.s.joins && kind != Kind::LookUp, held_only, ..How::default() };
         let keep = if class.write || !local { 0 } else { RANK };
         self.acts.push(if kind == Kind::LookUp && bound.is_none() || self.is_origin(&target) {
             Action::LookUp { request: id, member: to, until }
