decklab flows top: sums end at the largest number, and hostile counters end nothing

To blame: plain sums of counters that an exporter may send as near 2^64 (a turned byte does); which of them meet in a sum goes by chance. In a release build the sum would have wrapped.

--- a/crates/deckproxy-lab/src/flows/plot.rs
+++ b/crates/deckproxy-lab/src/flows/plot.rs
@@ -21,7 +21,7 @@
 /// Bytes a second of each key and of all others, in even steps; a flow's bytes are spread evenly over its time.
 fn rates(keys: &[String], spans: &[(String, u64, u64, u64)]) -> (u64, f64, Vec<Vec<f64>>) {
     let first = spans.iter().map(|s| s.1).min().unwrap_or(0);
-    let last = spans.iter().map(|s| s.2).max().unwrap_or(0).max(first + 1000);
+    let last = spans.iter().map(|s| s.2).max().unwrap_or(0).max(first.saturating_add(1000));
     let step = (last - first) as f64 / BUCKETS as f64;
     let mut sums = vec![vec![0.0; BUCKETS]; keys.len() + 1];
     for (key, start, end, bytes) in spans {
--- a/crates/deckproxy-lab/src/flows/top.rs
+++ b/crates/deckproxy-lab/src/flows/top.rs
@@ -87,7 +87,7 @@
     }
 }
 
-/// A sum of records.
+/// A sum of records. It ends at the largest number that there is: counters may hold anything that an exporter sends.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Sum {
     out: u64,
@@ -119,32 +119,32 @@
     let by = options.by;
     let mut sums: HashMap<String, Sum> = HashMap::new();
     let mut spans: Vec<(String, u64, u64, u64)> = Vec::new();
-    let (mut lost, mut lost_bytes, mut folded) = (0, 0, 0u64);
+    let (mut lost, mut lost_bytes, mut folded) = (0u64, 0u64, 0u64);
     let bad = each(&options.dir, |record| {
         if record.is_loss() {
-            lost += record.lost;
-            lost_bytes += record.lost_bytes;
+            lost = lost.saturating_add(record.lost);
+            lost_bytes = lost_bytes.saturating_add(record.lost_bytes);
             return;
         }
         let within = record.end >= from && record.start < to;
         if record.leg != by.leg() || !within || filter.as_ref().is_some_and(|f| !f.takes(&record)) {
             return;
         }
-        folded += u64::from(record.folded > 0) * record.out;
+        folded = folded.saturating_add(if record.folded > 0 { record.out } else { 0 });
         let key = by.key(&record);
         if options.svg.is_some() {
             spans.push((key.clone(), record.start, record.end, record.out));
         }
         let sum = sums.entry(key).or_default();
         *sum = Sum {
-            out: sum.out + record.out,
-            back: sum.back + record.back,
-            requests: sum.requests + record.requests,
+            out: sum.out.saturating_add(record.out),
+            back: sum.back.saturating_add(record.back),
+            requests: sum.requests.saturating_add(record.requests),
             p99: sum.p99.max(record.p99),
             records: sum.records + 1,
         };
     })?;
-    let all: u64 = sums.values().map(|s| s.out).sum();
+    let all = sums.values().fold(0u64, |all, s| all.saturating_add(s.out));
     let mut rows: Vec<(String, Sum)> = sums.into_iter().collect();
     rows.sort_by(|a, b| (b.1.out, &a.0).cmp(&(a.1.out, &b.0)));
     if let Some(path) = &options.svg {
--- a/crates/deckproxy-lab/tests/flows.rs
+++ b/crates/deckproxy-lab/tests/flows.rs
@@ -182,6 +182,26 @@
     until("the good ones are stored", whole);
 }
 
+/// A turned byte made counters of near 2^64, and the sums of two of them ended `top`.
+#[test]
+fn counters_of_any_size_are_summed() {
+    let folder = std::env::temp_dir().join(format!("decklab-flows-{}-large", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let most = u64::MAX;
+    let line = format!(
+        "{{\"leg\":\"client\",\"class\":\"page\",\"out\":{most},\"back\":{most},\"requests\":{most},\"folded\":1}}\n"
+    );
+    let other = line.replace("page", "video");
+    let lost = format!("{{\"leg\":\"loss\",\"lost\":{most},\"lost_bytes\":{most}}}\n");
+    let text = [line.as_str(), &line, &other, &lost, &lost].concat();
+    std::fs::write(folder.join("flows-00000001.jsonl"), text).unwrap();
+    let output = run(&["flows", "top"], &folder, &["--by", "class", "--csv"]);
+    let rows = String::from_utf8(output.stdout).unwrap();
+    assert!(output.status.success() && rows.lines().count() == 3, "{rows}{:?}", output.stderr);
+    assert!(rows.lines().skip(1).all(|row| row.split(',').nth(1) == Some(&most.to_string())), "{rows}");
+    let _ = std::fs::remove_dir_all(&folder);
+}
+
 #[test]
 fn faults_of_the_operator_are_told_where_they_are() {
     let folder = std::env::temp_dir().join(format!("decklab-flows-{}-bad", std::process::id()));
