An answer in time by way of the origin ends its slow time

To blame: book(), which let a quick fill end a parent's slow time but not the origin's. The new test fails without it.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -208,8 +208,7 @@
 }
 
 impl Attempt {
-    /// Whose pace it shows, a fill's source, the cache looked up at or the origin, and what that should take.
-    /// An answer straight from a parent shows most of all how crowded the link is.
+    /// Whose pace it shows, and what that should take; an answer straight from a parent shows the link's.
     fn shows(&self) -> Option<(MemberId, Millis)> {
         match self.kind {
             Kind::LookUp => Some((self.member, self.work * self.load.max(1.0) + WAY)),
@@ -1046,9 +1045,10 @@
                     self.see(a, |expected| end.elapsed / expected);
                 }
                 if by_origin && !slow {
-                    // What was late is counted already, up to then.
+                    // What was late is counted already, up to then. One that was not ends a slow time.
                     let before = if a.late { a.late_at - a.sent } else { 0.0 };
                     let due = if a.late { 0.0 } else { a.work + 2.0 * WAY };
+                    self.origin_pace = if end.elapsed < due { Pace::default() } else { self.origin_pace };
                     self.origin_pace.take(end.elapsed - before, due, ORIGIN_SPAN, self.now);
                 }
                 // Where it is not reported, fills from parents' copies tell how full the link is.
--- a/crates/deckproxy-control/tests/trouble.rs
+++ b/crates/deckproxy-control/tests/trouble.rs
@@ -619,6 +619,23 @@
     assert_eq!(rig.held_only(), Some(false), "without news it is asked again");
 }
 
+/// The origin was quick again, and a quarter was still refused for seconds, as what had been slow faded slowly.
+#[test]
+fn an_answer_in_time_by_way_of_the_origin_ends_its_slow_time() {
+    let mut rig = Rig::new();
+    for object in 0..8 {
+        let (request, member) = rig.ask_and_miss(LARGE, object);
+        let spared = rig.held_only() == Some(true);
+        let (elapsed, note) = if spared { (90.0, Note::Filled) } else { (4000.0, Note::FilledByOrigin) };
+        answer(&mut rig, request, 1, member, elapsed, note);
+    }
+    let (request, member) = rig.ask_and_miss(LARGE, 100);
+    assert_eq!(rig.held_only(), Some(true), "it is slow");
+    answer(&mut rig, request, 1, member, 400.0, Note::FilledByOrigin);
+    rig.ask_and_miss(LARGE, 101);
+    assert_eq!(rig.held_only(), Some(false));
+}
+
 /// A look-up at an empty cache weighed as much on it as its fill, and was a miss.
 #[test]
 fn a_cold_cache_is_asked_for_a_fill_at_once() {
