--- a/crates/deckproxy/src/program/clients.rs
+++ b/crates/deckproxy/src/program/clients.rs
@@ -1,8 +1,7 @@
 //! Clients: accepting them, their messages, their answers, their end.
 
-use crate::program::flows;
-use crate::program::gateway::{ACCEPT_AGAIN, ACCEPTS, Chore, Gateway, Peer};
-use crate::program::sites::crosses;
+use crate::program::gateway::{ACCEPT_AGAIN, ACCEPTS, Chore, Gateway, Peer, context};
+use crate::program::subsystem::{Event, Verdict};
 use crate::protocol::front::{self, Answer, Message};
 use crate::protocol::limits;
 use crate::routing::router::ClientId;
@@ -11,7 +10,6 @@
 use crate::transport::listener::{Accepted, Listener};
 use crate::transport::stream::{Progress, Stream};
 use calloop::Readiness;
-use deckproxy_flow::meter::Outcome;
 
 impl Gateway {
     pub(super) fn accept(&mut self, now: f64) {
@@ -52,17 +50,13 @@
             self.next += 1;
             let id = self.next;
             let ready = move |g: &mut Gateway, news| g.client_news(id, news);
-            let wants = self.flows.is_some() || self.recovery.as_ref().is_some_and(|r| r.wants_addresses());
-            let address = if wants { socket.peer_addr().ok().map(|at| at.ip()) } else { None };
+            let address =
+                if self.parts.wants_addresses() { socket.peer_addr().ok().map(|at| at.ip()) } else { None };
             match Stream::accepted(&self.handle, &self.from_clients, socket, ready) {
                 Ok(stream) => {
                     self.clients.insert(id, Client::new(stream, now));
-                    if let Some(flows) = &mut self.flows {
-                        flows.client_came(id, address);
-                    }
-                    if let Some(recovery) = &mut self.recovery {
-                        recovery.client_came(id, address);
-                    }
+                    let event = Event::ClientCame { client: id, address };
+                    self.parts.tell(&context(now, &self.router), &event);
                 }
                 Err(e) => self.line(&format!("a client's connection could not be taken: {e}")),
             }
@@ -109,23 +103,21 @@
             let bytes = before - client.stream.input.len();
             match message {
                 Ok(None) => {
-                    if let Some(flows) = &mut self.flows {
-                        flows.heard(now, id, bytes);
-                    }
+                    let event = Event::Heard { client: id, bytes };
+                    self.parts.tell(&context(now, &self.router), &event);
                     break;
                 }
                 Ok(Some(message)) => self.client_message(clock::now(), id, message, bytes),
                 Err(broken) => {
-                    if let Some(flows) = &mut self.flows {
-                        match broken.id {
-                            Some(request) => flows.asked(now, id, request, "", bytes),
-                            None => flows.heard(now, id, bytes),
-                        }
-                    }
+                    let event = match broken.id {
+                        Some(request) => Event::Asked { client: id, id: request, class: "", bytes },
+                        None => Event::Heard { client: id, bytes },
+                    };
+                    self.parts.tell(&context(now, &self.router), &event);
                     // What can still be answered is, then the connection closes.
                     if let Some(request) = broken.id {
                         let answer = Answer::Unusable(broken.why);
-                        flows::put(&mut self.flows, client, (id, request), &answer, false);
+                        self.put(now, (id, request), &answer, false);
                     }
                     self.dismiss(now, id, broken.why);
                 }
@@ -154,25 +146,27 @@
     pub(super) fn is_full(&self) -> bool {
         let (clients, members) = (&self.from_clients, &self.from_members);
         let all = clients.input.get() + clients.output.get() + members.input.get() + self.router.held();
-        let all = all + self.sites.as_ref().map_or(0, |s| s.holds());
-        let all = all + self.flows.as_ref().map_or(0, |f| f.holds());
+        let all = all + self.parts.holds();
+        let all = all + self.lines.as_ref().map_or(0, |l| l.holds());
+        let all = all + self.exits.as_ref().map_or(0, |e| e.holds());
         all > self.bounds.bytes
     }
 
     /// A client's message came, of so many bytes.
     fn client_message(&mut self, now: f64, id: ClientId, message: Message, bytes: usize) {
         let is_full = self.is_full();
-        if let Some(flows) = &mut self.flows {
-            match &message {
-                Message::Call(request, call) => flows.asked(now, id, *request, &call.class, bytes),
-                Message::Unusable(request, _) => flows.asked(now, id, *request, "", bytes),
-                Message::Ping(_) | Message::Abort(_) | Message::Ignored => flows.heard(now, id, bytes),
+        let event = match &message {
+            Message::Call(request, call) => {
+                Event::Asked { client: id, id: *request, class: &call.class, bytes }
             }
-        }
+            Message::Unusable(request, _) => Event::Asked { client: id, id: *request, class: "", bytes },
+            Message::Ping(_) | Message::Abort(_) | Message::Ignored => Event::Heard { client: id, bytes },
+        };
+        self.parts.tell(&context(now, &self.router), &event);
         let Some(client) = self.clients.get_mut(&id) else { return };
         match message {
             Message::Call(request, call) => {
-                if self.router.is_open(id, request) || crosses(&self.sites, id, request) {
+                if self.router.is_open(id, request) || self.parts.holds_request(id, request) {
                     // Two open requests of one id: no answer could be told from the other's.
                     self.router.counters.unusable += 1;
                     self.line("a client's connection closes: two open requests of one id");
@@ -181,50 +175,46 @@
                 if !client.follows(request) {
                     // The page has them start at 1 and count up; whoever does otherwise made this one up.
                     let why = "message ids do not start at 1 and count up";
-                    flows::put(&mut self.flows, client, (id, request), &Answer::Unusable(why), false);
+                    self.put(now, (id, request), &Answer::Unusable(why), false);
                     return self.dismiss(now, id, why);
                 }
                 if self.last_accepts {
                     // The time for stragglers is over: what is refused at once is soon with another gateway.
                     self.router.counters.refused += 1;
-                    flows::put(&mut self.flows, client, (id, request), &Answer::Refused(0.0), false);
+                    self.put(now, (id, request), &Answer::Refused(0.0), false);
                     return self.flush_client(now, id);
                 }
                 // What all hold is looked at before what this one may.
                 if !is_full && client.admit() {
-                    let kept_out = self.recovery.as_mut().and_then(|r| r.request(now, id, request, &call));
-                    if let Some(answer) = kept_out {
-                        self.router.counters.refused += 1;
-                        return self.answer(now, id, request, &answer);
-                    }
-                    if let Some(call) = self.cross(now, id, request, *call) {
-                        self.router.request(now, id, request, call);
+                    match self.parts.request(&context(now, &self.router), (id, request), &call) {
+                        Verdict::Pass => self.router.request(now, id, request, *call),
+                        Verdict::Taken => {}
+                        Verdict::Answer(answer) => {
+                            match answer {
+                                Answer::Unusable(_) => self.router.counters.unusable += 1,
+                                _ => self.router.counters.count(&answer),
+                            }
+                            self.answer(now, id, request, &answer);
+                        }
                     }
                     return;
                 }
                 self.router.counters.refused += 1;
-                flows::put(&mut self.flows, client, (id, request), &Answer::Refused(0.0), false);
+                self.put(now, (id, request), &Answer::Refused(0.0), false);
             }
             Message::Ping(request) => {
                 client.follows(request);
                 client.push(front::ready(request, self.terminating.is_none()));
-                if let Some(flows) = &mut self.flows {
-                    flows.answered(id, None, Outcome::Served);
-                }
+                self.parts.tell(&context(now, &self.router), &Event::Ponged { client: id });
             }
             Message::Abort(requests) => {
                 for request in requests {
-                    if self.router.is_open(id, request) || crosses(&self.sites, id, request) {
+                    if self.router.is_open(id, request) || self.parts.holds_request(id, request) {
                         let Some(client) = self.clients.get_mut(&id) else { return };
                         let many = client.release();
-                        if let Some(recovery) = &mut self.recovery {
-                            recovery.gone(now, id, request..=request);
-                        }
-                        if let Some(flows) = &mut self.flows {
-                            flows.client_gave_up(now, id, request);
-                        }
+                        let event = Event::GaveUp { client: id, id: request };
+                        self.parts.tell(&context(now, &self.router), &event);
                         self.router.abort(now, id, request);
-                        self.cross_gone(now, id, request..=request);
                         if many {
                             return self.dismiss(now, id, "it takes back all that it asks for");
                         }
@@ -235,7 +225,7 @@
             Message::Unusable(request, why) => {
                 client.follows(request);
                 self.router.counters.unusable += 1;
-                flows::put(&mut self.flows, client, (id, request), &Answer::Unusable(why), false);
+                self.put(now, (id, request), &Answer::Unusable(why), false);
             }
             Message::Ignored => return,
         }
@@ -244,23 +234,27 @@
 
     pub(super) fn answer(&mut self, now: f64, id: ClientId, request: u32, answer: &Answer) {
         // Who left before the answer came was counted when it left.
-        let told = self.recovery.as_mut().and_then(|r| r.answered(now, id, request, answer));
-        let answer = told.as_ref().unwrap_or(answer);
-        if let Some(client) = self.clients.get_mut(&id) {
-            flows::put(&mut self.flows, client, (id, request), answer, true);
-            self.flush_client(now, id);
-        }
+        let told = match self.parts.is_on() {
+            true => self.parts.answer(&context(now, &self.router), (id, request), answer),
+            false => None,
+        };
+        self.put(now, (id, request), told.as_ref().unwrap_or(answer), true);
+        self.flush_client(now, id);
+    }
+
+    /// Puts an answer behind what waits for a client.
+    fn put(&mut self, now: f64, (id, request): (ClientId, u32), answer: &Answer, admitted: bool) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.answer(request, answer, admitted);
+        let event = Event::Answered { client: id, id: request, answer };
+        self.parts.tell(&context(now, &self.router), &event);
     }
 
     pub(super) fn flush_client(&mut self, now: f64, id: ClientId) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         let before = client.stream.queued();
-        let flows = &mut self.flows;
-        let whole = |bytes| {
-            if let Some(flows) = flows {
-                flows.client_wrote(now, id, bytes);
-            }
-        };
+        let (parts, cx) = (&mut self.parts, context(now, &self.router));
+        let whole = |bytes| parts.tell(&cx, &Event::Wrote { client: id, bytes });
         let broken = client.flush(now, whole).is_err();
         let left = client.stream.queued();
         if broken {
@@ -275,15 +269,11 @@
 
     pub(super) fn end_client(&mut self, now: f64, id: ClientId) {
         if let Some(client) = self.clients.remove(&id) {
-            if let Some(flows) = &mut self.flows {
-                flows.client_gone(now, id, &client);
-            }
+            let cut = client.stream.cut().map_or(0, |written| written.bytes);
+            let event = Event::ClientGone { client: id, cut, unread: client.stream.input.len() };
             client.stream.close(&self.handle);
-            if let Some(recovery) = &mut self.recovery {
-                recovery.client_gone(now, id);
-            }
+            self.parts.tell(&context(now, &self.router), &event);
             self.router.client_gone(now, id);
-            self.cross_gone(now, id, 0..=u32::MAX);
         }
     }
 }
--- a/crates/deckproxy/src/program/gateway.rs
+++ b/crates/deckproxy/src/program/gateway.rs
@@ -1,9 +1,8 @@
 //! One gateway: its connections, the router between them, and the chores of keeping them.
 
-use crate::program::Files;
-use crate::program::flows::{ExitId, Flows};
-use crate::program::recovery::Recovery;
-use crate::program::sites::{LineId, Sites};
+use crate::program::files::Files;
+use crate::program::parts::Parts;
+use crate::program::subsystem::{Context, Effect as PartEffect, Event, FAR, LineId, micros};
 use crate::program::usage::Usage;
 use crate::protocol::back;
 use crate::protocol::limits::{self, Bounds};
@@ -14,13 +13,16 @@
 use crate::transport::alarm::Alarm;
 use crate::transport::client::Client;
 use crate::transport::clock;
+use crate::transport::collector::Exits;
 use crate::transport::feed::Feed;
+use crate::transport::line::Lines;
 use crate::transport::listener::Listener;
 use crate::transport::member::Link;
 use crate::transport::stream::Ledger;
 use calloop::LoopHandle;
 use deckproxy_control::interface::MemberId;
 use deckproxy_flow::work::{Kind, Scheduler, TaskId};
+use deckproxy_operator::Operator;
 use slog::{Logger, debug, info, warn};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io;
@@ -45,8 +47,8 @@
 const PEER_LINES: u32 = 50;
 
 pub(super) type LinkId = u64;
-/// From this number on, what the router takes for a client is a request that came over a link.
-pub(super) const FAR: ClientId = 1 << 62;
+/// The way to a collector, by a number that no later one has.
+pub(super) type ExitId = u64;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Peer {
@@ -67,8 +69,8 @@
     Linger(ClientId),
     Stragglers,
     LastCall,
-    /// Flows had their time to be told at a planned end.
-    Flush,
+    /// Only that the loop turns: a subsystem waits for the time.
+    Turn,
 }
 
 pub(super) struct Held {
@@ -78,9 +80,23 @@
     pub(super) connecting: bool,
 }
 
-/// The same time in whole microseconds.
-pub(super) fn micros(ms: f64) -> u64 {
-    (ms * 1000.0) as u64
+/// What subsystems may look at, while the gateway's other parts are in use.
+pub(super) fn context(now: f64, router: &Router) -> Context<'_> {
+    Context { now, router, full: false }
+}
+
+/// Where links of other sites' gateways come in, and room for them, where an operator file says so.
+fn lines(
+    handle: &LoopHandle<'static, Gateway>,
+    sockets: usize,
+    operator: &Operator,
+) -> io::Result<Option<Box<Lines>>> {
+    let Some(sites) = &operator.sites else { return Ok(None) };
+    let at = sites.listen.as_deref().and_then(|at| at.parse::<SocketAddr>().ok());
+    let ready = |g: &mut Gateway| g.lines.iter_mut().for_each(|lines| lines.accepting = true);
+    let named = |at, e| io::Error::new(io::Error::kind(&e), format!("links' address {at}: {e}"));
+    let listener = at.map(|at| Listener::bind(handle, at, ready).map_err(|e| named(at, e)));
+    Ok(Some(Box::new(Lines::new(listener.transpose()?, sockets))))
 }
 
 /// The state of the event loop.
@@ -113,12 +129,12 @@
     pub(super) from_clients: Rc<Ledger>,
     pub(super) from_members: Rc<Ledger>,
     pub(super) from_feed: Rc<Ledger>,
-    /// Links to gateways of other sites, where they are switched on.
-    pub(super) sites: Option<Box<Sites>>,
-    /// Metering and export of flows, where they are switched on.
-    pub(super) flows: Option<Box<Flows>>,
-    /// The door against storms, where it is switched on.
-    pub(super) recovery: Option<Box<Recovery>>,
+    /// What an operator file switched on.
+    pub(super) parts: Parts,
+    /// Connections of links to gateways of other sites, where there are such.
+    pub(super) lines: Option<Box<Lines>>,
+    /// The ways to collectors of flows, where there are such.
+    pub(super) exits: Option<Box<Exits>>,
     /// Work that waits for time that requests leave.
     pub(super) background: Scheduler,
     keeping: TaskId,
@@ -135,15 +151,14 @@
     pub fn new(handle: LoopHandle<'static, Gateway>, log: Logger, files: Files) -> io::Result<Self> {
         let now = clock::now();
         let Files { config, operator } = files;
-        let sites = Sites::start(&handle, now, config.seed, config.sockets, &operator)?;
-        let lines = sites.as_ref().map_or(0, |s| s.most_lines);
+        let lines = lines(&handle, config.sockets, &operator)?;
         let mut background = Scheduler::default();
         let (keeping, summing) = (background.add(KEEPING), background.add(SUMMING));
         background.wake_at(keeping, micros(now + HOUSEKEEPING));
         background.wake_at(summing, micros(now + SUMMARY));
-        let flows = Flows::start(now, config.seed, &config.conf.classes, &operator, &mut background);
-        let collectors = operator.flows.as_ref().map_or(0, |f| f.collectors.len());
-        let recovery = Recovery::start(&log, &config.conf, config.seed, &operator);
+        let parts = Parts::start(&log, now, &config, &operator, &mut background);
+        let collectors = parts.collectors();
+        let kept = lines.as_ref().map_or(0, |l| l.most) + collectors;
         let alarm = Alarm::register(&handle).map_err(io::Error::other)?;
         let router = Router::new(now, config.conf, config.seed, config.known);
         let listener = Listener::bind(&handle, config.listen, |g: &mut Gateway| g.accepting = true)?;
@@ -168,13 +183,13 @@
             accept_due: false,
             last_accepts: false,
             next: 0,
-            bounds: Bounds::of(config.memory, config.sockets.saturating_sub(lines + collectors)),
+            bounds: Bounds::of(config.memory, config.sockets.saturating_sub(kept)),
             from_clients: Rc::default(),
             from_members: Rc::default(),
             from_feed: Rc::default(),
-            sites,
-            flows,
-            recovery,
+            parts,
+            lines,
+            exits: (collectors > 0).then(|| Box::new(Exits::new(collectors))),
             background,
             keeping,
             summing,
@@ -207,9 +222,7 @@
         info!(self.log, "told to end"; "open" => self.router.owed(), "clients" => self.clients.len());
         self.terminating = Some(now);
         self.chores.set(now + limits::STRAGGLERS, Chore::Stragglers);
-        if let Some(sites) = &mut self.sites {
-            sites.site.go_away("a planned end", 0.0);
-        }
+        self.parts.tell(&context(now, &self.router), &Event::Ending);
         let longest = self.router.conf().settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
         let last = longest.min(limits::LONGEST_COUNTED) + limits::STRAGGLERS - limits::LAST_CALL;
         self.chores.set(now + last, Chore::LastCall);
@@ -227,14 +240,10 @@
         if config.listen != self.listen {
             warn!(self.log, "reload: listen takes a restart"; "listen" => %config.listen);
         }
-        self.reload_sites(now, &operator);
-        self.reload_flows(now, &operator);
-        if self.recovery.is_some() != operator.recovery.is_some() {
-            warn!(self.log, "reload: switching recovery on or off takes a restart");
-        }
-        let lines = self.sites.as_ref().map_or(0, |s| s.most_lines);
-        let collectors = operator.flows.as_ref().map_or(0, |f| f.collectors.len());
-        self.bounds = Bounds::of(config.memory, config.sockets.saturating_sub(lines + collectors));
+        self.parts.reload(&self.log, &context(now, &self.router), &operator);
+        self.carry_out(now);
+        let kept = self.lines.as_ref().map_or(0, |l| l.most) + self.parts.collectors();
+        self.bounds = Bounds::of(config.memory, config.sockets.saturating_sub(kept));
         self.feed_at = config.feed;
         // Also where the address is the same: whoever asks for a reload doubts what is known.
         if let Some(feed) = self.feed.take() {
@@ -251,7 +260,7 @@
         if self.accepting {
             self.accept(clock::now());
         }
-        if self.sites.as_ref().is_some_and(|s| s.accepting) {
+        if self.lines.as_ref().is_some_and(|l| l.accepting) {
             self.accept_lines(clock::now());
         }
         for _ in 0..BATCH.min(self.ready.len()) {
@@ -271,14 +280,15 @@
         if self.terminating.is_some()
             && self.listener.is_none()
             && self.router.owed() == 0
-            && self.sites_settled()
+            && self.parts.is_settled()
+            && self.lines.as_ref().is_none_or(|l| l.is_written())
         {
             self.finish(clock::now());
         }
         self.most_sockets = self.most_sockets.max(self.clients.len() + self.links.len());
         self.longest_turn = self.longest_turn.max(clock::now() - start);
         let background = self.background.next_due().map(|at| at as f64 / 1000.0);
-        let next = [self.router.next_due(), self.chores.next(), self.sites_due(), background]
+        let next = [self.router.next_due(), self.chores.next(), self.parts.due(), background]
             .into_iter()
             .flatten()
             .fold(f64::MAX, f64::min);
@@ -293,7 +303,16 @@
                 self.flush_client(now, id);
             }
         }
-        self.done = self.clients.is_empty() && self.flush_flows(now);
+        if self.clients.is_empty() {
+            if self.parts.counts_members() {
+                // What has come on them and was not looked at counts too.
+                for id in self.links.keys().copied().collect::<Vec<_>>() {
+                    self.drop_link(id);
+                }
+            }
+            self.done = self.parts.finish(&context(now, &self.router));
+            self.carry_out(now);
+        }
     }
 
     /// Background work in the time that this turn has left: what waited too long also where there is none.
@@ -316,7 +335,7 @@
                     self.background.wake_at(task, micros(began + SUMMARY));
                     false
                 }
-                task => self.is_flow_task(task) && self.work_flows(began, task, slice),
+                task => self.work_parts(task, micros(began) + slice),
             };
             let ended = micros(clock::now());
             let took = ended.saturating_sub(micros(began));
@@ -330,14 +349,13 @@
 
     fn due(&mut self, now: f64) {
         self.router.tick(now);
-        self.tick_sites(now);
+        self.parts.tick(&context(now, &self.router));
         while let Some((_, chore)) = self.chores.due(now) {
             match chore {
                 Chore::Connect(id) if self.links.get(&id).is_some_and(|h| h.connecting) => {
                     self.end_link(now, id, "connect time-out");
                 }
-                Chore::Connect(_) => {}
-                Chore::Flush => {}
+                Chore::Connect(_) | Chore::Turn => {}
                 Chore::LineUp(id) => self.line_not_up(now, id),
                 Chore::Feed => self.connect_feed(now),
                 Chore::Accept => (self.accept_due, self.accepting) = (false, true),
@@ -347,7 +365,8 @@
                 Chore::Linger(id) => self.end_client(now, id),
                 Chore::LastCall => {
                     self.router.end_all(now);
-                    self.end_crossings(now);
+                    self.parts.end_all(&context(now, &self.router));
+                    self.carry_out(now);
                     let all = self.clients.keys().map(|id| Chore::Linger(*id)).collect::<Vec<_>>();
                     all.into_iter().for_each(|chore| self.chores.set(now + limits::LINGER, chore));
                 }
@@ -363,11 +382,11 @@
         }
     }
 
-    /// Carries out what the router wants done.
+    /// Carries out what the router and the subsystems want done.
     pub(super) fn pump(&mut self, now: f64) {
         loop {
             self.pump_router(now);
-            if !self.pump_sites(now) {
+            if !self.pump_parts(now) {
                 return;
             }
         }
@@ -377,9 +396,13 @@
         while let Some(effect) = self.router.effect() {
             match effect {
                 Effect::Ask { key, member, place, client, call, orders } => {
-                    if let Some(flows) = &mut self.flows {
-                        flows.sent(now, key, client, &call.class, self.router.member_name(member));
-                    }
+                    let event = Event::Sent {
+                        key,
+                        client,
+                        class: &call.class,
+                        member: self.router.member_name(member),
+                    };
+                    self.parts.tell(&context(now, &self.router), &event);
                     self.send(now, key, member, place, &call.name, Some(back::ask(&call, &orders)));
                 }
                 Effect::Probe { key, member, place } => {
@@ -389,21 +412,89 @@
                 Effect::Withdraw { key, .. } => self.withdraw(now, key),
                 Effect::Answer { client, id, answer, copy } => match client {
                     0..FAR => self.answer(now, client, id, &answer),
-                    FAR.. => self.run_ended(now, client - FAR, answer, copy),
+                    FAR.. => self.parts.routed(&context(now, &self.router), client, answer, copy),
                 },
-                Effect::Purged { object, group, age } => self.tell_sites(now, object, group, age),
+                Effect::Purged { object, group, age } => {
+                    let event = Event::Purged { object, group, age };
+                    self.parts.tell(&context(now, &self.router), &event);
+                }
                 Effect::Close(member) => self.close_idle(member),
                 Effect::Log(text) => self.line(&text),
             }
         }
     }
 
+    /// Has the subsystems say what is to be done, and does it. Tells whether there was anything.
+    fn pump_parts(&mut self, now: f64) -> bool {
+        if !self.parts.is_on() {
+            return false;
+        }
+        let full = self.parts.has_sites() && (self.is_full() || self.last_accepts);
+        self.parts.pump(&Context { now, router: &self.router, full });
+        let any = self.carry_out(now);
+        self.flush_lines(now) || any
+    }
+
+    /// Carries out what subsystems want done. Tells whether there was anything.
+    pub(super) fn carry_out(&mut self, now: f64) -> bool {
+        let mut any = false;
+        while let Some(effect) = self.parts.effect() {
+            any = true;
+            match effect {
+                PartEffect::Answer { client, id, answer } => {
+                    self.router.counters.count(&answer);
+                    self.answer(now, client, id, &answer);
+                }
+                PartEffect::Route { client, call } => self.router.request(now, client, 0, *call),
+                PartEffect::Abort(client) => self.router.abort(now, client, 0),
+                PartEffect::Took => self.router.counters.taken += 1,
+                PartEffect::Gone => self.router.counters.gone += 1,
+                PartEffect::Purged { object, group, age } => self.router.purged(now, object, group, age),
+                PartEffect::Noted(note) => {
+                    self.parts.tell(&context(now, &self.router), &Event::Noted(&note));
+                }
+                PartEffect::LineConnect { peer, way, to } => self.connect_line(now, peer, way, to),
+                PartEffect::LineSend(id, frame) => {
+                    if let Some(lines) = &mut self.lines
+                        && let Some(held) = lines.held.get_mut(&id).filter(|h| !h.line.closing)
+                    {
+                        held.line.send(&frame);
+                        lines.touched.insert(id);
+                    }
+                }
+                PartEffect::LineClose(id, why) => {
+                    if let Some(lines) = &mut self.lines
+                        && let Some(held) = lines.held.get_mut(&id)
+                    {
+                        held.line.closing = true;
+                        lines.touched.insert(id);
+                    }
+                    self.line(&format!("a link closes: {why}"));
+                }
+                PartEffect::ExitConnect { place, to, transport } => {
+                    self.connect_exit(now, place, to, transport);
+                }
+                PartEffect::ExitSend { place, number, message } => {
+                    self.send_exit(now, place, number, message);
+                }
+                PartEffect::ExitClose(place) => self.close_exit(place),
+                PartEffect::ExitsMoved(before) => {
+                    let gone = self.exits.get_or_insert_default().reorder(&before);
+                    gone.into_iter().for_each(|exit| exit.close(&self.handle));
+                }
+                PartEffect::Work { task, at: Some(at) } => self.background.wake_at(task, at),
+                PartEffect::Work { task, at: None } => self.background.wake(micros(now), task),
+                PartEffect::TurnAt(at) => self.chores.set(at, Chore::Turn),
+                PartEffect::Line(text) => self.line(&text),
+            }
+        }
+        any
+    }
+
     // ---- Chores --------------------------------------------------------------------------------------------
 
     fn housekeeping(&mut self, now: f64) {
-        if let Some(text) = self.recovery.as_mut().and_then(|r| r.news()) {
-            info!(self.log, "recovery"; "what" => text);
-        }
+        self.parts.tell(&context(now, &self.router), &Event::Kept);
         if self.feed.as_ref().is_some_and(|f| now - f.heard > limits::FEED_SILENCE) {
             self.lose_feed(now, "silent");
         }
@@ -469,6 +560,7 @@
     pub fn summary(&mut self, name: &'static str) {
         let c = self.router.counters;
         let usage = Usage::now();
+        let [sites, recovery, flows] = self.parts.summary();
         let endings: Vec<String> =
             ENDINGS.iter().zip(c.endings).filter(|(_, n)| *n > 0).map(|(w, n)| format!("{w}:{n}")).collect();
         info!(self.log, "{}", name;
@@ -477,9 +569,7 @@
             "attempts" => endings.join(","), "probes" => c.probes,
             "clients" => self.clients.len(), "links" => self.links.len(), "most_sockets" => self.most_sockets,
             "sizes" => self.sizes(),
-            "sites" => self.sites_summary(),
-            "recovery" => self.recovery.as_ref().map_or_else(|| "off".to_string(), |r| r.summary()),
-            "flows" => self.flows.as_mut().map_or_else(|| "off".to_string(), |f| f.summary()),
+            "sites" => sites, "recovery" => recovery, "flows" => flows,
             "feed" => self.feed.is_some(), "event" => self.router.last_event(),
             "cpu_ms" => usage.cpu, "memory_kb" => usage.memory, "descriptors" => usage.descriptors,
             "broken" => c.broken, "overdue" => c.overdue, "timer_late_ms" => format!("{:.1}", c.late),
--- a/crates/deckproxy/src/program/members.rs
+++ b/crates/deckproxy/src/program/members.rs
@@ -1,6 +1,7 @@
 //! Members: the pool of connections by member id, attempts on them, and what a broken connection means for those.
 
-use crate::program::gateway::{Chore, Gateway, Held, LinkId, Peer};
+use crate::program::gateway::{Chore, Gateway, Held, LinkId, Peer, context};
+use crate::program::subsystem::Event;
 use crate::protocol::limits;
 use crate::routing::members::Place;
 use crate::routing::router::{AttemptKey, Broke};
@@ -51,11 +52,9 @@
         }
     }
 
-    /// The flows hear that an attempt ended without an answer.
+    /// The subsystems hear that an attempt ended without an answer.
     fn attempt_ended(&mut self, now: f64, key: AttemptKey, outcome: Outcome) {
-        if let Some(flows) = &mut self.flows {
-            flows.attempt_ended(now, key, outcome);
-        }
+        self.parts.tell(&context(now, &self.router), &Event::AttemptEnded { key, outcome });
     }
 
     /// A connection that can take an attempt of that name. Each attempt has one to itself while descriptors
@@ -159,12 +158,15 @@
             let before = held.link.stream.input.len();
             let reply = held.link.take_reply(now);
             let bytes = before - held.link.stream.input.len();
-            if let Some(flows) = &mut self.flows {
+            if self.parts.is_on() {
                 let member = self.router.member_name(held.member);
-                match &reply {
-                    Ok(Some((key, reply))) => flows.member_answered(now, member, *key, reply.word, bytes),
-                    _ => flows.member_heard(now, member, bytes),
-                }
+                let event = match &reply {
+                    Ok(Some((key, reply))) => {
+                        Event::MemberAnswered { member, key: *key, word: reply.word, bytes }
+                    }
+                    _ => Event::MemberHeard { member, bytes },
+                };
+                self.parts.tell(&context(now, &self.router), &event);
             }
             match reply {
                 Ok(None) => break,
@@ -189,12 +191,9 @@
 
     pub(super) fn flush_link(&mut self, now: f64, id: LinkId) {
         let Some(held) = self.links.get_mut(&id) else { return };
-        let (flows, member) = (&mut self.flows, self.router.member_name(held.member));
-        let whole = |written| {
-            if let Some(flows) = flows {
-                flows.member_wrote(now, member, written);
-            }
-        };
+        let (parts, cx) = (&mut self.parts, context(now, &self.router));
+        let member = cx.router.member_name(held.member);
+        let whole = |written| parts.tell(&cx, &Event::MemberWrote { member, written });
         if let Err(e) = held.link.flush(now, whole) {
             self.end_link(now, id, &format!("broke: {e}"));
         }
@@ -237,11 +236,15 @@
                     self.pools.remove(&held.member);
                 }
             }
-            if let Some(flows) = &mut self.flows {
+            if self.parts.is_on() {
                 // What went and came in part.
-                let (now, member) = (clock::now(), self.router.member_name(held.member));
-                held.link.stream.cut().into_iter().for_each(|cut| flows.member_wrote(now, member, cut));
-                flows.member_heard(now, member, held.link.stream.input.len());
+                let (cx, member) =
+                    (context(clock::now(), &self.router), self.router.member_name(held.member));
+                let cut = held.link.stream.cut();
+                cut.into_iter()
+                    .for_each(|written| self.parts.tell(&cx, &Event::MemberWrote { member, written }));
+                let bytes = held.link.stream.input.len();
+                self.parts.tell(&cx, &Event::MemberHeard { member, bytes });
             }
             held.link.stream.close(&self.handle);
         }
--- a/crates/deckproxy/src/program/mod.rs
+++ b/crates/deckproxy/src/program/mod.rs
@@ -2,42 +2,37 @@
 
 pub mod cli;
 mod clients;
+mod exits;
 mod feed;
+pub mod files;
 mod flows;
 pub mod gateway;
+mod lines;
 pub mod logging;
 mod members;
 pub mod migrate;
+mod parts;
 mod recovery;
 mod sites;
+mod subsystem;
 pub mod usage;
 
-use crate::protocol::config;
 use crate::transport::clock;
 use calloop::EventLoop;
 use calloop::signals::{Signal, Signals};
 use clap::Parser;
 use cli::{Cli, Command, Run};
 use deckproxy_operator::Operator;
+use files::Files;
 use gateway::Gateway;
 use slog::{Logger, info};
 use std::ffi::OsString;
-use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
 
 /// Longest wait of the loop, as a net below the alarm.
 const LONGEST_WAIT: Duration = Duration::from_millis(500);
 
-/// All that is read at the start, and again on SIGHUP.
-#[derive(Debug)]
-pub struct Files {
-    /// The platform's configuration.
-    pub config: config::Config,
-    /// What the operators switch on beside it.
-    pub operator: Operator,
-}
-
 /// Does what the command line says, and tells what went wrong.
 pub fn main(arguments: impl IntoIterator<Item = OsString>) -> Result<ExitCode, String> {
     let cli = Cli::try_parse_from(arguments).unwrap_or_else(|e| e.exit());
@@ -57,52 +52,11 @@
     // descriptor. One thread that does not block them would let the first signal end the process.
     let signals =
         Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(|e| e.to_string())?;
-    let files = files(run)?;
+    let files = Files::read(run)?;
     let (log, _guard) = logging::start(log);
     serve(&log, signals, files, run.clone()).map_err(|e| format!("the event loop failed: {e}"))
 }
 
-fn files(run: &Run) -> Result<Files, String> {
-    let operator = match &run.operator {
-        None => Operator::default(),
-        Some(path) => operator(path).map_err(|faults| faults.join("\n"))?,
-    };
-    Ok(Files { config: configuration(run)?, operator })
-}
-
-fn configuration(run: &Run) -> Result<config::Config, String> {
-    let path = match &run.config {
-        Some(path) => path.clone().into_os_string(),
-        None => std::env::var_os("GW_CONFIG").ok_or("GW_CONFIG is not set")?,
-    };
-    let shown = Path::new(&path).display().to_string();
-    let text = std::fs::read(&path).map_err(|e| format!("cannot read the configuration {shown}: {e}"))?;
-    let mut config = config::read(&text)?;
-    if let Ok(listen) = std::env::var("GW_LISTEN") {
-        config.listen = listen.parse().map_err(|_| format!("GW_LISTEN: {listen:?} is no address"))?;
-    }
-    if let Ok(name) = std::env::var("GW_NAME") {
-        config.name = name;
-    }
-    Ok(config)
-}
-
-/// Reads an operator file; the error has a line for each fault.
-fn operator(path: &Path) -> Result<Operator, Vec<String>> {
-    let shown = path.display();
-    let read = || {
-        let length = std::fs::metadata(path)?.len();
-        // What is over the limit is not read, only told.
-        let most = deckproxy_operator::LARGEST as u64 + 1;
-        let mut bytes = Vec::with_capacity(length.min(most) as usize);
-        std::io::Read::read_to_end(&mut std::io::Read::take(std::fs::File::open(path)?, most), &mut bytes)?;
-        Ok::<_, std::io::Error>(bytes)
-    };
-    let bytes = read().map_err(|e| vec![format!("{shown}: cannot be read: {e}")])?;
-    deckproxy_operator::read(&bytes)
-        .map_err(|faults| faults.iter().map(|fault| format!("{shown}:{fault}")).collect())
-}
-
 fn check(paths: &[std::path::PathBuf]) -> Result<(), String> {
     let mut faults = Vec::new();
     let mut good = Vec::new();
@@ -111,7 +65,7 @@
             faults.extend(migrate::configuration(path, false).err().into_iter().flatten());
             continue;
         }
-        match operator(path) {
+        match files::operator(path) {
             Ok(file) => good.push((path, file)),
             Err(what) => faults.extend(what),
         }
@@ -136,7 +90,7 @@
     let handle = events.handle();
     handle
         .insert_source(signals, move |event, _, gateway: &mut Gateway| match event.signal() {
-            Signal::SIGHUP => gateway.reload(clock::now(), self::files(&run)),
+            Signal::SIGHUP => gateway.reload(clock::now(), Files::read(&run)),
             _ => gateway.terminate(clock::now()),
         })
         .map_err(|e| e.to_string())?;
--- a/crates/deckproxy/src/program/recovery.rs
+++ b/crates/deckproxy/src/program/recovery.rs
@@ -1,16 +1,18 @@
 //! Recovery from storms, before the router: which requests pass, and when the others are asked back.
 
+use crate::program::subsystem::{Context, Effects, Event, Subsystem, Verdict, ended};
 use crate::protocol::front::{Answer, Call};
 use crate::routing::router::ClientId;
 use deckproxy_operator::{Client, Operator};
-use deckproxy_recovery::door::{Door, Ended, Verdict};
+use deckproxy_recovery::door::{self, Door, Ended};
 use deckproxy_settings::Conf;
-use slog::{Logger, warn};
+use slog::{Logger, info, warn};
 use std::collections::{BTreeMap, HashMap};
 use std::net::IpAddr;
 
 /// The door of one gateway.
 pub struct Recovery {
+    log: Logger,
     door: Door,
     classes: HashMap<Box<str>, usize>,
     /// Requests that passed, with their objects.
@@ -46,6 +48,7 @@
         // Who was not told when to come back is not held to it.
         settings.holds_hasty = advice;
         Some(Box::new(Recovery {
+            log: log.clone(),
             door: Door::new(settings, seed),
             classes: classes.iter().enumerate().map(|(i, (name, _))| (name.as_str().into(), i)).collect(),
             open: BTreeMap::new(),
@@ -60,53 +63,12 @@
         self.addresses.is_some()
     }
 
-    pub(super) fn client_came(&mut self, id: ClientId, address: Option<IpAddr>) {
-        if let (Some(all), Some(address)) = (&mut self.addresses, address) {
-            all.insert(id, number(address));
-        }
-    }
-
     fn client(&self, id: ClientId) -> u64 {
         self.addresses.as_ref().and_then(|all| all.get(&id).copied()).unwrap_or(id)
     }
 
-    /// A request came: the answer to it, where it does not pass.
-    pub(super) fn request(&mut self, now: f64, id: ClientId, request: u32, call: &Call) -> Option<Answer> {
-        // What names no class is not for the door to judge.
-        let class = self.classes.get(&call.class).copied()?;
-        let client = self.client(id);
-        match self.door.request(now, client, class, call.object.1, call.allow) {
-            Verdict::Pass => {
-                self.open.insert((id, request), call.object.1);
-                None
-            }
-            Verdict::Refuse(back) => Some(Answer::Refused(if self.advice { back } else { 0.0 })),
-        }
-    }
-
-    /// A request has its final answer. Gives that with the time to come back.
-    pub(super) fn answered(
-        &mut self,
-        now: f64,
-        id: ClientId,
-        request: u32,
-        answer: &Answer,
-    ) -> Option<Answer> {
-        let object = self.open.remove(&(id, request))?;
-        let (ended, back) = match answer {
-            Answer::Served(_) | Answer::Unchanged => (Ended::Served, 0.0),
-            Answer::Refused(back) => (Ended::Refused, *back),
-            Answer::Failed => (Ended::Failed, 0.0),
-            // That says nothing of how the gateway does.
-            Answer::Unusable(_) => return None,
-        };
-        let client = self.client(id);
-        let back = self.door.ended(now, client, object, ended, back);
-        (ended == Ended::Refused && self.advice).then_some(Answer::Refused(back))
-    }
-
-    /// A client gave a request up, or has gone with all of them.
-    pub(super) fn gone(&mut self, now: f64, id: ClientId, requests: std::ops::RangeInclusive<u32>) {
+    /// A client gave requests up, or has gone with all of them.
+    fn gone(&mut self, now: f64, id: ClientId, requests: std::ops::RangeInclusive<u32>) {
         let keys = (id, *requests.start())..=(id, *requests.end());
         let gone: Vec<_> = self.open.range(keys).map(|(key, object)| (*key, *object)).collect();
         let client = self.client(id);
@@ -116,13 +78,8 @@
         }
     }
 
-    pub(super) fn client_gone(&mut self, now: f64, id: ClientId) {
-        self.gone(now, id, 0..=u32::MAX);
-        self.addresses.as_mut().map(|all| all.remove(&id));
-    }
-
     /// A line for the operators when a storm has begun or ended.
-    pub(super) fn news(&mut self) -> Option<String> {
+    fn news(&mut self) -> Option<String> {
         let cap = self.door.cap();
         if std::mem::replace(&mut self.stormy, cap.is_some()) == cap.is_some() {
             return None;
@@ -132,9 +89,63 @@
             None => "the storm of repeats is over: all are let in".to_string(),
         })
     }
+}
+
+impl Subsystem for Recovery {
+    fn event(&mut self, cx: &Context<'_>, event: &Event<'_>, _: &mut Effects) {
+        if let Some((client, requests)) = ended(event) {
+            self.gone(cx.now, client, requests);
+        }
+        match event {
+            Event::ClientCame { client, address: Some(address) } => {
+                if let Some(all) = &mut self.addresses {
+                    all.insert(*client, number(*address));
+                }
+            }
+            Event::ClientGone { client, .. } => {
+                self.addresses.as_mut().map(|all| all.remove(client));
+            }
+            Event::Kept => {
+                if let Some(text) = self.news() {
+                    info!(self.log, "recovery"; "what" => text);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// A request came: the answer to it, where it does not pass.
+    fn request(&mut self, cx: &Context<'_>, of: (ClientId, u32), call: &Call, _: &mut Effects) -> Verdict {
+        // What names no class is not for the door to judge.
+        let Some(class) = self.classes.get(&call.class).copied() else { return Verdict::Pass };
+        let client = self.client(of.0);
+        match self.door.request(cx.now, client, class, call.object.1, call.allow) {
+            door::Verdict::Pass => {
+                self.open.insert(of, call.object.1);
+                Verdict::Pass
+            }
+            door::Verdict::Refuse(back) => {
+                Verdict::Answer(Answer::Refused(if self.advice { back } else { 0.0 }))
+            }
+        }
+    }
+
+    /// A request has its final answer. Gives that with the time to come back.
+    fn answer(&mut self, cx: &Context<'_>, of: (ClientId, u32), answer: &Answer) -> Option<Answer> {
+        let object = self.open.remove(&of)?;
+        let (ended, back) = match answer {
+            Answer::Served(_) | Answer::Unchanged => (Ended::Served, 0.0),
+            Answer::Refused(back) => (Ended::Refused, *back),
+            Answer::Failed => (Ended::Failed, 0.0),
+            // That says nothing of how the gateway does.
+            Answer::Unusable(_) => return None,
+        };
+        let client = self.client(of.0);
+        let back = self.door.ended(cx.now, client, object, ended, back);
+        (ended == Ended::Refused && self.advice).then_some(Answer::Refused(back))
+    }
 
-    /// The recovery's part of the summary.
-    pub(super) fn summary(&self) -> String {
+    fn summary(&mut self) -> String {
         let c = self.door.counters;
         let [storms, level, remembered, crowded] = self.door.sizes();
         let cap = self.door.cap().map_or("none".to_string(), |cap| format!("{cap:.0}"));
--- a/crates/deckproxy/src/program/sites.rs
+++ b/crates/deckproxy/src/program/sites.rs
@@ -1,39 +1,24 @@
-//! Links to gateways of other sites: their connections, requests that cross either way, purges told and heard.
+//! Links to gateways of other sites: requests that cross either way, purges told and heard.
 
-use crate::program::gateway::{Chore, FAR, Gateway, Peer};
+use crate::program::subsystem::{
+    Context, Effect, Effects, Event, FAR, LineId, Note, Subsystem, Verdict, ended,
+};
 use crate::protocol::back::Copy;
 use crate::protocol::front::{Answer, Call};
 use crate::protocol::{limits, link};
 use crate::routing::router::ClientId;
-use crate::transport::line::Line;
-use crate::transport::listener::{Accepted, Listener};
-use crate::transport::stream::{Ledger, Progress, Stream};
 use bytes::Bytes;
-use calloop::{LoopHandle, Readiness};
 use deckproxy_control::interface;
+use deckproxy_flow::meter::Outcome;
 use deckproxy_operator::Operator;
 use deckproxy_sites::far::{Ended, Run};
-use deckproxy_sites::frame::{Ask, Word};
+use deckproxy_sites::frame::{Ask, Frame, Word};
 use deckproxy_sites::near::{Repeat, Reply, Token, Want};
 use deckproxy_sites::purges::News;
-use deckproxy_sites::site::{self, Effect, Place, Site};
-use slog::{info, warn};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::io;
+use deckproxy_sites::site::{self, Place, Site};
+use slog::{Logger, info, warn};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
-use std::rc::Rc;
-
-pub(super) type LineId = u64;
-
-/// Pieces of bodies put on one connection before others have their turn.
-const PIECES: usize = 32;
-
-struct Held {
-    line: Line,
-    /// Where it leads, and that it is being made.
-    connecting: Option<(usize, usize)>,
-}
 
 /// Who waits for the answer to a crossing.
 #[derive(Clone, Copy, Debug)]
@@ -45,10 +30,8 @@
 
 /// The links of one gateway.
 pub struct Sites {
-    pub(super) site: Site,
-    listener: Option<Listener>,
-    pub(super) accepting: bool,
-    lines: HashMap<LineId, Held>,
+    log: Logger,
+    site: Site,
     /// Addresses of the peers' gateways, by place.
     addresses: Vec<Vec<SocketAddr>>,
     /// The peers in force, by name, with the place that each has.
@@ -58,12 +41,7 @@
     /// Requests from links that went on over other links.
     forwarded: HashMap<Run, Token>,
     next: Token,
-    /// Connections with something to write.
-    touched: BTreeSet<LineId>,
     ticked: f64,
-    ledger: Rc<Ledger>,
-    /// Connections that may be held, both ways.
-    pub(super) most_lines: usize,
 }
 
 fn addresses(peer: &deckproxy_operator::Peer) -> Vec<SocketAddr> {
@@ -78,24 +56,43 @@
     }
 }
 
+/// A class's place among all by worth, from 0 to 1.
+fn rank(classes: &[interface::Class], class: usize) -> f64 {
+    let worth = classes[class].worth;
+    let below = classes.iter().filter(|c| c.worth < worth).count();
+    let above = classes.iter().filter(|c| c.worth > worth).count();
+    if below + above == 0 { 0.5 } else { below as f64 / (below + above) as f64 }
+}
+
+/// What crossing a request takes; the error tells why it can't be used.
+fn want(cx: &Context<'_>, call: &Call, path: Vec<String>) -> Result<Want, &'static str> {
+    let class = cx.router.usable(call)?;
+    let settings = &cx.router.conf().settings;
+    let kind = &settings.classes[class];
+    let safe = kind.effect == interface::Effect::Safe;
+    Ok(Want {
+        object: call.object.1,
+        expires: cx.now + call.allow.min(kind.deadline),
+        repeat: if safe { Repeat::Safe } else { Repeat::Never },
+        joins: settings.joins && safe && !kind.write && !kind.stream,
+        rank: rank(&settings.classes, class),
+        ask: link::ask(call, path),
+    })
+}
+
+fn outcome(answer: &Answer) -> Outcome {
+    match answer {
+        Answer::Served(_) | Answer::Unchanged => Outcome::Served,
+        Answer::Refused(_) => Outcome::Refused,
+        Answer::Failed => Outcome::Failed,
+        Answer::Unusable(_) => Outcome::Unusable,
+    }
+}
+
 impl Sites {
     /// Starts what the operator file asks for; none where it asks for nothing.
-    pub(super) fn start(
-        handle: &LoopHandle<'static, Gateway>,
-        now: f64,
-        seed: u64,
-        sockets: usize,
-        operator: &Operator,
-    ) -> io::Result<Option<Box<Self>>> {
-        let Some(sites) = &operator.sites else { return Ok(None) };
-        let listener = sites.listen.as_deref().and_then(|at| at.parse::<SocketAddr>().ok());
-        let ready = |g: &mut Gateway| {
-            if let Some(sites) = &mut g.sites {
-                sites.accepting = true;
-            }
-        };
-        let named = |at, e| io::Error::new(io::Error::kind(&e), format!("links' address {at}: {e}"));
-        let listener = listener.map(|at| Listener::bind(handle, at, ready).map_err(|e| named(at, e)));
+    pub(super) fn start(log: &Logger, now: f64, seed: u64, operator: &Operator) -> Option<Box<Self>> {
+        let sites = operator.sites.as_ref()?;
         let setup = site::Setup {
             own: sites.name.clone(),
             peers: sites.peers.iter().map(set_up).collect(),
@@ -106,136 +103,76 @@
         };
         // The seed is new with each start; the time keeps two that got the same one apart.
         let epoch = seed ^ (now * 1000.0) as u64;
-        Ok(Some(Box::new(Sites {
+        Some(Box::new(Sites {
+            log: log.clone(),
             site: Site::new(setup, epoch, now),
-            listener: listener.transpose()?,
-            accepting: true,
-            lines: HashMap::new(),
             addresses: sites.peers.iter().map(addresses).collect(),
             peers: sites.peers.iter().enumerate().map(|(i, p)| (p.site.clone(), (i, p.clone()))).collect(),
             owners: HashMap::new(),
             tokens: BTreeMap::new(),
             forwarded: HashMap::new(),
             next: 0,
-            touched: BTreeSet::new(),
             ticked: now,
-            ledger: Rc::default(),
-            most_lines: (sockets / limits::LINK_SHARE).max(1),
-        })))
+        }))
     }
 
-    /// Bytes that the links' connections hold.
-    pub(super) fn holds(&self) -> usize {
-        self.ledger.input.get() + self.ledger.output.get() + self.site.far().sizes()[3]
+    /// Whether a client's request of that id is on a link.
+    pub(super) fn crosses(&self, client: ClientId, id: u32) -> bool {
+        self.tokens.contains_key(&(client, id))
     }
 
-    fn token(&mut self, owner: Owner) -> Token {
-        self.next += 1;
-        self.owners.insert(self.next, owner);
-        self.next
+    /// The site at the other end of a link, once that is known.
+    pub(super) fn site_of(&self, line: LineId) -> Option<&str> {
+        self.site.site_of(line)
     }
-}
-
-/// A class's place among all by worth, from 0 to 1.
-fn rank(classes: &[interface::Class], class: usize) -> f64 {
-    let worth = classes[class].worth;
-    let below = classes.iter().filter(|c| c.worth < worth).count();
-    let above = classes.iter().filter(|c| c.worth > worth).count();
-    if below + above == 0 { 0.5 } else { below as f64 / (below + above) as f64 }
-}
-
-/// Whether a client's request of that id is on a link.
-pub(super) fn crosses(sites: &Option<Box<Sites>>, client: ClientId, id: u32) -> bool {
-    sites.as_ref().is_some_and(|s| s.tokens.contains_key(&(client, id)))
-}
-
-impl Gateway {
-    // ---- Requests ------------------------------------------------------------------------------------------
 
-    /// What crossing a request takes; the error tells why it can't be used.
-    fn want(&self, now: f64, call: &Call, path: Vec<String>) -> Result<Want, &'static str> {
-        let class = self.router.usable(call)?;
-        let settings = &self.router.conf().settings;
-        let kind = &settings.classes[class];
-        let safe = kind.effect == interface::Effect::Safe;
-        Ok(Want {
-            object: call.object.1,
-            expires: now + call.allow.min(kind.deadline),
-            repeat: if safe { Repeat::Safe } else { Repeat::Never },
-            joins: settings.joins && safe && !kind.write && !kind.stream,
-            rank: rank(&settings.classes, class),
-            ask: link::ask(call, path),
-        })
+    /// The next piece of a body for a link that takes some.
+    pub(super) fn piece(&mut self, line: LineId) -> Option<Frame> {
+        self.site.piece(line)
     }
 
-    /// Sends a client's request over a link, where it is for another site; else gives it back.
-    pub(super) fn cross(&mut self, now: f64, client: ClientId, id: u32, call: Call) -> Option<Call> {
-        let Some(sites) = &mut self.sites else { return Some(call) };
-        let place = sites.site.place(now, &call.class, call.group, call.object.1, &[]);
-        let Place::Over(to) = place else { return Some(call) };
-        let own = vec![sites.site.setup().own.clone()];
-        match self.want(now, &call, own) {
-            Err(why) => {
-                self.router.counters.unusable += 1;
-                self.answer(now, client, id, &Answer::Unusable(why));
-            }
-            Ok(want) => {
-                if let Some(sites) = &mut self.sites {
-                    let token = sites.token(Owner::Client(client, id));
-                    sites.tokens.insert((client, id), token);
-                    if let Some(flows) = &mut self.flows {
-                        flows.crosses(client, id, &to);
-                    }
-                    self.router.counters.taken += 1;
-                    sites.site.request(now, token, &to, want);
-                }
-            }
-        }
-        None
+    fn token(&mut self, owner: Owner) -> Token {
+        self.next += 1;
+        self.owners.insert(self.next, owner);
+        self.next
     }
 
-    /// A client has given up requests of these ids, or its connection has ended.
-    pub(super) fn cross_gone(&mut self, now: f64, client: ClientId, ids: RangeInclusive<u32>) {
-        let Some(sites) = &mut self.sites else { return };
+    /// Requests that a client gave up.
+    fn gone(&mut self, now: f64, client: ClientId, ids: std::ops::RangeInclusive<u32>, out: &mut Effects) {
         let keys = (client, *ids.start())..=(client, *ids.end());
-        let gone: Vec<_> = sites.tokens.range(keys).map(|(key, token)| (*key, *token)).collect();
+        let gone: Vec<_> = self.tokens.range(keys).map(|(key, token)| (*key, *token)).collect();
         for (key, token) in gone {
-            sites.tokens.remove(&key);
-            sites.owners.remove(&token);
-            sites.site.cancel(now, token);
-            self.router.counters.gone += 1;
+            self.tokens.remove(&key);
+            self.owners.remove(&token);
+            self.site.cancel(now, token);
+            out.push_back(Effect::Gone);
         }
     }
 
     /// A request came over a link.
-    fn run(&mut self, now: f64, run: Run, ask: Ask) {
-        let full = self.is_full() || self.last_accepts;
+    fn run(&mut self, cx: &Context<'_>, run: Run, ask: Ask, out: &mut Effects) {
         let path = ask.path.clone();
-        if let Some(flows) = &mut self.flows {
-            flows.run_began(now, run, &ask.class, path.last().map(String::as_str));
-        }
-        let Some(sites) = &mut self.sites else { return };
+        let site = path.last().cloned();
+        out.push_back(Effect::Noted(Note::RunBegan { run, class: ask.class.clone(), site }));
         let call = match link::call(ask) {
-            Ok(call) if !full => call,
-            Ok(_) => return self.run_ended(now, run, Answer::Refused(0.0), None),
-            Err(why) => return self.run_ended(now, run, Answer::Unusable(why), None),
+            Ok(call) if !cx.full => call,
+            Ok(_) => return self.run_ended(cx, run, Answer::Refused(0.0), None, out),
+            Err(why) => return self.run_ended(cx, run, Answer::Unusable(why), None, out),
         };
-        match sites.site.place(now, &call.class, call.group, call.object.1, &path) {
-            Place::Here => self.router.request(now, FAR + run, 0, call),
+        match self.site.place(cx.now, &call.class, call.group, call.object.1, &path) {
+            Place::Here => out.push_back(Effect::Route { client: FAR + run, call: Box::new(call) }),
             Place::Nowhere(why) => {
-                self.line(&format!("a request over a link is turned away: {why}"));
-                self.run_ended(now, run, Answer::Unusable(why), None);
+                out.push_back(Effect::Line(format!("a request over a link is turned away: {why}")));
+                self.run_ended(cx, run, Answer::Unusable(why), None, out);
             }
             Place::Over(to) => {
-                let path = path.into_iter().chain([sites.site.setup().own.clone()]).collect();
-                match self.want(now, &call, path) {
-                    Err(why) => self.run_ended(now, run, Answer::Unusable(why), None),
+                let path = path.into_iter().chain([self.site.setup().own.clone()]).collect();
+                match want(cx, &call, path) {
+                    Err(why) => self.run_ended(cx, run, Answer::Unusable(why), None, out),
                     Ok(want) => {
-                        if let Some(sites) = &mut self.sites {
-                            let token = sites.token(Owner::Run(run));
-                            sites.forwarded.insert(run, token);
-                            sites.site.request(now, token, &to, want);
-                        }
+                        let token = self.token(Owner::Run(run));
+                        self.forwarded.insert(run, token);
+                        self.site.request(cx.now, token, &to, want);
                     }
                 }
             }
@@ -243,11 +180,15 @@
     }
 
     /// A request that came over a link has its answer.
-    pub(super) fn run_ended(&mut self, now: f64, run: Run, answer: Answer, copy: Option<Copy>) {
-        if let Some(flows) = &mut self.flows {
-            flows.run_ended(now, run, &answer);
-        }
-        let Some(sites) = &mut self.sites else { return };
+    fn run_ended(
+        &mut self,
+        cx: &Context<'_>,
+        run: Run,
+        answer: Answer,
+        copy: Option<Copy>,
+        out: &mut Effects,
+    ) {
+        out.push_back(Effect::Noted(Note::RunEnded { run, outcome: outcome(&answer) }));
         let (word, cooldown, body) = match answer {
             Answer::Served(body) => (Word::Served, 0.0, body),
             Answer::Unchanged => (Word::Unchanged, 0.0, Bytes::new()),
@@ -257,14 +198,13 @@
         };
         let issued = copy.as_ref().and_then(|c| c.issued);
         let tag = copy.map_or(String::new(), |c| c.tag.into());
-        sites.site.ended(now, run, Ended { word, cooldown, body, issued, tag });
+        self.site.ended(cx.now, run, Ended { word, cooldown, body, issued, tag });
     }
 
     /// A request that crossed has its final answer.
-    fn crossed(&mut self, now: f64, token: Token, reply: Reply) {
-        let Some(sites) = &mut self.sites else { return };
-        let most = self.router.conf().settings.max_retry_after;
-        let advice = self.router.conf().settings.retry_after;
+    fn crossed(&mut self, cx: &Context<'_>, token: Token, reply: Reply, out: &mut Effects) {
+        let most = cx.router.conf().settings.max_retry_after;
+        let advice = cx.router.conf().settings.retry_after;
         let (answer, copy) = match reply {
             Reply::Served(body, issued, tag) => {
                 (Answer::Served(body), Some(Copy { issued, tag: tag.into() }))
@@ -275,310 +215,161 @@
             Reply::Failed => (Answer::Failed, None),
             Reply::Unusable => (Answer::Unusable("the other site can't use it"), None),
         };
-        match sites.owners.remove(&token) {
+        match self.owners.remove(&token) {
             Some(Owner::Client(client, id)) => {
-                sites.tokens.remove(&(client, id));
-                self.router.counters.count(&answer);
-                self.answer(now, client, id, &answer);
+                self.tokens.remove(&(client, id));
+                out.push_back(Effect::Answer { client, id, answer });
             }
             Some(Owner::Run(run)) => {
-                sites.forwarded.remove(&run);
-                self.run_ended(now, run, answer, copy);
+                self.forwarded.remove(&run);
+                self.run_ended(cx, run, answer, copy, out);
             }
             None => {}
         }
     }
 
-    /// The process is about to be killed: what still crosses has failed.
-    pub(super) fn end_crossings(&mut self, now: f64) {
-        let Some(sites) = &mut self.sites else { return };
-        let all: Vec<Token> = sites.owners.keys().copied().collect();
-        for token in all {
-            if let Some(sites) = &mut self.sites {
-                sites.site.cancel(now, token);
+    /// Nobody waits any more for a request that came over a link.
+    fn withdraw(&mut self, cx: &Context<'_>, run: Run, out: &mut Effects) {
+        out.push_back(Effect::Noted(Note::RunEnded { run, outcome: Outcome::Cut }));
+        match self.forwarded.remove(&run) {
+            Some(token) => {
+                self.owners.remove(&token);
+                self.site.cancel(cx.now, token);
             }
-            self.crossed(now, token, Reply::Failed);
+            None => out.push_back(Effect::Abort(FAR + run)),
         }
     }
+}
 
-    /// The feed told a purge.
-    pub(super) fn tell_sites(&mut self, now: f64, object: Option<u64>, group: u32, age: f64) {
-        if let Some(sites) = &mut self.sites {
-            sites.site.told(now, News { object, group, age });
+impl Subsystem for Sites {
+    fn event(&mut self, cx: &Context<'_>, event: &Event<'_>, out: &mut Effects) {
+        if let Some((client, ids)) = ended(event) {
+            self.gone(cx.now, client, ids, out);
         }
-    }
-
-    // ---- Connections ---------------------------------------------------------------------------------------
-
-    /// Accepts links that wait.
-    pub(super) fn accept_lines(&mut self, now: f64) {
-        loop {
-            let Some(sites) = &mut self.sites else { return };
-            sites.accepting = false;
-            let Some(listener) = &sites.listener else { return };
-            match listener.accept() {
-                Accepted::None => return,
-                Accepted::Exhausted => return self.line("no descriptor is left for a link"),
-                Accepted::One(socket) => {
-                    if sites.lines.len() >= sites.most_lines {
-                        self.line("a link is turned away: too many connections");
-                        continue;
-                    }
-                    // Little stands in the kernel before what is more urgent. Fails only where the socket is gone.
-                    let _ = socket2::SockRef::from(&socket).set_send_buffer_size(limits::LINK_SENDING);
-                    self.next += 1;
-                    let id = self.next;
-                    let ready = move |g: &mut Gateway, news| g.line_news(id, news);
-                    match Stream::accepted(&self.handle, &sites.ledger, socket, ready) {
-                        Ok(stream) => {
-                            sites.lines.insert(id, Held { line: Line::new(stream), connecting: None });
-                            sites.site.accepted(now, id);
-                        }
-                        Err(e) => self.line(&format!("a link could not be taken: {e}")),
-                    }
-                }
-            }
+        match *event {
+            Event::Purged { object, group, age } => self.site.told(cx.now, News { object, group, age }),
+            Event::LineCame(line) => self.site.accepted(cx.now, line),
+            Event::LineUp { peer, way, line } => self.site.connected(cx.now, peer, way, line),
+            Event::LineNotUp { peer, way } => self.site.not_connected(cx.now, peer, way),
+            Event::LineHeard { line, .. } => self.site.alive(cx.now, line),
+            Event::LineDown { line, unsent } => self.site.down(cx.now, line, unsent),
+            Event::Ending => self.site.go_away("a planned end", 0.0),
+            _ => {}
         }
     }
 
-    fn connect_line(&mut self, now: f64, peer: usize, way: usize) {
-        let patience = self.router.conf().limits.connect;
-        self.next += 1;
-        let id = self.next;
-        let Some(sites) = &mut self.sites else { return };
-        let at = sites.addresses.get(peer).and_then(|all| all.get(way)).copied();
-        let ready = move |g: &mut Gateway, news| g.line_news(id, news);
-        let made = at.filter(|_| sites.lines.len() < sites.most_lines);
-        let made = made.map(|at| Stream::connect(&self.handle, &sites.ledger, at, ready));
-        match made {
-            Some(Ok(stream)) => {
-                let held = Held { line: Line::new(stream), connecting: Some((peer, way)) };
-                sites.lines.insert(id, held);
-                self.chores.set(now + patience, Chore::LineUp(id));
-            }
-            Some(Err(e)) => {
-                sites.site.not_connected(now, peer, way);
-                self.line(&format!("link: {e}"));
+    /// Sends a client's request over a link, where it is for another site.
+    fn request(&mut self, cx: &Context<'_>, of: (ClientId, u32), call: &Call, out: &mut Effects) -> Verdict {
+        let place = self.site.place(cx.now, &call.class, call.group, call.object.1, &[]);
+        let Place::Over(to) = place else { return Verdict::Pass };
+        match want(cx, call, vec![self.site.setup().own.clone()]) {
+            Err(why) => Verdict::Answer(Answer::Unusable(why)),
+            Ok(want) => {
+                let token = self.token(Owner::Client(of.0, of.1));
+                self.tokens.insert(of, token);
+                self.site.request(cx.now, token, &to, want);
+                out.push_back(Effect::Noted(Note::Crosses { client: of.0, id: of.1, site: to }));
+                out.push_back(Effect::Took);
+                Verdict::Taken
             }
-            None => sites.site.not_connected(now, peer, way),
         }
     }
 
-    /// A connection that should be up by now: given up if it is not.
-    pub(super) fn line_not_up(&mut self, now: f64, id: LineId) {
-        let held = self.sites.as_ref().and_then(|s| s.lines.get(&id));
-        if held.is_some_and(|h| h.connecting.is_some()) {
-            self.end_line(now, id);
-        }
+    fn routed(
+        &mut self,
+        cx: &Context<'_>,
+        client: ClientId,
+        answer: Answer,
+        copy: Option<Copy>,
+        out: &mut Effects,
+    ) {
+        self.run_ended(cx, client - FAR, answer, copy, out);
     }
 
-    fn line_news(&mut self, id: LineId, news: Readiness) {
-        if let Some(held) = self.sites.as_mut().and_then(|s| s.lines.get_mut(&id)) {
-            held.line.stream.note(news);
-            Self::queue(&mut self.ready, Peer::Line(id));
-        }
+    fn frame(&mut self, cx: &Context<'_>, line: LineId, frame: Frame, _: &mut Effects) {
+        self.site.frame(cx.now, cx.now, line, frame);
     }
 
-    pub(super) fn serve_line(&mut self, now: f64, id: LineId) {
-        let Some(sites) = &mut self.sites else { return };
-        let Some(held) = sites.lines.get_mut(&id) else { return };
-        if let Some((peer, way)) = held.connecting {
-            match held.line.stream.is_connecting() {
-                Ok(true) => return,
-                Ok(false) => {
-                    held.connecting = None;
-                    sites.site.connected(now, peer, way, id);
+    fn pump(&mut self, cx: &Context<'_>, out: &mut Effects) {
+        while let Some(effect) = self.site.effect() {
+            match effect {
+                site::Effect::Connect(peer, way) => {
+                    let to = self.addresses.get(peer).and_then(|all| all.get(way)).copied();
+                    out.push_back(Effect::LineConnect { peer, way, to });
                 }
-                Err(_) => return self.end_line(now, id),
-            }
-        }
-        sites.touched.insert(id);
-        let before = held.line.stream.input.len();
-        let readable = held.line.stream.is_readable();
-        let progress = if readable { held.line.read() } else { Progress::Drained };
-        let came = held.line.stream.input.len() - before;
-        if came > 0 {
-            if let Some(flows) = &mut self.flows {
-                flows.link_passed(now, sites.site.site_of(id), came, 0);
-            }
-            sites.site.alive(now, id);
-        }
-        loop {
-            let Some(sites) = &mut self.sites else { return };
-            let Some(held) = sites.lines.get_mut(&id) else { return };
-            match held.line.take_frame() {
-                Ok(None) => break,
-                Ok(Some(frame)) => sites.site.frame(now, now, id, frame),
-                Err(why) => {
-                    self.line(&format!("a link closes: {why}"));
-                    return self.end_line(now, id);
+                site::Effect::Send(line, frame) => out.push_back(Effect::LineSend(line, frame)),
+                site::Effect::Close(line, why) => out.push_back(Effect::LineClose(line, why)),
+                site::Effect::Reply(token, reply) => self.crossed(cx, token, reply, out),
+                site::Effect::Run(run, ask) => self.run(cx, run, ask, out),
+                site::Effect::Withdraw(run) => self.withdraw(cx, run, out),
+                site::Effect::Purged(News { object, group, age }) => {
+                    out.push_back(Effect::Purged { object, group, age });
                 }
+                site::Effect::Bound(age) => {
+                    out.extend((0..limits::GROUPS).map(|group| Effect::Purged { object: None, group, age }));
+                }
+                site::Effect::Log(text) => info!(self.log, "sites"; "what" => text),
             }
-            self.pump(now);
-        }
-        match progress {
-            Progress::More => Self::queue(&mut self.ready, Peer::Line(id)),
-            Progress::Ended => self.end_line(now, id),
-            Progress::Drained => {}
         }
     }
 
-    /// Writes what waits on a connection, and pieces of bodies as long as it takes them.
-    fn flush_line(&mut self, now: f64, id: LineId) {
-        for _ in 0..PIECES {
-            let Some(sites) = &mut self.sites else { return };
-            let Some(held) = sites.lines.get_mut(&id) else { return };
-            if held.connecting.is_some() {
-                return;
-            }
-            let before = held.line.stream.queued();
-            let broken = held.line.flush().is_err();
-            if let Some(flows) = &mut self.flows {
-                let went = before - held.line.stream.queued();
-                flows.link_passed(now, sites.site.site_of(id), 0, went);
-            }
-            if broken || held.line.stream.queued() > limits::LINK_STUCK {
-                return self.end_line(now, id);
-            }
-            if held.line.closing && held.line.stream.queued() == 0 {
-                return self.end_line(now, id);
-            }
-            let piece = held.line.takes_pieces().then(|| sites.site.piece(id)).flatten();
-            let Some(piece) = piece else { return };
-            held.line.send(&piece);
-        }
-        // Others have their turn; what it still has to send goes on then.
-        Self::queue(&mut self.ready, Peer::Line(id));
+    fn due(&self) -> Option<f64> {
+        let regular = self.ticked + self.site.setup().link.heartbeat;
+        Some(self.site.next_due().map_or(regular, |due| due.min(regular)))
     }
 
-    fn end_line(&mut self, now: f64, id: LineId) {
-        let Some(sites) = &mut self.sites else { return };
-        let Some(mut held) = sites.lines.remove(&id) else { return };
-        sites.touched.remove(&id);
-        let unsent = held.line.unsent();
-        held.line.stream.close(&self.handle);
-        match held.connecting {
-            Some((peer, way)) => sites.site.not_connected(now, peer, way),
-            None => sites.site.down(now, id, &unsent),
-        }
+    fn tick(&mut self, cx: &Context<'_>, _: &mut Effects) {
+        self.ticked = cx.now;
+        self.site.tick(cx.now, cx.now);
     }
 
-    /// Carries out what the links want done. Tells whether there was anything.
-    pub(super) fn pump_sites(&mut self, now: f64) -> bool {
-        let mut any = false;
-        loop {
-            let Some(sites) = &mut self.sites else { return any };
-            if let Some(effect) = sites.site.effect() {
-                any = true;
-                match effect {
-                    Effect::Connect(peer, way) => self.connect_line(now, peer, way),
-                    Effect::Send(id, frame) => {
-                        if let Some(held) = sites.lines.get_mut(&id).filter(|h| !h.line.closing) {
-                            held.line.send(&frame);
-                            sites.touched.insert(id);
-                        }
-                    }
-                    Effect::Close(id, why) => {
-                        if let Some(held) = sites.lines.get_mut(&id) {
-                            held.line.closing = true;
-                            sites.touched.insert(id);
-                        }
-                        self.line(&format!("a link closes: {why}"));
-                    }
-                    Effect::Reply(token, reply) => self.crossed(now, token, reply),
-                    Effect::Run(run, ask) => self.run(now, run, ask),
-                    Effect::Withdraw(run) => {
-                        if let Some(flows) = &mut self.flows {
-                            flows.run_withdrawn(now, run);
-                        }
-                        match sites.forwarded.remove(&run) {
-                            Some(token) => {
-                                sites.owners.remove(&token);
-                                sites.site.cancel(now, token);
-                            }
-                            None => self.router.abort(now, FAR + run, 0),
-                        }
-                    }
-                    Effect::Purged(news) => self.router.purged(now, news.object, news.group, news.age),
-                    Effect::Bound(age) => {
-                        for group in 0..limits::GROUPS {
-                            self.router.purged(now, None, group, age);
-                        }
-                    }
-                    Effect::Log(text) => info!(self.log, "sites"; "what" => text),
-                }
-            } else if let Some(id) = sites.touched.pop_first() {
-                self.flush_line(now, id);
-            } else {
-                return any;
-            }
-        }
+    fn holds(&self) -> usize {
+        self.site.far().sizes()[3]
     }
 
-    // ---- Time ----------------------------------------------------------------------------------------------
-
-    /// When the links want a tick.
-    pub(super) fn sites_due(&self) -> Option<f64> {
-        let sites = self.sites.as_ref()?;
-        let regular = sites.ticked + sites.site.setup().link.heartbeat;
-        Some(sites.site.next_due().map_or(regular, |due| due.min(regular)))
+    fn is_settled(&self) -> bool {
+        self.site.open() == 0 && self.site.far().owed() == 0
     }
 
-    pub(super) fn tick_sites(&mut self, now: f64) {
-        if self.sites_due().is_some_and(|due| due <= now)
-            && let Some(sites) = &mut self.sites
-        {
-            sites.ticked = now;
-            sites.site.tick(now, now);
+    /// The process is about to be killed: what still crosses has failed.
+    fn end_all(&mut self, cx: &Context<'_>, out: &mut Effects) {
+        let all: Vec<Token> = self.owners.keys().copied().collect();
+        for token in all {
+            self.site.cancel(cx.now, token);
+            self.crossed(cx, token, Reply::Failed, out);
         }
     }
 
-    /// Whether nothing is owed over links any more.
-    pub(super) fn sites_settled(&self) -> bool {
-        self.sites.as_ref().is_none_or(|s| {
-            s.site.open() == 0
-                && s.site.far().owed() == 0
-                && s.lines.values().all(|h| h.line.stream.queued() == 0)
-        })
-    }
-
     /// Takes routes and peers from a new operator file.
-    pub(super) fn reload_sites(&mut self, now: f64, operator: &Operator) {
-        let (Some(sites), Some(new)) = (&mut self.sites, &operator.sites) else {
-            if self.sites.is_some() != operator.sites.is_some() {
-                warn!(self.log, "reload: switching sites on or off takes a restart");
-            }
-            return;
-        };
-        let link = (new.name != sites.site.setup().own) || new.link_limits() != sites.site.setup().link;
-        if link || new.trust_limits() != sites.site.setup().trust {
+    fn reload(&mut self, cx: &Context<'_>, operator: &Operator, _: &mut Effects) {
+        let Some(new) = &operator.sites else { return };
+        let link = (new.name != self.site.setup().own) || new.link_limits() != self.site.setup().link;
+        if link || new.trust_limits() != self.site.setup().trust {
             warn!(self.log, "reload: the site's name, link and trust take a restart");
         }
-        let gone = sites
+        let gone = self
             .peers
             .iter()
             .filter(|(name, (_, old))| !new.peers.iter().any(|p| p.site == **name && p == old));
         for name in gone.map(|(name, _)| name.clone()).collect::<Vec<_>>() {
-            if let Some((place, _)) = sites.peers.remove(&name) {
-                sites.site.drop_peer(place);
+            if let Some((place, _)) = self.peers.remove(&name) {
+                self.site.drop_peer(place);
             }
         }
         for peer in &new.peers {
-            if !sites.peers.contains_key(&peer.site) {
-                let place = sites.site.add_peer(now, set_up(peer));
-                sites.addresses.push(addresses(peer));
-                sites.peers.insert(peer.site.clone(), (place, peer.clone()));
+            if !self.peers.contains_key(&peer.site) {
+                let place = self.site.add_peer(cx.now, set_up(peer));
+                self.addresses.push(addresses(peer));
+                self.peers.insert(peer.site.clone(), (place, peer.clone()));
             }
         }
-        sites.site.reroute(new.rules());
+        self.site.reroute(new.rules());
         info!(self.log, "reload: routes and peers are taken"; "routes" => new.routes.len(), "peers" => new.peers.len());
     }
 
-    /// The links' part of the summary.
-    pub(super) fn sites_summary(&self) -> String {
-        let Some(sites) = &self.sites else { return "off".to_string() };
-        let site = &sites.site;
-        let peers = sites.peers.iter().filter_map(|(name, (place, _))| site.near(*place).map(|n| (name, n)));
+    fn summary(&mut self) -> String {
+        let site = &self.site;
+        let peers = self.peers.iter().filter_map(|(name, (place, _))| site.near(*place).map(|n| (name, n)));
         let peers = peers.map(|(name, near)| {
             let (c, [crossings, _, lost], (up, all)) = (near.counters, near.sizes(), near.ways_up());
             format!(
--- a/crates/deckproxy/src/transport/collector.rs
+++ b/crates/deckproxy/src/transport/collector.rs
@@ -17,6 +17,49 @@
     Udp(UdpSocket),
 }
 
+/// The ways to all collectors, by place, each under a number that no later one has.
+#[derive(Default)]
+pub struct Exits {
+    /// Those that are open or being made.
+    pub held: Vec<Option<(u64, Exit)>>,
+    /// Bytes that wait on them.
+    pub ledger: Rc<Ledger>,
+}
+
+impl Exits {
+    /// None is open yet.
+    pub fn new(collectors: usize) -> Self {
+        Exits { held: (0..collectors).map(|_| None).collect(), ledger: Rc::default() }
+    }
+
+    /// Bytes that wait on them.
+    pub fn holds(&self) -> usize {
+        self.ledger.input.get() + self.ledger.output.get()
+    }
+
+    /// The place of the one with that number.
+    pub fn place(&self, id: u64) -> Option<usize> {
+        self.held.iter().position(|e| e.as_ref().is_some_and(|(other, _)| *other == id))
+    }
+
+    /// The one at a place.
+    pub fn at(&mut self, place: usize) -> Option<&mut Exit> {
+        self.held.get_mut(place).and_then(Option::as_mut).map(|(_, exit)| exit)
+    }
+
+    /// Takes the one at a place out.
+    pub fn take(&mut self, place: usize) -> Option<Exit> {
+        self.held.get_mut(place).and_then(Option::take).map(|(_, exit)| exit)
+    }
+
+    /// Puts them in another order: where each was before. Gives those that have no place any more.
+    pub fn reorder(&mut self, before: &[Option<usize>]) -> Vec<Exit> {
+        let mut old = std::mem::take(&mut self.held);
+        self.held = before.iter().map(|place| place.and_then(|p| old.get_mut(p)?.take())).collect();
+        old.into_iter().flatten().map(|(_, exit)| exit).collect()
+    }
+}
+
 /// What sending has brought.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Sent {
--- a/crates/deckproxy/src/transport/line.rs
+++ b/crates/deckproxy/src/transport/line.rs
@@ -1,12 +1,14 @@
-//! One connection of a link between gateways.
+//! Connections of links between gateways.
 
 use crate::protocol::limits;
 use crate::protocol::link::{self, Decoder};
+use crate::transport::listener::Listener;
 use crate::transport::outbox::{Outgoing, Written};
-use crate::transport::stream::{Progress, Stream};
+use crate::transport::stream::{Ledger, Progress, Stream};
 use deckproxy_sites::frame::{Frame, Say};
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::io;
+use std::rc::Rc;
 
 /// Key of what is no attempt; those are numbered from 1.
 const OTHER: u64 = 0;
@@ -90,3 +92,51 @@
         Ok(())
     }
 }
+
+/// A connection of a link that is held: made, or being made to a peer's gateway, both by place.
+pub struct Held {
+    /// The connection.
+    pub line: Line,
+    /// Where it leads while it is being made.
+    pub connecting: Option<(usize, usize)>,
+}
+
+/// All connections of links.
+pub struct Lines {
+    /// Where they come in.
+    pub listener: Option<Listener>,
+    /// Some wait to be accepted.
+    pub accepting: bool,
+    /// Those that are held, by number.
+    pub held: HashMap<u64, Held>,
+    /// Those with something to write.
+    pub touched: BTreeSet<u64>,
+    /// Bytes that they hold.
+    pub ledger: Rc<Ledger>,
+    /// How many may be held, both ways.
+    pub most: usize,
+}
+
+impl Lines {
+    /// None yet, of so many descriptors of the process.
+    pub fn new(listener: Option<Listener>, sockets: usize) -> Self {
+        Lines {
+            listener,
+            accepting: true,
+            held: HashMap::new(),
+            touched: BTreeSet::new(),
+            ledger: Rc::default(),
+            most: (sockets / limits::LINK_SHARE).max(1),
+        }
+    }
+
+    /// Bytes that the connections hold.
+    pub fn holds(&self) -> usize {
+        self.ledger.input.get() + self.ledger.output.get()
+    }
+
+    /// Whether all is written.
+    pub fn is_written(&self) -> bool {
+        self.held.values().all(|h| h.line.stream.queued() == 0)
+    }
+}
