--- a/crates/deckproxy-fleet/src/board.rs
+++ b/crates/deckproxy-fleet/src/board.rs
@@ -283,16 +283,24 @@
         let whole = self.authors.len() <= DIGEST_AUTHORS;
         let skip = if whole { 0 } else { self.turn % self.authors.len() };
         self.turn = self.turn.wrapping_add(DIGEST_AUTHORS);
-        let names: Vec<Name> = self.authors.keys().cycle().skip(skip).take(self.authors.len()).cloned().collect();
+        let names: Vec<Name> =
+            self.authors.keys().cycle().skip(skip).take(self.authors.len()).cloned().collect();
         let marks = names.iter().take(DIGEST_AUTHORS).filter_map(|name| self.mark(name));
         Digest { yours, marks: marks.collect(), whole, answer: false }
     }
 
     /// What another lacks that sent this digest, as many bytes as fit, and a digest of what we lack ourselves.
-    pub fn compare(&mut self, now: Millis, from: &str, digest: &Digest, most: usize) -> (Delta, Option<Digest>) {
+    pub fn compare(
+        &mut self,
+        now: Millis,
+        from: &str,
+        digest: &Digest,
+        most: usize,
+    ) -> (Delta, Option<Digest>) {
         let mut lacks = Vec::new();
         for mark in &digest.marks {
-            let known = self.names.get(&mark.author).and_then(|n| self.authors.get(n).map(|a| (n.clone(), a)));
+            let known =
+                self.names.get(&mark.author).and_then(|n| self.authors.get(n).map(|a| (n.clone(), a)));
             match known {
                 Some((name, a)) if a.life > mark.life => lacks.push((name, 0)),
                 Some((name, a)) if a.life == mark.life && a.version > mark.version => {
@@ -375,7 +383,8 @@
                     value: entry.value.clone(),
                 });
             }
-            if part.upto > *after {
+            // Of a new life it is told also where nothing was written in it yet.
+            if part.upto > *after || *after == 0 {
                 delta.parts.push(part);
             }
         }
@@ -445,6 +454,5 @@
 }
 
 fn is_name(name: &str) -> bool {
-    (1..=crate::instance::LONGEST_NAME).contains(&name.len())
-        && name.bytes().all(crate::instance::is_plain)
+    (1..=crate::instance::LONGEST_NAME).contains(&name.len()) && name.bytes().all(crate::instance::is_plain)
 }
--- a/crates/deckproxy-fleet/src/clock.rs
+++ b/crates/deckproxy-fleet/src/clock.rs
@@ -34,6 +34,11 @@
         (now - self.lost, pause)
     }
 
+    /// Sets the longest gap that is no pause.
+    pub fn allow(&mut self, longest: Millis) {
+        self.longest = longest;
+    }
+
     /// The host's time for a point of own time.
     pub fn host(&self, own: Millis) -> Millis {
         own + self.lost
--- a/crates/deckproxy-fleet/src/duties.rs
+++ b/crates/deckproxy-fleet/src/duties.rs
@@ -41,6 +41,11 @@
     best.into_iter().map(|(_, _, i)| i).collect()
 }
 
+/// A number for a name, the same everywhere.
+pub fn key(name: &str) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), 2)
+}
+
 /// A number from 0 to 1 that each instance draws for itself for something that all would else do at one moment.
 pub fn spread(what: &str, own: &str) -> f64 {
     let key = xxh3_64_with_seed(own.as_bytes(), xxh3_64_with_seed(what.as_bytes(), 1));
--- a/crates/deckproxy-fleet/src/fleet/members.rs
+++ b/crates/deckproxy-fleet/src/fleet/members.rs
@@ -31,9 +31,19 @@
         }
     }
 
+    /// Whether any member is tried with requests by this instance, so that `attempted` is to be told.
+    pub fn tries(&self) -> bool {
+        self.watches.values().any(|(w, _)| w.health() == Health::Back)
+    }
+
+    /// Whether this one is.
+    pub fn is_tried(&self, member: u32) -> bool {
+        self.watches.get(&member).is_some_and(|(w, _)| w.health() == Health::Back)
+    }
+
     /// An attempt at a member has ended.
     pub fn attempted(&mut self, now: Millis, member: u32, good: bool) {
-        if self.watches.get(&member).is_some_and(|(w, _)| w.health() == Health::Back) {
+        if self.is_tried(member) {
             self.watch(now, member, |watch, terms| watch.attempted(now, terms, good));
         }
     }
@@ -79,7 +89,7 @@
                 m.ready && observers(&m.name, &m.zone, &all, self.settings.observers).contains(&0)
             });
             let mine = mine.map(|m| (m.id, &*m.name));
-            self.probing.observe(now, self.settings.probe, &own.name, mine);
+            self.probing.observe(now, self.settings.probe, self.view.rate(), &own.name, mine);
             let probing = &self.probing;
             // What is another's to say by now is taken back, or it would stand beside what that one sees.
             let others: Vec<u32> = self.watches.keys().copied().filter(|id| !probing.has(*id)).collect();
--- a/crates/deckproxy-fleet/src/fleet/mod.rs
+++ b/crates/deckproxy-fleet/src/fleet/mod.rs
@@ -63,6 +63,8 @@
     begun: Millis,
     /// Nothing is decided for the fleet until enough was heard since then.
     woke: Option<Millis>,
+    /// Since when this has been in the larger part, with a view that is not old.
+    larger_since: Option<Millis>,
     /// Another process goes by our name.
     superseded: bool,
     leaving: bool,
@@ -90,7 +92,7 @@
             swim: Swim::new(own.clone(), settings.pace, BODY, seed),
             board: Board::new(own.name.clone(), own.start, Limits::default()),
             echoes: Echoes::default(),
-            view: View { old: true, expected: 1, heard: 1, sure: 1, since: now, larger: false },
+            view: View { old: true, expected: 1, heard: 1, sure: 1, since: now, ..View::default() },
             peers: BTreeMap::new(),
             members: BTreeMap::new(),
             watches: BTreeMap::new(),
@@ -101,6 +103,7 @@
             rng: Pcg64Mcg::seed_from_u64(seed ^ 0x666c_6565_7400_0000),
             begun: now,
             woke: Some(now),
+            larger_since: None,
             superseded: false,
             leaving: false,
             next_beat: now,
@@ -212,13 +215,23 @@
         self.settle(now);
     }
 
-    /// Other seeds, ways and budgets.
-    pub fn reload(&mut self, new: &Settings) {
+    /// How this instance takes part.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Other seeds, prefixes, ways, budgets and terms of probing. Tells whether others were asked for too, which stay as they
+    /// are: what the others know of us, and what SWIM was started with, takes a restart.
+    pub fn reload(&mut self, new: Settings) -> bool {
         self.wire = Wire::new(&self.settings.fleet, new.prefixes.clone());
-        let old = std::mem::replace(&mut self.settings, new.clone());
-        // What others know of us, and what SWIM was started with, takes a restart.
-        (self.settings.own, self.settings.fleet, self.settings.pace) = (old.own, old.fleet, old.pace);
+        let old = std::mem::replace(&mut self.settings, new);
+        let kept = (old.own, old.fleet, old.pace);
+        let asked = (self.settings.own.clone(), self.settings.fleet.clone(), self.settings.pace);
+        let other = asked != kept;
+        (self.settings.own, self.settings.fleet, self.settings.pace) = kept;
+        self.time.allow(self.settings.pause);
         self.stirred = true;
+        other
     }
 
     // ---- Time ----------------------------------------------------------------------------------------------
@@ -266,7 +279,8 @@
     }
 
     fn beat(&mut self, now: Millis) {
-        let beat = Beat { open: self.open, leaving: self.leaving };
+        let known = u16::try_from(self.known()).unwrap_or(u16::MAX);
+        let beat = Beat { open: self.open, leaving: self.leaving, known };
         let value = postcard::to_stdvec(&beat).unwrap_or_default();
         let key = Key { kind: kinds::BEAT, subject: Name::from("") };
         let life = (3.0 * self.spans().take) as u32;
@@ -303,7 +317,8 @@
         let lost = self.peers.values().filter(|p| !p.left && !alive.contains_key(&p.instance.name));
         let lost = lost.map(|p| self.way(&p.instance));
         let own = self.settings.own.address;
-        let all: BTreeSet<SocketAddr> = seeds.chain(lost).filter(|to| !at.contains(to) && *to != own).collect();
+        let all: BTreeSet<SocketAddr> =
+            seeds.chain(lost).filter(|to| !at.contains(to) && *to != own).collect();
         let chosen = all.into_iter().sample(&mut self.rng, GREETED);
         for to in chosen {
             self.send_to(to, Body::Hello { answer: false, known: None });
--- a/crates/deckproxy-fleet/src/fleet/peers.rs
+++ b/crates/deckproxy-fleet/src/fleet/peers.rs
@@ -113,6 +113,8 @@
             left: false,
             gone: None,
         };
+        // Who is new, or in a new life, is there from now on: duties are divided with it.
+        self.stirred |= self.peers.get(&one.name).is_none_or(|p| p.instance.start < one.start);
         let peer = self.peers.entry(one.name.clone()).or_insert_with(|| new(one));
         if peer.instance.start < one.start {
             *peer = new(one);
@@ -185,13 +187,23 @@
         self.stirred |= rate != self.view.rate();
     }
 
+    /// Instances that are known and have not left, ourselves among them.
+    pub(super) fn known(&self) -> usize {
+        self.peers.values().filter(|p| p.standing != Standing::Left).count() + 1
+    }
+
     fn look_around(&mut self, now: Millis, spans: &Spans) -> View {
-        let known = self.peers.values().filter(|p| p.standing != Standing::Left).count() + 1;
+        let known = self.known();
         let own = self.settings.own.address;
         let seeds = self.settings.seeds.iter().filter(|at| **at != own).count();
         // Who has met nobody yet does not take itself for the whole of a fleet that has seeds.
         let least = if self.peers.is_empty() { seeds + 1 } else { 1 };
-        let expected = known.max(self.settings.size).max(least);
+        let beats = self.board.all(now, kinds::BEAT).filter_map(|(author, _, _, value)| {
+            let heard = self.peers.get(author).is_some_and(|p| p.standing == Standing::Heard);
+            heard.then(|| postcard::from_bytes::<Beat>(value).ok()).flatten()
+        });
+        let told_of = beats.map(|beat| usize::from(beat.known)).max().unwrap_or(0);
+        let expected = known.max(told_of).max(self.settings.size).max(least);
         let heard = self.standing(Standing::Heard).count() + 1;
         let since = self.woke.unwrap_or(f64::MIN);
         let (told, fresh) = self.echoes.count(now, spans, since);
@@ -211,6 +223,10 @@
                 self.stirred = true;
             }
         }
-        View { expected, heard, sure, since: now, larger, old: self.woke.is_some() }
+        let old = self.woke.is_some();
+        let counts = larger && !old;
+        self.larger_since = if counts { self.larger_since.or(Some(now)) } else { None };
+        let firm = self.larger_since.is_some_and(|since| now - since >= spans.doubt);
+        View { expected, heard, sure, since: now, larger, firm, old }
     }
 }
--- a/crates/deckproxy-fleet/src/fleet/types.rs
+++ b/crates/deckproxy-fleet/src/fleet/types.rs
@@ -64,6 +64,9 @@
     pub open: u32,
     /// It is about to go.
     pub leaving: bool,
+    /// Instances that it knows and that have not left, itself among them: who starts while the fleet is split hears only of
+    /// its own part, and must not take that for the whole.
+    pub known: u16,
 }
 
 /// A member as the platform lists it.
--- a/crates/deckproxy-fleet/src/health.rs
+++ b/crates/deckproxy-fleet/src/health.rs
@@ -126,7 +126,9 @@
 
     fn watch(ends: &[bool]) -> Health {
         let mut watch = Watch::default();
-        ends.iter().enumerate().for_each(|(i, good)| watch.probed(i as f64 * 1000.0, &Terms::default(), *good));
+        ends.iter()
+            .enumerate()
+            .for_each(|(i, good)| watch.probed(i as f64 * 1000.0, &Terms::default(), *good));
         watch.health()
     }
 
--- a/crates/deckproxy-fleet/src/probing.rs
+++ b/crates/deckproxy-fleet/src/probing.rs
@@ -23,24 +23,28 @@
 }
 
 impl Probing {
-    /// The members observed from now on, with the name of each. What is new is probed within half of a full interval.
+    /// The members observed from now on, with the name of each. What is new is probed within half of the interval that the
+    /// rate gives, and no sooner after the last time than that: a part that does its share alone must not begin it with a
+    /// burst at the moment when the other part takes over.
     pub fn observe<'a>(
         &mut self,
         now: Millis,
         interval: Millis,
+        rate: f64,
         own: &str,
         members: impl Iterator<Item = (u32, &'a str)>,
     ) {
+        let gap = interval / rate.clamp(0.01, 1.0);
         let mut old = std::mem::take(&mut self.duties);
         for (member, name) in members {
             let fresh = || {
-                let soon = now + spread(name, own) * interval * 0.5;
-                let next = self.last.get(&member).map_or(soon, |last| soon.max(last + interval));
+                let soon = now + spread(name, own) * gap * 0.5;
+                let next = self.last.get(&member).map_or(soon, |last| soon.max(last + gap));
                 Duty { next, out: None }
             };
             self.duties.insert(member, old.remove(&member).unwrap_or_else(fresh));
         }
-        self.last.retain(|_, last| now - *last <= 2.0 * interval);
+        self.last.retain(|_, last| now - *last <= 2.0 * gap);
     }
 
     /// Whether a member is observed.
@@ -71,8 +75,9 @@
             }
             // A probe that is out is not joined by another; it ends by a time-out of its own.
             let out = duty.out.is_some_and(|since| now - since < 2.0 * interval);
-            // A little off each time, so that observers do not fall into step.
-            duty.next = now + interval / rate * rng.random_range(0.95..1.05);
+            // A little later each time, so that observers do not fall into step; never sooner, so that no span has more
+            // probes than are meant.
+            duty.next = now + interval / rate * rng.random_range(1.0..1.08);
             if !out {
                 duty.out = Some(now);
                 self.last.insert(*member, now);
--- a/crates/deckproxy-fleet/src/view.rs
+++ b/crates/deckproxy-fleet/src/view.rs
@@ -73,6 +73,8 @@
     pub since: Millis,
     /// Whether this is the larger part.
     pub larger: bool,
+    /// It has been so for a while: who took over meanwhile has heard of it.
+    pub firm: bool,
     /// The process was stopped, or has just started, and has not heard enough since.
     pub old: bool,
 }
@@ -80,8 +82,8 @@
 impl View {
     /// Takes what is seen now; the time since when it is so stays where nothing changed.
     pub fn update(&mut self, now: Millis, seen: View) -> bool {
-        let same = (self.expected, self.heard, self.sure, self.larger, self.old)
-            == (seen.expected, seen.heard, seen.sure, seen.larger, seen.old);
+        let same = (self.expected, self.heard, self.sure, self.larger, self.firm, self.old)
+            == (seen.expected, seen.heard, seen.sure, seen.larger, seen.firm, seen.old);
         if !same {
             *self = View { since: now, ..seen };
         }
@@ -89,13 +91,18 @@
     }
 
     /// The share of its full rate at which this part does its duties: all of it in the larger part, which takes over from
-    /// the others; elsewhere the part's own share of the fleet, so that what all parts do together stays under one and a
-    /// half times the whole, and is the whole at most where no part is the larger one.
+    /// the others; elsewhere the part's own share of the fleet, so that what all parts do together is one and a half times
+    /// the whole at most, and the whole at most where no part is the larger one.
+    ///
+    /// Who has just come to the larger part, or with it, does half for a moment: those who did its duties until now may not
+    /// have heard of it yet, and let go only when they do, or when they notice that they are cut off themselves.
     pub fn rate(&self) -> f64 {
-        match (self.old, self.larger) {
-            (true, _) => 0.0,
-            (_, true) => 1.0,
-            _ => self.sure as f64 / self.expected.max(1) as f64,
+        let share = self.sure as f64 / self.expected.max(1) as f64;
+        match (self.old, self.larger, self.firm) {
+            (true, ..) => 0.0,
+            (_, true, true) => 1.0,
+            (_, true, false) => share.min(0.5),
+            _ => share,
         }
     }
 }
--- a/crates/deckproxy-fleet/src/wire.rs
+++ b/crates/deckproxy-fleet/src/wire.rs
@@ -64,8 +64,7 @@
 }
 
 /// Names of the doubts, in the order of their places.
-pub const DOUBTS: [&str; 6] =
-    ["foreign", "too_large", "garbled", "other_version", "other_fleet", "old_life"];
+pub const DOUBTS: [&str; 6] = ["foreign", "too_large", "garbled", "other_version", "other_fleet", "old_life"];
 
 /// Reads and writes the datagrams of one fleet.
 #[derive(Clone, Debug)]
--- /dev/null
+++ b/crates/deckproxy-fleet/tests/duties.rs
@@ -0,0 +1,131 @@
+//! Who observes what, and the bound on the load over all ways in which a fleet falls apart.
+
+use deckproxy_fleet::duties::{Candidate, observers};
+use deckproxy_fleet::instance::Name;
+use deckproxy_fleet::view::{View, is_larger};
+use std::collections::BTreeMap;
+
+fn fleet(n: usize, zones: usize) -> Vec<Candidate> {
+    let one = |i: usize| Candidate {
+        name: Name::from(format!("i{i:03}")),
+        zone: Name::from(format!("z{}", i % zones)),
+        weight: 1,
+    };
+    (0..n).map(one).collect()
+}
+
+#[test]
+fn observers_are_of_the_own_zone_first_and_spread_evenly() {
+    let all = fleet(12, 3);
+    let mut counts: BTreeMap<usize, usize> = BTreeMap::new();
+    for m in 0..3000 {
+        let zone = format!("z{}", m % 3);
+        let two = observers(&format!("m{m}"), &zone, &all, 2);
+        assert_eq!(two.len(), 2);
+        assert!(two.iter().all(|i| *all[*i].zone == *zone));
+        two.into_iter().for_each(|i| *counts.entry(i).or_default() += 1);
+    }
+    assert!(counts.values().all(|n| (400..600).contains(n)), "{counts:?}");
+    // A zone without enough instances gets others'.
+    let few: Vec<Candidate> =
+        all.iter().filter(|c| &*c.zone != "z1" || &*c.name == "i001").cloned().collect();
+    let two = observers("m1", "z1", &few, 2);
+    assert_eq!(&*few[two[0]].name, "i001");
+    assert_ne!(&*few[two[1]].zone, "z1");
+}
+
+#[test]
+fn only_what_a_lost_instance_had_moves() {
+    let all = fleet(10, 1);
+    let rest: Vec<Candidate> = all.iter().filter(|c| &*c.name != "i004").cloned().collect();
+    let mut moved = 0;
+    for m in 0..1000 {
+        let name = format!("m{m}");
+        let names = |all: &[Candidate]| -> Vec<Name> {
+            observers(&name, "z0", all, 2).into_iter().map(|i| all[i].name.clone()).collect()
+        };
+        let (before, after) = (names(&all), names(&rest));
+        let kept = before.iter().filter(|n| after.contains(n)).count();
+        assert_eq!(kept, 2 - usize::from(before.iter().any(|n| &**n == "i004")));
+        moved += 2 - kept;
+    }
+    assert!((150..250).contains(&moved), "{moved} of 2000, a tenth is meant");
+}
+
+#[test]
+fn weight_gives_a_share() {
+    let mut all = fleet(5, 1);
+    all[0].weight = 4;
+    let first = (0..4000).filter(|m| observers(&format!("m{m}"), "z0", &all, 1) == [0]).count();
+    assert!((1800..2200).contains(&first), "{first} of 4000, half is meant");
+}
+
+fn rate(sure: usize, expected: usize, has_first: bool) -> f64 {
+    let larger = is_larger(sure, expected, has_first);
+    View { expected, heard: sure, sure, since: 0.0, larger, firm: true, old: false }.rate()
+}
+
+/// The load of one member beside what is meant, where each part of a fleet hears just itself.
+fn load(parts: &[Vec<usize>], n: usize, wanted: usize) -> f64 {
+    let each = parts.iter().map(|part| {
+        rate(part.len(), n, part.contains(&0)) * part.len().min(wanted) as f64 / wanted.min(n) as f64
+    });
+    each.sum()
+}
+
+/// All ways to split a set into parts.
+fn partitions(n: usize) -> Vec<Vec<Vec<usize>>> {
+    if n == 0 {
+        return vec![vec![]];
+    }
+    let mut out = Vec::new();
+    for parts in partitions(n - 1) {
+        for i in 0..parts.len() {
+            let mut with = parts.clone();
+            with[i].push(n - 1);
+            out.push(with);
+        }
+        let mut alone = parts;
+        alone.push(vec![n - 1]);
+        out.push(alone);
+    }
+    out
+}
+
+#[test]
+fn over_all_ways_to_split_the_load_is_at_most_one_and_a_half() {
+    let mut worst: f64 = 0.0;
+    for n in 1..=9 {
+        for parts in partitions(n) {
+            for wanted in 1..=3 {
+                let load = load(&parts, n, wanted);
+                worst = worst.max(load);
+                assert!(load <= 1.5 + 1e-9, "{parts:?} with {wanted} observers: {load}");
+            }
+        }
+    }
+    assert!(worst > 1.3, "the bound is nearly reached: {worst}");
+}
+
+/// Where views are no parts, each instance hearing any set: how many times the load a member may get. It is a bound of the
+/// rule alone: SWIM and the board pass on what goes round a cut, so that such views do not last.
+#[test]
+fn over_all_views_of_five_the_load_is_bounded() {
+    let n = 5usize;
+    let mut worst: f64 = 0.0;
+    // The instances in the order of their draws for the member: the first two of those in view observe.
+    for views in 0..(1u32 << (n * (n - 1))) {
+        let mut sum = 0.0;
+        for i in 0..n {
+            let others = views >> (i * (n - 1)) & 0b1111;
+            // Bit j of `others` is instance j, or j + 1 from ourselves on.
+            let better = (0..i).filter(|j| others >> j & 1 == 1).count();
+            if better < 2 {
+                let heard = 1 + others.count_ones() as usize;
+                sum += rate(heard, n, true) / 2.0;
+            }
+        }
+        worst = worst.max(sum);
+    }
+    assert!((2.0..=2.2).contains(&worst), "{worst}");
+}
--- a/crates/deckproxy-model/src/hosts.rs
+++ b/crates/deckproxy-model/src/hosts.rs
@@ -398,7 +398,12 @@
                     };
                     return Some(Effect::Answer { of: id, answer, by_door: false });
                 }
-                router::Effect::Purged { .. } | router::Effect::Close(_) | router::Effect::Log(_) => {}
+                // What other sites, the fleet and connections would hear; none of them is modelled.
+                router::Effect::Purged { .. }
+                | router::Effect::Probed { .. }
+                | router::Effect::Listed
+                | router::Effect::Close(_)
+                | router::Effect::Log(_) => {}
             }
         }
     }
--- a/crates/deckproxy-operator/src/defaults.rs
+++ b/crates/deckproxy-operator/src/defaults.rs
@@ -82,3 +82,25 @@
 pub const GOOD_SHARE: f64 = 0.9;
 /// `Recovery.storm_repeats`.
 pub const STORM_REPEATS: f64 = 0.3;
+/// `Fleet.instances`.
+pub const INSTANCES: u32 = 0;
+/// `Fleet.kb_per_s`.
+pub const KB_PER_S: u32 = 16;
+/// `Fleet.beat_ms`.
+pub const BEAT_MS: u32 = 500;
+/// `Fleet.pause_ms`.
+pub const PAUSE_MS: u32 = 1000;
+/// `Fleet.forget_ms`.
+pub const FORGET_MS: u32 = 600_000;
+/// `Fleet.weight`.
+pub const WEIGHT: u32 = 1;
+/// `Probes.observers`.
+pub const OBSERVERS: u32 = 2;
+/// `Probes.interval_ms`.
+pub const INTERVAL_MS: u32 = 1000;
+/// `Probes.fails`.
+pub const FAILS: u32 = 3;
+/// `Probes.most_held`.
+pub const MOST_HELD: f64 = 0.34;
+/// `Probes.spread_ms`.
+pub const SPREAD_MS: u32 = 2000;
--- /dev/null
+++ b/crates/deckproxy-operator/src/fleet.rs
@@ -0,0 +1,100 @@
+//! The fleet's part of the file: relations between its entries, and its form for `deckproxy-fleet`.
+
+use crate::{Fleet, Operator, defaults};
+use deckproxy_fleet::fleet::Settings;
+use deckproxy_fleet::health::Terms;
+use deckproxy_fleet::instance::Instance;
+use deckproxy_fleet::swim::Pace;
+use ipnet::IpNet;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+impl Fleet {
+    /// Where datagrams come in.
+    pub fn listens(&self) -> Option<SocketAddr> {
+        self.listen.parse().ok()
+    }
+
+    /// How an instance takes part, defaults filled in. `instance` and `zone`: the platform's names for it and its locality;
+    /// `start`: a number that is higher at each start. The error tells what the platform's names lack.
+    pub fn settings(&self, instance: &str, zone: &str, start: u64) -> Result<Settings, String> {
+        let named = |given: &Option<String>, platform: &str, field: &str| {
+            let name = given.as_deref().unwrap_or(platform);
+            let good = crate::rules::instance_name(name, &());
+            good.map(|()| name.into()).map_err(|e| format!("fleet.{field} must be set: the platform's {e}"))
+        };
+        let own = Instance {
+            name: named(&self.instance, instance, "instance")?,
+            zone: named(&self.zone, zone, "zone")?,
+            address: self
+                .address
+                .as_ref()
+                .unwrap_or(&self.listen)
+                .parse()
+                .map_err(|_| "fleet.listen is no address".to_string())?,
+            start,
+            renewals: 0,
+            weight: self.weight.unwrap_or(defaults::WEIGHT) as u16,
+        };
+        let probes = self.probes.unwrap_or_default();
+        let beat = f64::from(self.beat_ms.unwrap_or(defaults::BEAT_MS));
+        Ok(Settings {
+            fleet: self.name.clone(),
+            own,
+            prefixes: self.networks(),
+            seeds: self.seeds.iter().filter_map(|at| at.parse().ok()).collect(),
+            reach: self
+                .ways
+                .iter()
+                .filter_map(|way| Some((way.instance.as_str().into(), way.address.parse().ok()?)))
+                .collect(),
+            size: self.instances.unwrap_or(defaults::INSTANCES) as usize,
+            bytes: f64::from(self.kb_per_s.unwrap_or(defaults::KB_PER_S)) * 1024.0,
+            beat,
+            round: beat / 2.0,
+            pause: f64::from(self.pause_ms.unwrap_or(defaults::PAUSE_MS)),
+            forget: f64::from(self.forget_ms.unwrap_or(defaults::FORGET_MS)),
+            pace: Pace { period: beat, answer: beat * 0.3, suspect: beat * 2.0 },
+            observers: probes.observers.unwrap_or(defaults::OBSERVERS) as usize,
+            probe: f64::from(probes.interval_ms.unwrap_or(defaults::INTERVAL_MS)),
+            most_held: probes.most_held.unwrap_or(defaults::MOST_HELD),
+            spread: f64::from(probes.spread_ms.unwrap_or(defaults::SPREAD_MS)),
+            terms: Terms { fails: probes.fails.unwrap_or(defaults::FAILS), ..Terms::default() },
+        })
+    }
+
+    fn networks(&self) -> Vec<IpNet> {
+        self.prefixes.iter().filter_map(|net| net.parse().ok()).collect()
+    }
+}
+
+/// Faults between the entries, as path and text.
+pub(crate) fn check(operator: &Operator) -> Vec<(String, String)> {
+    let Some(fleet) = &operator.fleet else { return Vec::new() };
+    let mut out = Vec::new();
+    let address = |text: &str| text.parse::<SocketAddr>().ok();
+    let told = fleet.address.as_deref().unwrap_or(&fleet.listen);
+    let field = if fleet.address.is_some() { "address" } else { "listen" };
+    if address(told).is_some_and(|at| at.ip().is_unspecified()) {
+        let what = format!("{told} is no address at which others reach it: set fleet.address");
+        out.push((format!("fleet.{field}"), what));
+    }
+    let networks = fleet.networks();
+    if networks.len() == fleet.prefixes.len() {
+        let within = |at: SocketAddr| networks.iter().any(|net| net.contains(&at.ip().to_canonical()));
+        for (i, seed) in fleet.seeds.iter().enumerate() {
+            if address(seed).is_some_and(|at| !within(at)) {
+                let what = format!("{seed} is in none of fleet.prefixes: what it says would not be believed");
+                out.push((format!("fleet.seeds[{i}]"), what));
+            }
+        }
+    }
+    let mut seen = BTreeSet::new();
+    for (i, way) in fleet.ways.iter().enumerate() {
+        if !seen.insert(&way.instance) {
+            let what = format!("{:?} has a way already", way.instance);
+            out.push((format!("fleet.ways[{i}].instance"), what));
+        }
+    }
+    out
+}
--- a/crates/deckproxy-operator/src/lib.rs
+++ b/crates/deckproxy-operator/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 
 pub mod defaults;
+mod fleet;
 mod flows;
 mod recovery;
 pub mod rules;
@@ -35,6 +36,7 @@
     told.extend(sites::check(&operator));
     told.extend(flows::check(&operator));
     told.extend(recovery::check(&operator));
+    told.extend(fleet::check(&operator));
     if told.is_empty() {
         return Ok(operator);
     }
--- a/crates/deckproxy-operator/src/rules.rs
+++ b/crates/deckproxy-operator/src/rules.rs
@@ -26,6 +26,32 @@
     text.as_ref().map_or(Ok(()), |text| address(text, context))
 }
 
+/// A network, as an address and its leading bits.
+pub fn prefix(text: &str, _: &()) -> Result {
+    match text.parse::<ipnet::IpNet>() {
+        Ok(net) if net.trunc() == net => Ok(()),
+        Ok(net) => Err(Error::new(format!("{text:?} has bits past its length; {} is meant?", net.trunc()))),
+        Err(_) => Err(Error::new(format!("{text:?} is no ADDRESS/BITS"))),
+    }
+}
+
+/// The name of an instance of a fleet.
+pub fn instance_name(name: &str, _: &()) -> Result {
+    let plain = name.bytes().all(deckproxy_fleet::instance::is_plain);
+    match name.len() {
+        1..=deckproxy_fleet::instance::LONGEST_NAME if plain => Ok(()),
+        _ => {
+            let what = "is no name: 1 to 63 of a-z, 0-9, \"-\", \".\" and \"_\" are wanted";
+            Err(Error::new(format!("{name:?} {what}")))
+        }
+    }
+}
+
+/// The same where one is given.
+pub fn instance_name_if_set(name: &Option<String>, context: &()) -> Result {
+    name.as_ref().map_or(Ok(()), |name| instance_name(name, context))
+}
+
 /// First digits of an object's number.
 pub fn hex_prefix(text: &str, _: &()) -> Result {
     let digits = text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
--- /dev/null
+++ b/crates/deckproxy-rig/src/lib.rs
@@ -0,0 +1,21 @@
+//! Several processes of the built gateway and what lies between them, hurt by a plan and judged from outside.
+//!
+//! - [`plan`]: what runs and what goes wrong, as a file; drawn from a seed; shrunk to what still breaks a promise.
+//! - [`relay`]: datagrams between every two instances, cut one way or both, lost, late, doubled.
+//! - [`posts`]: the instances' processes: started, killed, stopped, ended, restarted.
+//! - [`crowd`]: clients that come to any instance, and go to another after a refusal or a death.
+//! - [`play`]: a whole run.
+//! - [`judge`]: what was counted at members and clients, and what the instances' own logs show of their views.
+//! - [`timeline`]: a page of what happened.
+#![forbid(unsafe_code)]
+#![allow(clippy::missing_panics_doc)]
+
+pub mod crowd;
+pub mod draw;
+pub mod judge;
+pub mod plan;
+pub mod play;
+pub mod posts;
+pub mod relay;
+pub mod shrink;
+pub mod timeline;
--- /dev/null
+++ b/crates/deckproxy-rig/src/play.rs
@@ -0,0 +1,238 @@
+//! A whole run: members, instances, clients, and a plan that hurts them.
+
+use crate::crowd::{Coming, Counts, Crowd, Door};
+use crate::plan::{Plan, Trouble, What};
+use crate::posts::{Absences, Post, Shims, sockets};
+use crate::relay::{Fate, Relays};
+use deckproxy_standins::caller::Draw;
+use deckproxy_standins::fleet::{self, Site, Terms, zone_name};
+use deckproxy_standins::record::{Record, Seen};
+use deckproxy_standins::shim::{Shim, State};
+use deckproxy_standins::wait::until_in;
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// What a run left.
+pub struct Played {
+    /// The plan.
+    pub plan: Plan,
+    /// What passed on the sockets.
+    pub facts: Vec<Seen>,
+    /// The Unix millisecond at which the record began.
+    pub unix: u64,
+    /// When the traffic began and ended, ms of the record.
+    pub from: f64,
+    /// See `from`.
+    pub to: f64,
+    /// When all had ended.
+    pub end: f64,
+    /// What each instance logged.
+    pub logs: Vec<String>,
+    /// When each instance could not answer.
+    pub absent: Vec<Absences>,
+    /// What clients counted.
+    pub counts: Arc<Counts>,
+    /// All members' names; the caches zone after zone first.
+    pub members: Vec<String>,
+    /// Datagrams and bytes between instances while there was traffic.
+    pub sent: (u64, u64),
+    /// What went wrong with processes.
+    pub wrongs: Vec<String>,
+}
+
+/// Time for a start, also where many processes share few cores.
+const START: Duration = Duration::from_secs(40);
+
+struct Stage<'a> {
+    plan: &'a Plan,
+    site: &'a Site,
+    relays: &'a Relays,
+    shims: &'a Shims,
+    posts: &'a [Arc<Mutex<Post>>],
+    caches: &'a [String],
+    busy: Vec<JoinHandle<()>>,
+}
+
+/// Plays a plan. `tell` hears of each fault as it begins and ends.
+pub fn play(plan: &Plan, draw: &Draw, mut tell: impl FnMut(f64, &str)) -> Played {
+    let record = Record::default();
+    let terms = Terms { caches: plan.caches, zones: plan.zones, lingers: 2000, ..Terms::default() };
+    let site = Site::start(0, terms, &record);
+    let at = sockets(plan);
+    let relays = Relays::to(&at, plan.seed);
+    let zones = (0..plan.zones).map(|z| zone_name(plan.zones, z));
+    let caches: Vec<String> = zones.flat_map(|zone| site.caches_of(&zone)).collect();
+    let shims = shims(plan, &site);
+    let post = |i| Arc::new(Mutex::new(Post::new(plan, i, &site, &relays, at[i], &shims, &record)));
+    let posts: Vec<Arc<Mutex<Post>>> = (0..plan.instances).map(post).collect();
+    thread::scope(|scope| {
+        for post in &posts {
+            scope.spawn(|| post.lock().unwrap().start());
+        }
+    });
+    if plan.fleet {
+        until_in(START, "the instances have met", || posts.iter().all(|p| has_met(plan, &p.lock().unwrap().log())));
+    }
+    let doors: Vec<Door> = posts
+        .iter()
+        .map(|p| {
+            let post = p.lock().unwrap();
+            Door { at: post.listen, absent: post.absent.clone() }
+        })
+        .collect();
+    let coming = Coming { clients: plan.clients, rate: plan.rate, seed: plan.seed, draw: draw.clone() };
+    let crowd = Crowd::start(&coming, &doors, &record);
+    let (from, sent) = (record.now(), relays.sent());
+    let mut stage = Stage {
+        plan,
+        site: &site,
+        relays: &relays,
+        shims: &shims,
+        posts: &posts,
+        caches: &caches,
+        busy: Vec::new(),
+    };
+    let start = Instant::now();
+    let mut moments: Vec<(f64, bool, usize)> = Vec::new();
+    for (i, fault) in plan.faults.iter().enumerate() {
+        moments.push((fault.at, true, i));
+        moments.push((fault.at + fault.lasts, false, i));
+    }
+    moments.sort_by(|a, b| a.0.total_cmp(&b.0));
+    for (at, begins, i) in moments {
+        thread::sleep(Duration::from_secs_f64(at).saturating_sub(start.elapsed()));
+        let what = &plan.faults[i].what;
+        let word = if begins { "begins" } else { "ends" };
+        tell(at, &format!("{} {word}", crate::plan::said(what)));
+        stage.change(what, plan.faults[i].lasts, begins);
+    }
+    thread::sleep(Duration::from_secs_f64(plan.seconds).saturating_sub(start.elapsed()));
+    stage.busy.drain(..).for_each(|thread| drop(thread.join()));
+    let to = record.now();
+    let after = relays.sent();
+    let counts = crowd.finish();
+    thread::scope(|scope| {
+        for post in &posts {
+            scope.spawn(|| post.lock().unwrap().end());
+        }
+    });
+    let end = record.now();
+    let members = caches.iter().cloned();
+    let others = site.members().into_iter().map(|(name, _)| name).filter(|name| !caches.contains(name));
+    Played {
+        plan: plan.clone(),
+        unix: record.unix(),
+        from,
+        to,
+        end,
+        logs: posts.iter().map(|p| p.lock().unwrap().log()).collect(),
+        absent: posts.iter().map(|p| p.lock().unwrap().absent.clone()).collect(),
+        counts,
+        members: members.chain(others).collect(),
+        sent: (after.0 - sent.0, after.1 - sent.1),
+        wrongs: posts.iter().flat_map(|p| p.lock().unwrap().wrongs.clone()).collect(),
+        facts: record.take(),
+    }
+}
+
+/// Whether an instance's log shows that it has met all others, and that its view is no old one.
+fn has_met(plan: &Plan, log: &str) -> bool {
+    let views = crate::judge::views(log);
+    views.last().is_some_and(|view| view.heard.len() + 1 == plan.instances && !view.old)
+}
+
+/// Shims where the plan cuts connections between instances and caches.
+fn shims(plan: &Plan, site: &Site) -> Shims {
+    let mut shims = Shims::new();
+    let members = site.members();
+    for fault in &plan.faults {
+        let What::Cut(instances, zone, _) = &fault.what else { continue };
+        for i in (0..plan.instances).filter(|i| instances.is_empty() || instances.contains(i)) {
+            for name in site.caches_of(&zone_name(plan.zones, *zone)) {
+                let Some((_, at)) = members.iter().find(|(other, _)| *other == name) else { continue };
+                shims.entry((i, name)).or_insert_with(|| Shim::to(*at));
+            }
+        }
+    }
+    shims
+}
+
+impl Stage<'_> {
+    /// Something at an instance, beside all else: it may take its time.
+    fn at(&mut self, i: usize, what: impl FnOnce(&mut Post) + Send + 'static) {
+        let post = self.posts[i].clone();
+        self.busy.push(thread::spawn(move || what(&mut post.lock().unwrap())));
+    }
+
+    fn others(&self, part: &[usize]) -> Vec<usize> {
+        (0..self.plan.instances).filter(|i| !part.contains(i)).collect()
+    }
+
+    fn change(&mut self, what: &What, lasts: f64, begins: bool) {
+        match what {
+            What::Kill(i) if begins => self.at(*i, Post::kill),
+            What::Kill(i) => self.at(*i, Post::start),
+            What::Pause(i) if begins => self.at(*i, Post::stop),
+            What::Pause(i) => self.at(*i, Post::go_on),
+            What::Restart(i) if begins => self.at(*i, |post| {
+                post.end();
+                post.start();
+            }),
+            What::Rolling if begins => {
+                let gap = Duration::from_secs_f64(lasts / self.plan.instances as f64);
+                for i in 0..self.plan.instances {
+                    self.at(i, move |post| {
+                        thread::sleep(gap * post.index as u32);
+                        post.end();
+                        post.start();
+                    });
+                }
+            }
+            What::Restart(_) | What::Rolling => {}
+            What::Split(part) | What::Mute(part) => {
+                let others = self.others(part);
+                let out = part.iter().flat_map(|i| others.iter().map(|j| (*i, *j)));
+                let back = part.iter().flat_map(|i| others.iter().map(|j| (*j, *i)));
+                let both = matches!(what, What::Split(_));
+                let pairs: Vec<(usize, usize)> = out.chain(back.filter(|_| both)).collect();
+                if begins { self.relays.cut(pairs) } else { self.relays.join(pairs) }
+            }
+            What::Datagrams(lost, doubled, late) => {
+                let fate = Fate { lost: *lost, doubled: *doubled, late: *late };
+                self.relays.fate(if begins { fate } else { Fate::default() });
+            }
+            What::Cache(n, Trouble::Crashes) if begins => self.site.crash(&self.caches[*n]),
+            What::Cache(n, Trouble::Crashes) => self.site.revive(&self.caches[*n]),
+            What::Cache(n, trouble) => {
+                let trouble = match trouble {
+                    _ if !begins => fleet::Trouble::None,
+                    Trouble::Hangs => fleet::Trouble::Hangs,
+                    Trouble::Fails(share) => fleet::Trouble::Fails(*share),
+                    Trouble::Slow(ms) => fleet::Trouble::Slow(*ms),
+                    Trouble::Crashes => return,
+                };
+                self.site.trouble(&self.caches[*n], trouble);
+            }
+            What::Cut(instances, zone, silent) => {
+                let cut = if *silent { State::Silent } else { State::Reset };
+                let of = self.site.caches_of(&zone_name(self.plan.zones, *zone));
+                for ((i, member), shim) in self.shims {
+                    if (instances.is_empty() || instances.contains(i)) && of.contains(member) {
+                        shim.set(if begins { cut } else { State::Whole });
+                    }
+                }
+            }
+            What::Feed(instances, late) => {
+                let all = (0..self.plan.instances).filter(|i| instances.is_empty() || instances.contains(i));
+                for i in all.collect::<Vec<_>>() {
+                    let late = *late;
+                    self.at(i, move |post| {
+                        post.feed.silent(begins && late == 0);
+                        post.feed.late(if begins { late } else { 0 });
+                    });
+                }
+            }
+        }
+    }
+}
--- a/crates/deckproxy-standins/src/caller.rs
+++ b/crates/deckproxy-standins/src/caller.rs
@@ -285,7 +285,8 @@
     }
 }
 
-fn outcome(value: &Value) -> Option<(u64, Outcome)> {
+/// The request that a message answers, by its id, and how.
+pub fn outcome(value: &Value) -> Option<(u64, Outcome)> {
     let parts = value.as_array()?;
     let id = parts.get(1)?.as_u64()?;
     if let Some(error) = parts.get(2)?.as_array() {
@@ -301,7 +302,8 @@
     Some((id, if unchanged { Outcome::Unchanged } else { Outcome::Served(Stamp::read(body)) }))
 }
 
-fn encode(id: u64, name: &str, wish: &Wish) -> Vec<u8> {
+/// The bytes of a request.
+pub fn encode(id: u64, name: &str, wish: &Wish) -> Vec<u8> {
     let size = crate::fleet::size_of_object(wish.object) as f64 / 1024.0;
     let mut fields = vec![
         ("ref", name.to_string()),
--- a/crates/deckproxy-standins/src/record.rs
+++ b/crates/deckproxy-standins/src/record.rs
@@ -88,6 +88,8 @@
     Filled { site: u32, member: String, object: u64, from: String },
     /// A lookup was a hit: for the figures.
     Hit { site: u32, member: String, object: u64 },
+    /// A probe came to a member.
+    Probed { member: String },
     /// A site's gateway was killed: what was open there is owed by nobody.
     Killed { site: u32 },
     /// A link was cut, or is whole again.
--- a/crates/deckproxy-standins/src/rules.rs
+++ b/crates/deckproxy-standins/src/rules.rs
@@ -263,6 +263,7 @@
                     None => groups.entry(*group).or_default().push(purge),
                 }
             }
+            Fact::Probed { .. } => {}
             Fact::Filled { .. } => v.fills += 1,
             Fact::Hit { .. } => v.hits += 1,
             Fact::Killed { site } => {
--- a/crates/deckproxy/src/program/gateway.rs
+++ b/crates/deckproxy/src/program/gateway.rs
@@ -14,6 +14,7 @@
 use crate::transport::client::Client;
 use crate::transport::clock;
 use crate::transport::collector::Exits;
+use crate::transport::datagrams::Datagrams;
 use crate::transport::feed::Feed;
 use crate::transport::line::Lines;
 use crate::transport::listener::Listener;
@@ -57,6 +58,7 @@
     Line(LineId),
     Feed,
     Collector(ExitId),
+    Fleet,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -99,6 +101,18 @@
     Ok(Some(Box::new(Lines::new(listener.transpose()?, sockets))))
 }
 
+/// Where datagrams of the fleet's other instances come in, where an operator file says so.
+fn datagrams(
+    handle: &LoopHandle<'static, Gateway>,
+    operator: &Operator,
+) -> io::Result<Option<Box<Datagrams>>> {
+    let Some(at) = operator.fleet.as_ref().and_then(|fleet| fleet.listens()) else { return Ok(None) };
+    let ready = |g: &mut Gateway| Gateway::queue(&mut g.ready, Peer::Fleet);
+    let bound = Datagrams::bind(handle, at, ready);
+    let named = |e| io::Error::new(io::Error::kind(&e), format!("the fleet's address {at}: {e}"));
+    Ok(Some(Box::new(bound.map_err(named)?)))
+}
+
 /// The state of the event loop.
 pub struct Gateway {
     pub(super) handle: LoopHandle<'static, Gateway>,
@@ -135,6 +149,8 @@
     pub(super) lines: Option<Box<Lines>>,
     /// The ways to collectors of flows, where there are such.
     pub(super) exits: Option<Box<Exits>>,
+    /// Datagrams of the fleet's other instances, where there are such.
+    pub(super) datagrams: Option<Box<Datagrams>>,
     /// Work that waits for time that requests leave.
     pub(super) background: Scheduler,
     keeping: TaskId,
@@ -156,11 +172,14 @@
         let (keeping, summing) = (background.add(KEEPING), background.add(SUMMING));
         background.wake_at(keeping, micros(now + HOUSEKEEPING));
         background.wake_at(summing, micros(now + SUMMARY));
-        let parts = Parts::start(&log, now, &config, &operator, &mut background);
+        let datagrams = datagrams(&handle, &operator)?;
+        let name = config.name;
+        let router = Router::new(now, config.conf, config.seed, config.known);
+        let parts = Parts::start(&log, now, (&name, config.seed), &router, &operator, &mut background);
+        let parts = parts.map_err(io::Error::other)?;
         let collectors = parts.collectors();
-        let kept = lines.as_ref().map_or(0, |l| l.most) + collectors;
+        let kept = lines.as_ref().map_or(0, |l| l.most) + collectors + usize::from(datagrams.is_some());
         let alarm = Alarm::register(&handle).map_err(io::Error::other)?;
-        let router = Router::new(now, config.conf, config.seed, config.known);
         let listener = Listener::bind(&handle, config.listen, |g: &mut Gateway| g.accepting = true)?;
         let mut gateway = Gateway {
             handle,
@@ -189,6 +208,7 @@
             from_feed: Rc::default(),
             parts,
             lines,
+            datagrams,
             exits: (collectors > 0).then(|| Box::new(Exits::new(collectors))),
             background,
             keeping,
@@ -223,6 +243,11 @@
         self.terminating = Some(now);
         self.chores.set(now + limits::STRAGGLERS, Chore::Stragglers);
         self.parts.tell(&context(now, &self.router), &Event::Ending);
+        // The fleet hears good-bye at once, and the address is free for who comes next.
+        self.pump(now);
+        if let Some(socket) = self.datagrams.take() {
+            socket.close(&self.handle);
+        }
         let longest = self.router.conf().settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
         let last = longest.min(limits::LONGEST_COUNTED) + limits::STRAGGLERS - limits::LAST_CALL;
         self.chores.set(now + last, Chore::LastCall);
@@ -243,6 +268,7 @@
         self.parts.reload(&self.log, &context(now, &self.router), &operator);
         self.carry_out(now);
         let kept = self.lines.as_ref().map_or(0, |l| l.most) + self.parts.collectors();
+        let kept = kept + usize::from(self.datagrams.is_some());
         self.bounds = Bounds::of(config.memory, config.sockets.saturating_sub(kept));
         self.feed_at = config.feed;
         // Also where the address is the same: whoever asks for a reload doubts what is known.
@@ -272,6 +298,7 @@
                 Peer::Line(id) => self.serve_line(now, id),
                 Peer::Feed => self.serve_feed(now),
                 Peer::Collector(id) => self.serve_exit(now, id),
+                Peer::Fleet => self.take_datagrams(now),
             }
             self.pump(now);
             self.due(now);
@@ -418,6 +445,10 @@
                     let event = Event::Purged { object, group, age };
                     self.parts.tell(&context(now, &self.router), &event);
                 }
+                Effect::Probed { member, good } => {
+                    self.parts.tell(&context(now, &self.router), &Event::Probed { member, good });
+                }
+                Effect::Listed => self.parts.tell(&context(now, &self.router), &Event::Listed),
                 Effect::Close(member) => self.close_idle(member),
                 Effect::Log(text) => self.line(&text),
             }
@@ -482,6 +513,11 @@
                     let gone = self.exits.get_or_insert_default().reorder(&before);
                     gone.into_iter().for_each(|exit| exit.close(&self.handle));
                 }
+                PartEffect::Datagram { to, bytes } => {
+                    self.datagrams.iter_mut().for_each(|socket| socket.send(to, &bytes));
+                }
+                PartEffect::Probe(member) => self.router.probe(now, member),
+                PartEffect::HoldBack(members) => self.router.hold_back(now, &members),
                 PartEffect::Work { task, at: Some(at) } => self.background.wake_at(task, at),
                 PartEffect::Work { task, at: None } => self.background.wake(micros(now), task),
                 PartEffect::TurnAt(at) => self.chores.set(at, Chore::Turn),
@@ -491,6 +527,17 @@
         any
     }
 
+    /// Takes datagrams that wait, so many in one go.
+    fn take_datagrams(&mut self, now: f64) {
+        for _ in 0..BATCH {
+            let Some((from, bytes)) = self.datagrams.as_mut().and_then(|socket| socket.take()) else {
+                return;
+            };
+            self.parts.tell(&context(now, &self.router), &Event::Datagram { from, bytes });
+        }
+        Self::queue(&mut self.ready, Peer::Fleet);
+    }
+
     // ---- Chores --------------------------------------------------------------------------------------------
 
     fn housekeeping(&mut self, now: f64) {
@@ -560,7 +607,7 @@
     pub fn summary(&mut self, name: &'static str) {
         let c = self.router.counters;
         let usage = Usage::now();
-        let [sites, recovery, flows] = self.parts.summary();
+        let [sites, recovery, flows, fleet] = self.parts.summary();
         let endings: Vec<String> =
             ENDINGS.iter().zip(c.endings).filter(|(_, n)| *n > 0).map(|(w, n)| format!("{w}:{n}")).collect();
         info!(self.log, "{}", name;
@@ -569,7 +616,7 @@
             "attempts" => endings.join(","), "probes" => c.probes,
             "clients" => self.clients.len(), "links" => self.links.len(), "most_sockets" => self.most_sockets,
             "sizes" => self.sizes(),
-            "sites" => sites, "recovery" => recovery, "flows" => flows,
+            "sites" => sites, "recovery" => recovery, "flows" => flows, "fleet" => fleet,
             "feed" => self.feed.is_some(), "event" => self.router.last_event(),
             "cpu_ms" => usage.cpu, "memory_kb" => usage.memory, "descriptors" => usage.descriptors,
             "broken" => c.broken, "overdue" => c.overdue, "timer_late_ms" => format!("{:.1}", c.late),
--- a/crates/deckproxy/src/program/mod.rs
+++ b/crates/deckproxy/src/program/mod.rs
@@ -5,6 +5,7 @@
 mod exits;
 mod feed;
 pub mod files;
+mod fleet;
 mod flows;
 pub mod gateway;
 mod lines;
--- a/crates/deckproxy/src/program/parts.rs
+++ b/crates/deckproxy/src/program/parts.rs
@@ -1,13 +1,13 @@
 //! The subsystems that are switched on, and the effects of theirs that wait.
 
+use crate::program::fleet::Fleet;
 use crate::program::flows::Flows;
 use crate::program::recovery::Recovery;
 use crate::program::sites::Sites;
 use crate::program::subsystem::{Context, Effect, Effects, Event, LineId, Subsystem, Verdict};
 use crate::protocol::back::Copy;
-use crate::protocol::config::Config;
 use crate::protocol::front::{Answer, Call};
-use crate::routing::router::ClientId;
+use crate::routing::router::{ClientId, Router};
 use deckproxy_flow::work::{Micros, Scheduler, TaskId};
 use deckproxy_operator::Operator;
 use deckproxy_sites::frame::Frame;
@@ -21,26 +21,30 @@
     flows: Option<Box<Flows>>,
     /// Links to gateways of other sites.
     sites: Option<Box<Sites>>,
+    /// The other instances of the fleet.
+    fleet: Option<Box<Fleet>>,
     effects: Effects,
     /// Whether any is on.
     on: bool,
 }
 
 impl Parts {
-    /// Starts what the operator file asks for.
+    /// Starts what the operator file asks for. The error tells what can't be started.
     pub fn start(
         log: &Logger,
         now: f64,
-        config: &Config,
+        (name, seed): (&str, u64),
+        router: &Router,
         operator: &Operator,
         background: &mut Scheduler,
-    ) -> Self {
-        let conf = &config.conf;
-        let recovery = Recovery::start(log, conf, config.seed, operator);
-        let flows = Flows::start(log, now, config.seed, &conf.classes, operator, background);
-        let sites = Sites::start(log, now, config.seed, operator);
-        let on = recovery.is_some() || flows.is_some() || sites.is_some();
-        Parts { recovery, flows, sites, effects: Effects::new(), on }
+    ) -> Result<Self, String> {
+        let conf = router.conf();
+        let recovery = Recovery::start(log, conf, seed, operator);
+        let flows = Flows::start(log, now, seed, &conf.classes, operator, background);
+        let sites = Sites::start(log, now, seed, operator);
+        let fleet = Fleet::start(log, name, router, seed, operator)?;
+        let on = recovery.is_some() || flows.is_some() || sites.is_some() || fleet.is_some();
+        Ok(Parts { recovery, flows, sites, fleet, effects: Effects::new(), on })
     }
 
     /// Those that are on, in the order in which they are asked and told.
@@ -48,7 +52,7 @@
         fn one<'a, S: Subsystem + 'a>(part: &'a mut Option<Box<S>>) -> Option<&'a mut dyn Subsystem> {
             part.as_deref_mut().map(|p| p as &mut dyn Subsystem)
         }
-        let all = [one(&mut self.recovery), one(&mut self.flows), one(&mut self.sites)];
+        let all = [one(&mut self.recovery), one(&mut self.flows), one(&mut self.sites), one(&mut self.fleet)];
         (all.into_iter().flatten(), &mut self.effects)
     }
 
@@ -153,7 +157,9 @@
 
     /// When one wants a tick.
     pub fn due(&self) -> Option<f64> {
-        self.sites.as_ref().and_then(|s| s.due())
+        let sites = self.sites.as_ref().and_then(|s| s.due());
+        let fleet = self.fleet.as_ref().and_then(|f| f.due());
+        sites.into_iter().chain(fleet).min_by(f64::total_cmp)
     }
 
     /// Ticks those whose time has come.
@@ -198,9 +204,14 @@
 
     /// Takes what a new operator file may change while serving.
     pub fn reload(&mut self, log: &Logger, cx: &Context<'_>, operator: &Operator) {
-        let wanted = [operator.recovery.is_some(), operator.flows.is_some(), operator.sites.is_some()];
-        let on = [self.recovery.is_some(), self.flows.is_some(), self.sites.is_some()];
-        let names = ["recovery", "flow export", "sites"];
+        let wanted = [
+            operator.recovery.is_some(),
+            operator.flows.is_some(),
+            operator.sites.is_some(),
+            operator.fleet.is_some(),
+        ];
+        let on = [self.recovery.is_some(), self.flows.is_some(), self.sites.is_some(), self.fleet.is_some()];
+        let names = ["recovery", "flow export", "sites", "the fleet"];
         for (name, _) in names.iter().zip(on.iter().zip(wanted)).filter(|(_, (on, wanted))| *on != wanted) {
             warn!(log, "reload: switching {} on or off takes a restart", name);
         }
@@ -208,11 +219,11 @@
         all.for_each(|part| part.reload(cx, operator, out));
     }
 
-    /// Each one's part of the summary: sites, recovery, flows.
-    pub fn summary(&mut self) -> [String; 3] {
+    /// Each one's part of the summary: sites, recovery, flows, fleet.
+    pub fn summary(&mut self) -> [String; 4] {
         fn one<S: Subsystem>(part: &mut Option<Box<S>>) -> String {
             part.as_mut().map_or_else(|| "off".to_string(), |p| p.summary())
         }
-        [one(&mut self.sites), one(&mut self.recovery), one(&mut self.flows)]
+        [one(&mut self.sites), one(&mut self.recovery), one(&mut self.flows), one(&mut self.fleet)]
     }
 }
--- a/crates/deckproxy/src/program/subsystem.rs
+++ b/crates/deckproxy/src/program/subsystem.rs
@@ -9,6 +9,7 @@
 use crate::routing::router::{AttemptKey, ClientId, Router};
 use crate::transport::outbox::Written;
 use bytes::Bytes;
+use deckproxy_control::interface::MemberId;
 use deckproxy_flow::export::Transport;
 use deckproxy_flow::meter::Outcome;
 use deckproxy_flow::work::{Micros, TaskId};
@@ -89,6 +90,12 @@
     ExitMoved(usize),
     /// A message to a collector is with the kernel whole.
     ExitWrote { place: usize, number: u64 },
+    /// A datagram came from another instance of the fleet, or from who says so.
+    Datagram { from: SocketAddr, bytes: &'a [u8] },
+    /// A probe ended.
+    Probed { member: MemberId, good: bool },
+    /// The list of members has changed.
+    Listed,
     /// What one subsystem tells the others.
     Noted(&'a Note),
     /// A quarter of a second has passed.
@@ -138,6 +145,12 @@
     ExitClose(usize),
     /// There are other collectors now: the place that each had before, if any.
     ExitsMoved(Vec<Option<usize>>),
+    /// Send a datagram.
+    Datagram { to: SocketAddr, bytes: Vec<u8> },
+    /// Probe a member.
+    Probe(MemberId),
+    /// From now on these members, and no others, get nothing new, whatever the list says.
+    HoldBack(Vec<MemberId>),
     /// A background task has something to do, at that time or now.
     Work { task: TaskId, at: Option<Micros> },
     /// The loop is to turn at that time.
--- a/crates/deckproxy/src/routing/members.rs
+++ b/crates/deckproxy/src/routing/members.rs
@@ -17,6 +17,20 @@
 struct Known {
     name: Box<str>,
     place: Option<Place>,
+    /// As the list has it.
+    listed: Member,
+    /// It gets nothing new, whatever the list says.
+    held_back: bool,
+}
+
+impl Known {
+    /// As the module is told of it.
+    fn told(&self) -> Member {
+        match self.listed.lifecycle {
+            Lifecycle::Ready if self.held_back => Member { lifecycle: Lifecycle::Draining, ..self.listed },
+            _ => self.listed,
+        }
+    }
 }
 
 /// All members that are listed, by number.
@@ -49,16 +63,18 @@
                     id = id.wrapping_add(1);
                 }
                 self.numbers.insert(entry.id.clone(), id);
-                self.known.insert(id, Known { name: entry.id.clone(), place: None });
+                let listed = Member { id, lifecycle: Lifecycle::Gone, ..Member::default() };
+                let known = Known { name: entry.id.clone(), place: None, listed, held_back: false };
+                self.known.insert(id, known);
                 id
             }
         };
         let place = entry.address.map(|address| Place { address, started: entry.started });
-        if let Some(known) = self.known.get_mut(&id).filter(|_| entry.phase != Phase::Gone || place.is_some())
-        {
+        let known = self.known.get_mut(&id)?;
+        if entry.phase != Phase::Gone || place.is_some() {
             known.place = place;
         }
-        Some(Member {
+        known.listed = Member {
             id,
             lifecycle: match entry.phase {
                 Phase::Ready => Lifecycle::Ready,
@@ -70,7 +86,29 @@
             kind,
             zone,
             cell: entry.cell,
-        })
+        };
+        Some(known.told())
+    }
+
+    /// All as the list has them, with their names.
+    pub fn listed(&self) -> impl Iterator<Item = (&Member, &str)> {
+        self.known.values().map(|k| (&k.listed, &*k.name))
+    }
+
+    /// Holds these back from now on, and no others. Gives those of which the module is to be told something else.
+    pub fn hold_back(&mut self, members: &[MemberId]) -> Vec<Member> {
+        let mut changed = Vec::new();
+        for (id, known) in &mut self.known {
+            let before = known.told();
+            known.held_back = members.contains(id);
+            let now = known.told();
+            if now != before {
+                changed.push(now);
+            }
+        }
+        // In one order at every gateway and in every run.
+        changed.sort_by_key(|member| member.id);
+        changed
     }
 
     /// Drops one that has left the list.
--- a/crates/deckproxy/src/routing/router.rs
+++ b/crates/deckproxy/src/routing/router.rs
@@ -87,6 +87,15 @@
         /// Time since the purge.
         age: f64,
     },
+    /// A probe ended.
+    Probed {
+        /// The member.
+        member: MemberId,
+        /// Whether it answered.
+        good: bool,
+    },
+    /// The list of members has changed.
+    Listed,
     /// Close idle connections to a member.
     Close(MemberId),
     /// A line for the operators from the module.
@@ -364,7 +373,7 @@
         let values = reply.report.iter().map(|(name, v)| (&**name, *v));
         let load = deckproxy_settings::load(values);
         if let Some(member) = self.probes.remove(&at) {
-            return self.tell(now, Event::Probed { member, ok: reply.word == Word::Alive(true), load });
+            return self.probed(now, member, reply.word == Word::Alive(true), load);
         }
         let tagged = self.open.get(&((at / ATTEMPTS) as RequestId)).is_some_and(|o| o.call.have.is_some());
         let copy = reply.copy;
@@ -383,7 +392,7 @@
     /// An attempt's or a probe's connection broke.
     pub fn broke(&mut self, now: f64, at: AttemptKey, how: Broke) {
         if let Some(member) = self.probes.remove(&at) {
-            return self.tell(now, Event::Probed { member, ok: false, load: None });
+            return self.probed(now, member, false, None);
         }
         let ending = if how == Broke::NeverSent { Ending::ConnectFailed } else { Ending::Reset };
         self.end(now, at, ending, None, None);
@@ -466,6 +475,7 @@
                 self.tell(now, Event::Members(if whole { whole_list } else { ListKind::Delta }, all));
                 // The module asks them for nothing more; what is out there ends by its number alone.
                 gone.into_iter().for_each(|id| self.members.forget(id));
+                self.effects.push_back(Effect::Listed);
             }
             News::PurgeObject(object, at) => {
                 let age = (now - at).max(0.0);
@@ -559,7 +569,8 @@
         }
     }
 
-    fn probe(&mut self, now: f64, member: MemberId) {
+    /// Sends a member a probe.
+    pub fn probe(&mut self, now: f64, member: MemberId) {
         self.must(self.conf.limits.probes, "probes are allowed");
         self.next_probe += 1;
         let at = PROBE | self.next_probe;
@@ -570,7 +581,27 @@
                 self.timers.set(now + limits::PROBE, Due::Probe(at));
                 self.effects.push_back(Effect::Probe { key: at, member, place });
             }
-            None => self.tell(now, Event::Probed { member, ok: false, load: None }),
+            None => self.probed(now, member, false, None),
+        }
+    }
+
+    fn probed(&mut self, now: f64, member: MemberId, good: bool, load: Option<Load>) {
+        self.effects.push_back(Effect::Probed { member, good });
+        self.tell(now, Event::Probed { member, ok: good, load });
+    }
+
+    /// The members as the list has them, with their names.
+    pub fn listed(&self) -> impl Iterator<Item = (&Member, &str)> {
+        self.members.listed()
+    }
+
+    /// From now on these members, and no others, are told to the module as draining: it sends them nothing new. One that
+    /// the list itself has drain, or gone, stays so whatever is held back: the module never hears better of a member than
+    /// the list says.
+    pub fn hold_back(&mut self, now: f64, members: &[MemberId]) {
+        let changed = self.members.hold_back(members);
+        if !changed.is_empty() {
+            self.tell(now, Event::Members(ListKind::Delta, changed));
         }
     }
 
--- a/crates/deckproxy/src/transport/clock.rs
+++ b/crates/deckproxy/src/transport/clock.rs
@@ -1,5 +1,6 @@
-//! The one clock: Unix time in milliseconds, as all parties of the protocol tell it.
+//! The clocks: Unix time in milliseconds, as all parties of the protocol tell it, and one that nobody can set.
 
+use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// The Unix time in milliseconds.
@@ -12,3 +13,10 @@
     let ahead = (at - now()).clamp(0.0, 86_400_000.0);
     Instant::now() + Duration::from_secs_f64(ahead / 1000.0)
 }
+
+/// Milliseconds since some moment before the first call, on a clock that nobody can set. It stands while the machine
+/// sleeps, and goes on while this process is stopped.
+pub fn steady() -> f64 {
+    static START: OnceLock<Instant> = OnceLock::new();
+    START.get_or_init(Instant::now).elapsed().as_secs_f64() * 1000.0
+}
--- a/crates/deckproxy/src/transport/mod.rs
+++ b/crates/deckproxy/src/transport/mod.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod clock;
 pub mod collector;
+pub mod datagrams;
 pub mod feed;
 pub mod line;
 pub mod listener;
