--- a/crates/deckproxy-lab/src/drills/mod.rs
+++ b/crates/deckproxy-lab/src/drills/mod.rs
@@ -1,5 +1,6 @@
 //! `decklab drill`: the hard cases, and what independent checkers counted of them.
 
+mod fleet;
 mod flows;
 mod recovery;
 mod sites;
@@ -35,6 +36,8 @@
     Sites,
     /// Flow export: collectors killed, stalled, exchanged; clients that hang up.
     Flows,
+    /// Instances of one fleet: killed, paused, restarted, split, one way too; who probes what, and who serves.
+    Fleet,
     /// Recovery from a storm of repeats: an origin that is slow for a while, with recovery on, off, and clients that come
     /// again at once.
     Recovery,
@@ -53,6 +56,12 @@
     Answer,
     /// A flow that a collector was not told.
     Record,
+    /// Probes of one member that nobody divided.
+    Probes,
+    /// A member that nobody probes for a while.
+    Coverage,
+    /// An instance whose board believes what the others do not.
+    Board,
 }
 
 /// What a drill found.
@@ -70,6 +79,7 @@
         Name::Sites => sites::run(options),
         Name::Flows => flows::run(options),
         Name::Recovery => recovery::run(options),
+        Name::Fleet => fleet::run(options),
     });
     let Ok(report) = outcome else {
         eprintln!("the drill could not run");
--- a/crates/deckproxy-lab/src/drills/sites.rs
+++ b/crates/deckproxy-lab/src/drills/sites.rs
@@ -333,7 +333,9 @@
             let at = facts.iter().position(answers);
             at.map(|i| facts.remove(i));
         }
-        Spoil::Record => panic!("no flows are told in this drill"),
+        Spoil::Record | Spoil::Probes | Spoil::Coverage | Spoil::Board => {
+            panic!("no flows are told and no fleet runs in this drill")
+        }
     }
     facts.sort_by(|a, b| a.at.total_cmp(&b.at));
 }
--- a/crates/deckproxy-lab/src/main.rs
+++ b/crates/deckproxy-lab/src/main.rs
@@ -6,6 +6,7 @@
 mod flows;
 mod measure;
 mod model;
+mod rig;
 mod traffic;
 
 use clap::{Parser, Subcommand};
@@ -30,6 +31,8 @@
     Flows(flows::Options),
     /// Experiments on a model of sites: the deployed gateway in simulated time, at any size.
     Model(model::Options),
+    /// Several processes of the gateway, hurt by a plan: what each sees, what members get, a page of it.
+    Rig(rig::Options),
     /// Measurements on this machine; each compares in one run.
     Measure(measure::Options),
     /// The gateway itself: what `deckproxy` is, with its command line.
@@ -46,6 +49,7 @@
         Command::Drill(options) => drills::run(&options),
         Command::Flows(options) => flows::run(&options),
         Command::Model(options) => model::run(&options),
+        Command::Rig(options) => rig::run(&options),
         Command::Measure(options) => measure::run(&options),
         Command::Gateway { words } => {
             let words = std::iter::once("deckproxy".into()).chain(words);
--- /dev/null
+++ b/crates/deckproxy-lab/src/rig.rs
@@ -0,0 +1,162 @@
+//! `decklab rig`: a plan played on several processes of the gateway.
+
+use crate::traffic;
+use clap::Args;
+use comfy_table::Table;
+use deckproxy_rig::judge::{Figures, judge};
+use deckproxy_rig::plan::{self, Plan};
+use deckproxy_rig::play::{Played, play};
+use deckproxy_rig::shrink::shrink;
+use deckproxy_rig::{draw, timeline};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Which plan, and what becomes of it.
+#[derive(Debug, Args)]
+pub struct Options {
+    /// The plan (protobuf text format; see experiments/rig-*.textproto). Left out: one is drawn from the seed.
+    file: Option<PathBuf>,
+    /// Seed of the traffic and, without a file, of the plan; else the plan's own.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Seconds of a plan that is drawn.
+    #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u64).range(10..=3600))]
+    seconds: u64,
+    /// A folder for the page of the run, the instances' logs and the plan.
+    #[arg(long, value_name = "DIR")]
+    out: Option<PathBuf>,
+    /// Where a promise breaks: leave faults out while it still does, in so many runs at most, and write the plan that is
+    /// left.
+    #[arg(long, value_name = "RUNS", default_value_t = 0)]
+    shrink: usize,
+}
+
+/// Promises that a run of any plan keeps.
+fn broken(played: &Played, f: &Figures) -> Vec<String> {
+    let mut out = played.wrongs.clone();
+    out.extend(f.verdict.breaches.iter().filter(|_| !f.verdict.holds()).cloned());
+    if played.plan.fleet && f.probe_ratio_max >= 2.0 {
+        out.push(format!("{:.2} times the intended probes of a member in 2 s", f.probe_ratio_max));
+    }
+    out
+}
+
+/// Plays it.
+pub fn run(options: &Options) -> ExitCode {
+    let mut plan = match &options.file {
+        None => {
+            let seed = options.seed.unwrap_or(1);
+            let mut plan = Plan { seconds: options.seconds as f64, seed, ..Plan::default() };
+            plan.question = format!("Drawn from seed {seed}");
+            plan.faults = draw::any(seed, &plan);
+            plan
+        }
+        Some(path) => {
+            let shown = path.display();
+            let bytes = match std::fs::read(path) {
+                Ok(bytes) => bytes,
+                Err(e) => {
+                    eprintln!("decklab rig: {shown}: {e}");
+                    return ExitCode::from(2);
+                }
+            };
+            match plan::read(&bytes) {
+                Ok(plan) => plan,
+                Err(faults) => {
+                    faults.iter().for_each(|fault| eprintln!("{shown}:{fault}"));
+                    return ExitCode::from(2);
+                }
+            }
+        }
+    };
+    plan.seed = options.seed.unwrap_or(plan.seed);
+    println!(
+        "{} instances in {} zones, {} caches in each, {} requests a second for {} s",
+        plan.instances, plan.zones, plan.caches, plan.rate, plan.seconds
+    );
+    let (played, figures) = once(&plan, true);
+    let broken = broken(&played, &figures);
+    show(&played, &figures);
+    broken.iter().for_each(|what| eprintln!("broken: {what}"));
+    if let Some(folder) = &options.out
+        && let Err(e) = write(folder, &played, &figures)
+    {
+        eprintln!("decklab rig: {}: {e}", folder.display());
+        return ExitCode::from(2);
+    }
+    if broken.is_empty() {
+        return ExitCode::SUCCESS;
+    }
+    if options.shrink > 0 {
+        let breaks = |smaller: &Plan| {
+            println!("without some: {} of {} faults", smaller.faults.len(), plan.faults.len());
+            let (played, figures) = once(smaller, false);
+            !self::broken(&played, &figures).is_empty()
+        };
+        let (small, played) = shrink(&plan, options.shrink, breaks);
+        println!(
+            "after {played} runs, {} of {} faults are left:\n{}",
+            small.faults.len(),
+            plan.faults.len(),
+            small.text()
+        );
+        let folder = options.out.clone().unwrap_or_else(|| PathBuf::from("."));
+        let path = folder.join("smallest.textproto");
+        match std::fs::write(&path, small.text()) {
+            Ok(()) => println!("plays again by: decklab rig {}", path.display()),
+            Err(e) => eprintln!("decklab rig: {}: {e}", path.display()),
+        }
+    }
+    ExitCode::FAILURE
+}
+
+fn once(plan: &Plan, aloud: bool) -> (Played, Figures) {
+    let draw = traffic::draw(0, 1, 600, 0.0, 0.06);
+    let played = play(plan, &draw, |at, what| {
+        if aloud {
+            println!("{at:7.2} s  {what}");
+        }
+    });
+    let figures = judge(&played);
+    (played, figures)
+}
+
+fn show(played: &Played, f: &Figures) {
+    let v = &f.verdict;
+    let mut table = Table::new();
+    table.set_header(["", ""]);
+    let rows = [
+        ("requests", v.requests.to_string()),
+        ("served / refused / failed", format!("{} / {} / {}", v.served, v.refused, v.failed)),
+        ("rules broken", if v.holds() { "none".to_string() } else { "see below".to_string() }),
+        ("probes beside those intended", format!("{:.2}", f.probe_ratio)),
+        ("the same, worst 2 s of a member", format!("{:.2}", f.probe_ratio_max)),
+        ("longest time without a probe, ms", format!("{:.0}", f.coverage_gap)),
+        ("taken for gone without cause", f.false_dead.to_string()),
+        (
+            "until all had the same board, ms",
+            f.converge.map_or("never, after one of the faults".to_string(), |ms| format!("{ms:.0}")),
+        ),
+        ("bytes a second of an instance", format!("{:.0}", f.bytes)),
+    ];
+    for (name, value) in rows {
+        table.add_row([name.to_string(), value]);
+    }
+    println!("{table}");
+    let by = played.counts.by_instance.lock().expect("the run is over");
+    let mut by: Vec<_> = by.iter().collect();
+    by.sort();
+    let by: Vec<String> = by.iter().map(|(i, [asked, got])| format!("i{i} {got} of {asked}")).collect();
+    println!("served by instance: {}", by.join(", "));
+}
+
+fn write(folder: &std::path::Path, played: &Played, figures: &Figures) -> std::io::Result<()> {
+    std::fs::create_dir_all(folder)?;
+    std::fs::write(folder.join("timeline.html"), timeline::page(played, figures))?;
+    std::fs::write(folder.join("plan.textproto"), played.plan.text())?;
+    for (i, log) in played.logs.iter().enumerate() {
+        std::fs::write(folder.join(format!("i{i}.log")), log)?;
+    }
+    println!("the page of the run: {}", folder.join("timeline.html").display());
+    Ok(())
+}
--- a/crates/deckproxy-rig/src/crowd.rs
+++ b/crates/deckproxy-rig/src/crowd.rs
@@ -75,7 +75,9 @@
                 counts: counts.clone(),
                 line: None,
                 door: i % doors.len(),
-                rng: Pcg64Mcg::seed_from_u64(coming.seed ^ (i as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+                rng: Pcg64Mcg::seed_from_u64(
+                    coming.seed ^ (i as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15),
+                ),
             };
             let (coming, running) = (coming.clone(), running.clone());
             thread::spawn(move || one.live(&coming, &running))
@@ -94,11 +96,18 @@
     }
 }
 
+struct Asked {
+    name: String,
+    /// When, ms of the record, and how long it was to take at most.
+    at: f64,
+    allow: f64,
+}
+
 struct Line {
     stream: TcpStream,
     buffer: Vec<u8>,
-    /// Names of what was asked on it, by id.
-    asked: HashMap<u64, String>,
+    /// What was asked on it, by id.
+    asked: HashMap<u64, Asked>,
     next: u64,
 }
 
@@ -140,7 +149,7 @@
         }
         // A moment in which a second answer would be seen.
         thread::sleep(Duration::from_millis(30));
-        self.hear(Duration::from_millis(1));
+        let _ = self.hear(Duration::from_millis(1));
     }
 
     fn want(&mut self, wish: Wish) {
@@ -157,7 +166,8 @@
                     self.counts.got.fetch_add(1, Ordering::SeqCst);
                     // Clients come to any instance.
                     if self.rng.random_bool(0.1) {
-                        self.go(self.rng.clone().random_range(0..self.doors.len()));
+                        let door = self.rng.random_range(0..self.doors.len());
+                        self.go(door);
                     }
                     return;
                 }
@@ -189,9 +199,9 @@
         let Some(line) = &mut self.line else { return Became::Nobody };
         let (id, name) = (line.next, fresh_name());
         line.next += 1;
-        line.asked.insert(id, name.clone());
         let (began, at) = (Instant::now(), self.record.now());
         let allow = f64::from(wish.allow);
+        line.asked.insert(id, Asked { name: name.clone(), at, allow });
         let (class, object, group) = (wish.class, wish.object, wish.group);
         self.record.note(Fact::Asked { name: name.clone(), site: 0, home: 0, class, object, group, allow });
         self.counts.by_instance.lock().unwrap().entry(self.door).or_default()[0] += 1;
@@ -246,7 +256,9 @@
         let n = match line.stream.read(&mut chunk) {
             Ok(0) => return Err(()),
             Ok(n) => n,
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => return Ok(Vec::new()),
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                return Ok(Vec::new());
+            }
             Err(_) => return Err(()),
         };
         line.buffer.extend_from_slice(&chunk[..n]);
@@ -257,9 +269,15 @@
             let Ok(value) = rmpv::decode::read_value(&mut rest) else { break };
             used = line.buffer.len() - rest.len();
             let Some((id, outcome)) = outcome(&value) else { return Err(()) };
-            if let Some(name) = line.asked.get(&id) {
-                // What was asked of an instance that could not answer meanwhile is owed nothing, late or not.
-                self.record.note(Fact::Answered { name: name.clone(), outcome });
+            if let Some(Asked { name, at, allow }) = line.asked.get(&id) {
+                // What came late of an instance that was stopped meanwhile is nobody's fault.
+                let now = self.record.now();
+                if now > at + allow && self.doors[self.door].absent.touch(*at, now) {
+                    self.counts.excused.fetch_add(1, Ordering::SeqCst);
+                    self.record.note(Fact::Recalled { name: name.clone() });
+                } else {
+                    self.record.note(Fact::Answered { name: name.clone(), outcome });
+                }
                 heard.push((id, outcome));
             }
         }
--- a/crates/deckproxy-rig/src/judge.rs
+++ b/crates/deckproxy-rig/src/judge.rs
@@ -3,6 +3,7 @@
 
 use crate::plan::What;
 use crate::play::Played;
+use crate::posts::Absences;
 use deckproxy_standins::record::Fact;
 use deckproxy_standins::rules::{self, Verdict};
 use serde_json::Value;
@@ -105,13 +106,16 @@
             _ => Vec::new(),
         })
         .collect();
-    let members: Vec<&str> = played.members.iter().map(String::as_str).filter(|m| !touched.contains(m)).collect();
+    let members: Vec<&str> =
+        played.members.iter().map(String::as_str).filter(|m| !touched.contains(m)).collect();
     let times: Vec<Vec<f64>> = members
         .iter()
         .map(|name| {
-            let probed = played.facts.iter().filter(
-                |s| matches!(&s.fact, Fact::Probed { member } if member == name) && s.at >= played.from && s.at <= played.to,
-            );
+            let probed = played.facts.iter().filter(|s| {
+                matches!(&s.fact, Fact::Probed { member } if member == name)
+                    && s.at >= played.from
+                    && s.at <= played.to
+            });
             probed.map(|s| s.at).collect()
         })
         .collect();
@@ -185,8 +189,7 @@
 
 /// Whether all instances that run hear each other and have the same board at a time, ms of the record.
 fn together(played: &Played, views: &[Vec<View>], at: f64) -> bool {
-    let here: Vec<usize> =
-        (0..played.plan.instances).filter(|i| !played.absent[*i].touch(at, at)).collect();
+    let here: Vec<usize> = (0..played.plan.instances).filter(|i| !played.absent[*i].touch(at, at)).collect();
     let names: BTreeSet<String> = here.iter().map(|i| format!("i{i}")).collect();
     let unix = at + played.unix as f64;
     let now: Vec<Option<&View>> =
@@ -239,8 +242,6 @@
     Some(worst)
 }
 
-use crate::posts::Absences;
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/deckproxy-rig/src/plan.rs
+++ b/crates/deckproxy-rig/src/plan.rs
@@ -214,7 +214,13 @@
             self.probe
         );
         for fault in &self.faults {
-            let _ = writeln!(out, "faults {{ at: {:?} lasts: {:?} {} }}", fault.at, fault.lasts, said(&fault.what));
+            let _ = writeln!(
+                out,
+                "faults {{ at: {:?} lasts: {:?} {} }}",
+                fault.at,
+                fault.lasts,
+                said(&fault.what)
+            );
         }
         out
     }
--- a/crates/deckproxy-rig/src/play.rs
+++ b/crates/deckproxy-rig/src/play.rs
@@ -1,19 +1,21 @@
 //! A whole run: members, instances, clients, and a plan that hurts them.
 
 use crate::crowd::{Coming, Counts, Crowd, Door};
+use crate::judge::{View, views};
 use crate::plan::{Plan, Trouble, What};
 use crate::posts::{Absences, Post, Shims, sockets};
 use crate::relay::{Fate, Relays};
 use deckproxy_standins::caller::Draw;
 use deckproxy_standins::fleet::{self, Site, Terms, zone_name};
-use deckproxy_standins::record::{Record, Seen};
+use deckproxy_standins::record::{Fact, Record, Seen};
 use deckproxy_standins::shim::{Shim, State};
-use deckproxy_standins::wait::until_in;
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 /// What a run left.
+#[derive(Clone)]
 pub struct Played {
     /// The plan.
     pub plan: Plan,
@@ -44,55 +46,24 @@
 /// Time for a start, also where many processes share few cores.
 const START: Duration = Duration::from_secs(40);
 
-struct Stage<'a> {
-    plan: &'a Plan,
-    site: &'a Site,
-    relays: &'a Relays,
-    shims: &'a Shims,
-    posts: &'a [Arc<Mutex<Post>>],
-    caches: &'a [String],
+/// Members, instances and clients that run, to be hurt step by step.
+pub struct Rig {
+    plan: Plan,
+    record: Record,
+    site: Site,
+    relays: Relays,
+    shims: Shims,
+    posts: Vec<Arc<Mutex<Post>>>,
+    caches: Vec<String>,
     busy: Vec<JoinHandle<()>>,
+    crowd: Option<Crowd>,
+    from: f64,
+    sent: (u64, u64),
 }
 
 /// Plays a plan. `tell` hears of each fault as it begins and ends.
 pub fn play(plan: &Plan, draw: &Draw, mut tell: impl FnMut(f64, &str)) -> Played {
-    let record = Record::default();
-    let terms = Terms { caches: plan.caches, zones: plan.zones, lingers: 2000, ..Terms::default() };
-    let site = Site::start(0, terms, &record);
-    let at = sockets(plan);
-    let relays = Relays::to(&at, plan.seed);
-    let zones = (0..plan.zones).map(|z| zone_name(plan.zones, z));
-    let caches: Vec<String> = zones.flat_map(|zone| site.caches_of(&zone)).collect();
-    let shims = shims(plan, &site);
-    let post = |i| Arc::new(Mutex::new(Post::new(plan, i, &site, &relays, at[i], &shims, &record)));
-    let posts: Vec<Arc<Mutex<Post>>> = (0..plan.instances).map(post).collect();
-    thread::scope(|scope| {
-        for post in &posts {
-            scope.spawn(|| post.lock().unwrap().start());
-        }
-    });
-    if plan.fleet {
-        until_in(START, "the instances have met", || posts.iter().all(|p| has_met(plan, &p.lock().unwrap().log())));
-    }
-    let doors: Vec<Door> = posts
-        .iter()
-        .map(|p| {
-            let post = p.lock().unwrap();
-            Door { at: post.listen, absent: post.absent.clone() }
-        })
-        .collect();
-    let coming = Coming { clients: plan.clients, rate: plan.rate, seed: plan.seed, draw: draw.clone() };
-    let crowd = Crowd::start(&coming, &doors, &record);
-    let (from, sent) = (record.now(), relays.sent());
-    let mut stage = Stage {
-        plan,
-        site: &site,
-        relays: &relays,
-        shims: &shims,
-        posts: &posts,
-        caches: &caches,
-        busy: Vec::new(),
-    };
+    let mut rig = Rig::start(plan, draw);
     let start = Instant::now();
     let mut moments: Vec<(f64, bool, usize)> = Vec::new();
     for (i, fault) in plan.faults.iter().enumerate() {
@@ -105,41 +76,148 @@
         let what = &plan.faults[i].what;
         let word = if begins { "begins" } else { "ends" };
         tell(at, &format!("{} {word}", crate::plan::said(what)));
-        stage.change(what, plan.faults[i].lasts, begins);
+        rig.change(what, plan.faults[i].lasts, begins);
     }
     thread::sleep(Duration::from_secs_f64(plan.seconds).saturating_sub(start.elapsed()));
-    stage.busy.drain(..).for_each(|thread| drop(thread.join()));
-    let to = record.now();
-    let after = relays.sent();
-    let counts = crowd.finish();
-    thread::scope(|scope| {
-        for post in &posts {
-            scope.spawn(|| post.lock().unwrap().end());
+    rig.finish()
+}
+
+impl Rig {
+    /// Starts all, waits until the instances have met, and lets the clients come.
+    pub fn start(plan: &Plan, draw: &Draw) -> Self {
+        let record = Record::default();
+        let terms = Terms { caches: plan.caches, zones: plan.zones, lingers: 2000, ..Terms::default() };
+        let site = Site::start(0, terms, &record);
+        let at = sockets(plan);
+        let relays = Relays::to(&at, plan.seed);
+        let zones = (0..plan.zones).map(|z| zone_name(plan.zones, z));
+        let caches: Vec<String> = zones.flat_map(|zone| site.caches_of(&zone)).collect();
+        let shims = shims(plan, &site);
+        let post = |i| Arc::new(Mutex::new(Post::new(plan, i, &site, &relays, at[i], &shims, &record)));
+        let posts: Vec<Arc<Mutex<Post>>> = (0..plan.instances).map(post).collect();
+        thread::scope(|scope| {
+            for post in &posts {
+                scope.spawn(|| post.lock().unwrap().start());
+            }
+        });
+        let mut rig = Rig {
+            plan: plan.clone(),
+            record,
+            site,
+            relays,
+            shims,
+            posts,
+            caches,
+            busy: Vec::new(),
+            crowd: None,
+            from: 0.0,
+            sent: (0, 0),
+        };
+        if plan.fleet {
+            rig.until("the instances have met", |rig| (0..rig.plan.instances).all(|i| rig.hears_all(i)));
         }
-    });
-    let end = record.now();
-    let members = caches.iter().cloned();
-    let others = site.members().into_iter().map(|(name, _)| name).filter(|name| !caches.contains(name));
-    Played {
-        plan: plan.clone(),
-        unix: record.unix(),
-        from,
-        to,
-        end,
-        logs: posts.iter().map(|p| p.lock().unwrap().log()).collect(),
-        absent: posts.iter().map(|p| p.lock().unwrap().absent.clone()).collect(),
-        counts,
-        members: members.chain(others).collect(),
-        sent: (after.0 - sent.0, after.1 - sent.1),
-        wrongs: posts.iter().flat_map(|p| p.lock().unwrap().wrongs.clone()).collect(),
-        facts: record.take(),
+        let door = |p: &Arc<Mutex<Post>>| {
+            let post = p.lock().unwrap();
+            Door { at: post.listen, absent: post.absent.clone() }
+        };
+        let doors: Vec<Door> = rig.posts.iter().map(door).collect();
+        let coming = Coming { clients: plan.clients, rate: plan.rate, seed: plan.seed, draw: draw.clone() };
+        rig.crowd = Some(Crowd::start(&coming, &doors, &rig.record));
+        (rig.from, rig.sent) = (rig.record.now(), rig.relays.sent());
+        rig
+    }
+
+    /// What an instance sees of the fleet now, by its log.
+    pub fn view(&self, i: usize) -> Option<View> {
+        views(&self.posts[i].lock().unwrap().log()).pop()
+    }
+
+    /// What an instance's lives have logged.
+    pub fn log(&self, i: usize) -> String {
+        self.posts[i].lock().unwrap().log()
+    }
+
+    /// Whether an instance hears all others and holds its view for a new one.
+    pub fn hears_all(&self, i: usize) -> bool {
+        self.view(i).is_some_and(|view| view.heard.len() + 1 == self.plan.instances && !view.old)
+    }
+
+    /// Whether all hear each other and have the same board.
+    pub fn is_one(&self) -> bool {
+        let views: Vec<Option<View>> = (0..self.plan.instances).map(|i| self.view(i)).collect();
+        let boards: BTreeSet<&str> = views.iter().flatten().map(|v| v.board.as_str()).collect();
+        boards.len() == 1 && (0..self.plan.instances).all(|i| self.hears_all(i))
     }
-}
 
-/// Whether an instance's log shows that it has met all others, and that its view is no old one.
-fn has_met(plan: &Plan, log: &str) -> bool {
-    let views = crate::judge::views(log);
-    views.last().is_some_and(|view| view.heard.len() + 1 == plan.instances && !view.old)
+    /// The caches' names, zone after zone.
+    pub fn caches(&self) -> &[String] {
+        &self.caches
+    }
+
+    /// Probes that came to a member so far.
+    pub fn probes(&self, member: &str) -> usize {
+        self.record.count(|fact| matches!(fact, Fact::Probed { member: m } if m == member))
+    }
+
+    /// Requests that came to a member so far.
+    pub fn came(&self, member: &str) -> usize {
+        self.record.count(|fact| matches!(fact, Fact::Came { member: m, .. } if m == member))
+    }
+
+    /// Milliseconds since all began.
+    pub fn now(&self) -> f64 {
+        self.record.now()
+    }
+
+    /// Waits until a condition holds.
+    pub fn until(&self, what: &str, holds: impl Fn(&Rig) -> bool) {
+        let end = Instant::now() + START;
+        while !holds(self) {
+            if Instant::now() > end {
+                let logs: Vec<String> = (0..self.plan.instances).map(|i| self.log(i)).collect();
+                panic!("in vain: {what}; the instances' logs:\n{}", logs.join("\n"));
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Waits until all that is being changed at processes has been.
+    pub fn settle(&mut self) {
+        self.busy
+            .drain(..)
+            .for_each(|thread| thread.join().expect("an instance starts and ends as it should"));
+    }
+
+    /// Ends all, and gives what happened.
+    pub fn finish(mut self) -> Played {
+        self.settle();
+        let to = self.record.now();
+        let after = self.relays.sent();
+        let counts = self.crowd.take().map_or_else(Arc::default, Crowd::finish);
+        thread::scope(|scope| {
+            for post in &self.posts {
+                scope.spawn(|| post.lock().unwrap().end());
+            }
+        });
+        let end = self.record.now();
+        let others = self.site.members().into_iter().map(|(name, _)| name);
+        let others: Vec<String> = others.filter(|name| !self.caches.contains(name)).collect();
+        let posts = || self.posts.iter().map(|p| p.lock().unwrap());
+        Played {
+            plan: self.plan.clone(),
+            unix: self.record.unix(),
+            from: self.from,
+            to,
+            end,
+            logs: posts().map(|p| p.log()).collect(),
+            absent: posts().map(|p| p.absent.clone()).collect(),
+            counts,
+            members: self.caches.iter().cloned().chain(others).collect(),
+            sent: (after.0 - self.sent.0, after.1 - self.sent.1),
+            wrongs: posts().flat_map(|p| p.wrongs.clone()).collect(),
+            facts: self.record.take(),
+        }
+    }
 }
 
 /// Shims where the plan cuts connections between instances and caches.
@@ -158,7 +236,7 @@
     shims
 }
 
-impl Stage<'_> {
+impl Rig {
     /// Something at an instance, beside all else: it may take its time.
     fn at(&mut self, i: usize, what: impl FnOnce(&mut Post) + Send + 'static) {
         let post = self.posts[i].clone();
@@ -169,7 +247,8 @@
         (0..self.plan.instances).filter(|i| !part.contains(i)).collect()
     }
 
-    fn change(&mut self, what: &What, lasts: f64, begins: bool) {
+    /// Something goes wrong from now on, meant for so many seconds, or no more.
+    pub fn change(&mut self, what: &What, lasts: f64, begins: bool) {
         match what {
             What::Kill(i) if begins => self.at(*i, Post::kill),
             What::Kill(i) => self.at(*i, Post::start),
@@ -217,7 +296,7 @@
             What::Cut(instances, zone, silent) => {
                 let cut = if *silent { State::Silent } else { State::Reset };
                 let of = self.site.caches_of(&zone_name(self.plan.zones, *zone));
-                for ((i, member), shim) in self.shims {
+                for ((i, member), shim) in &self.shims {
                     if (instances.is_empty() || instances.contains(i)) && of.contains(member) {
                         shim.set(if begins { cut } else { State::Whole });
                     }
--- a/crates/deckproxy-rig/src/posts.rs
+++ b/crates/deckproxy-rig/src/posts.rs
@@ -104,8 +104,9 @@
             .map(|((_, member), shim)| (member.clone(), shim.address))
             .collect();
         let mut config = site.config(&name, listen);
-        let zones: Vec<String> =
-            std::iter::once("hub".to_string()).chain((0..plan.zones).map(|z| zone_name(plan.zones, z))).collect();
+        let zones: Vec<String> = std::iter::once("hub".to_string())
+            .chain((0..plan.zones).map(|z| zone_name(plan.zones, z)))
+            .collect();
         let of = |z: usize| (0..plan.instances).filter(|i| i % plan.zones == z).count();
         let routers: Vec<usize> = std::iter::once(0).chain((0..plan.zones).map(of)).collect();
         let inlets: Vec<f64> = std::iter::once(0.0).chain((0..plan.zones).map(|_| 1e6)).collect();
@@ -125,16 +126,18 @@
         config["known"]["events"] = json!(known);
         let feed = site.feed.view(Box::new(move |event| readdressed(event, &ways)));
         config["feed"] = json!(feed.address.to_string());
-        let seeds: Vec<String> = relays.addresses.iter().take(2).map(|at| format!("{:?}", at.to_string())).collect();
+        let seeds: Vec<String> =
+            relays.addresses.iter().take(2).map(|at| format!("{:?}", at.to_string())).collect();
         let operator = format!(
             "fleet {{\n name: \"rig\" listen: \"{at}\" address: \"{}\" seeds: [{}]\n prefixes: \"127.0.0.0/8\" \
-             instances: {}\n probes {{ interval_ms: {} }}\n}}\n",
+             instance: \"{name}\" instances: {}\n probes {{ interval_ms: {} }}\n}}\n",
             relays.addresses[index],
             seeds.join(", "),
             plan.instances,
             plan.probe
         );
-        let folder = std::env::temp_dir().join(format!("deckproxy-rig-{}-{}", std::process::id(), next_number()));
+        let folder =
+            std::env::temp_dir().join(format!("deckproxy-rig-{}-{}", std::process::id(), next_number()));
         std::fs::create_dir_all(&folder).expect("the folder for temporary files takes one");
         Post {
             index,
--- a/crates/deckproxy-rig/src/relay.rs
+++ b/crates/deckproxy-rig/src/relay.rs
@@ -72,7 +72,9 @@
     /// Joins pairs again.
     pub fn join(&self, pairs: impl IntoIterator<Item = (usize, usize)>) {
         let mut cuts = self.shared.cuts.lock().unwrap();
-        pairs.into_iter().for_each(|pair| drop(cuts.remove(&pair)));
+        for pair in pairs {
+            cuts.remove(&pair);
+        }
     }
 
     /// Datagrams that instances sent, and their bytes.
--- a/crates/deckproxy-standins/src/fleet.rs
+++ b/crates/deckproxy-standins/src/fleet.rs
@@ -71,7 +71,17 @@
 
 impl Default for Terms {
     fn default() -> Self {
-        Terms { caches: 3, parents: 1, hit: 1, parent: 6, origin: 18, keeps: 4096, lingers: 4000, room: 0, zones: 1 }
+        Terms {
+            caches: 3,
+            parents: 1,
+            hit: 1,
+            parent: 6,
+            origin: 18,
+            keeps: 4096,
+            lingers: 4000,
+            room: 0,
+            zones: 1,
+        }
     }
 }
 
@@ -214,7 +224,8 @@
             listener.is_some()
         });
         let listener = listener.expect("it was waited for");
-        let line = start(&self.shared, listener, name.to_string(), old.kind, &old.zone, crate::wait::unix_ms());
+        let line =
+            start(&self.shared, listener, name.to_string(), old.kind, &old.zone, crate::wait::unix_ms());
         self.feed.tell(json!({"members": {"revision": 2, "complete": false, "members": [line]}}));
     }
 
