--- a/crates/deckproxy-fleet/src/fleet/peers.rs
+++ b/crates/deckproxy-fleet/src/fleet/peers.rs
@@ -3,7 +3,7 @@
 use super::{Beat, Effect, Fleet, Peer, kinds};
 use crate::Millis;
 use crate::board::Taken;
-use crate::instance::Instance;
+use crate::instance::{Instance, Name};
 use crate::probing::Probing;
 use crate::swim::Change;
 use crate::view::{Spans, Standing, View, is_larger};
@@ -206,7 +206,9 @@
         let expected = known.max(told_of).max(self.settings.size).max(least);
         let heard = self.standing(Standing::Heard).count() + 1;
         let since = self.woke.unwrap_or(f64::MIN);
-        let (told, fresh) = self.echoes.count(now, spans, since);
+        // What one says that we do not hear ourselves is no news of those that we do: it is on its way back.
+        let heard_of = |name: &Name| self.peers.get(name).is_some_and(|p| p.standing == Standing::Heard);
+        let (told, fresh) = self.echoes.count(now, spans, since, heard_of);
         let sure = (heard * (fresh + 1) / (told + 1)).max(1);
         let names = self.peers.iter().filter(|(_, p)| p.standing != Standing::Left);
         // The names are in their order.
--- a/crates/deckproxy-fleet/src/view.rs
+++ b/crates/deckproxy-fleet/src/view.rs
@@ -142,9 +142,16 @@
         self.heard.insert(from.clone(), (now, fresh));
     }
 
-    /// Of the digests that came in the last while: how many, and how many show that we are heard.
-    pub fn count(&self, now: Millis, spans: &Spans, since: Millis) -> (usize, usize) {
-        let recent = self.heard.values().filter(|(at, _)| now - at <= spans.doubt && *at >= since);
+    /// Of the digests that came in the last while from those that count: how many, and how many show that we are heard.
+    pub fn count(
+        &self,
+        now: Millis,
+        spans: &Spans,
+        since: Millis,
+        counts: impl Fn(&Name) -> bool,
+    ) -> (usize, usize) {
+        let recent = self.heard.iter().filter(|(_, (at, _))| now - at <= spans.doubt && *at >= since);
+        let recent = recent.filter(|(name, _)| counts(name)).map(|(_, heard)| heard);
         recent.fold((0, 0), |(all, fresh), (_, is)| (all + 1, fresh + usize::from(*is)))
     }
 
