--- a/crates/deckproxy-rig/src/judge.rs
+++ b/crates/deckproxy-rig/src/judge.rs
@@ -227,7 +227,8 @@
     let mut worst: f64 = 0.0;
     for heal in heals {
         let next = begins.iter().copied().filter(|at| *at > heal).fold(played.to, f64::min);
-        let mut at = heal;
+        // The moment itself still belongs to the fault.
+        let mut at = heal + 1.0;
         while at < next && !together(played, &views, at) {
             at += 20.0;
         }
--- a/crates/deckproxy-rig/src/play.rs
+++ b/crates/deckproxy-rig/src/play.rs
@@ -164,6 +164,22 @@
         self.record.count(|fact| matches!(fact, Fact::Came { member: m, .. } if m == member))
     }
 
+    /// Where an instance's datagrams are taken, as others know it.
+    pub fn reached_at(&self, i: usize) -> std::net::SocketAddr {
+        self.relays.addresses[i]
+    }
+
+    /// Datagrams that passed the relays so far.
+    pub fn sent(&self) -> u64 {
+        self.relays.sent().0
+    }
+
+    /// Requests that an instance has served so far.
+    pub fn served_by(&self, i: usize) -> u64 {
+        let crowd = self.crowd.as_ref().map(|crowd| crowd.counts.by_instance.lock().unwrap());
+        crowd.and_then(|by| by.get(&i).map(|[_, served]| *served)).unwrap_or(0)
+    }
+
     /// Milliseconds since all began.
     pub fn now(&self) -> f64 {
         self.record.now()
--- /dev/null
+++ b/crates/deckproxy/tests/fleet.rs
@@ -0,0 +1,323 @@
+//! Several processes of the gateway that know of each other, with faults between them. What is judged was counted at
+//! members, relays and clients; of whom each takes for dead and what is on its board its own log tells.
+
+use deckproxy_rig::judge::{Figures, judge};
+use deckproxy_rig::plan::{Plan, Trouble, What};
+use deckproxy_rig::play::{Played, Rig};
+use deckproxy_standins::caller::{Draw, Wish};
+use deckproxy_standins::record::{Fact, Seen};
+use rand::RngExt;
+use std::net::UdpSocket;
+use std::sync::Arc;
+
+fn draw() -> Draw {
+    Arc::new(|rng| {
+        let object = rng.random_range(0..200u64) * 0x0101_0101_0101;
+        let class = if rng.random_bool(0.05) { "post" } else { "page" };
+        Wish { class, object, group: 3, home: 0, allow: 1400 }
+    })
+}
+
+fn plan(instances: usize, seed: u64) -> Plan {
+    Plan { instances, zones: 2, caches: 2, rate: 60.0, clients: 12, seed, probe: 500, ..Plan::default() }
+}
+
+fn start(instances: usize, seed: u64) -> Rig {
+    Rig::start(&plan(instances, seed), &draw())
+}
+
+/// Waits until each cache was probed so often again.
+fn probed(rig: &Rig, times: usize) {
+    let before: Vec<usize> = rig.caches().iter().map(|c| rig.probes(c)).collect();
+    rig.until("each cache is probed again", |rig| {
+        rig.caches().iter().zip(&before).all(|(c, before)| rig.probes(c) >= before + times)
+    });
+}
+
+fn heard(rig: &Rig, i: usize) -> usize {
+    rig.view(i).map_or(0, |view| view.heard.len())
+}
+
+/// Ends all; no rule was broken, no member probed twice as often as is meant, nobody taken for gone without cause.
+fn sound(rig: Rig) -> (Played, Figures) {
+    let played = rig.finish();
+    let figures = judge(&played);
+    assert!(figures.verdict.holds(), "{:#?}", figures.verdict.breaches);
+    assert!(figures.verdict.served > 0, "clients were served");
+    assert_eq!(played.wrongs, Vec::<String>::new());
+    assert!(figures.probe_ratio_max < 2.0, "{} times the probes", figures.probe_ratio_max);
+    (played, figures)
+}
+
+#[test]
+fn the_share_of_a_killed_instance_is_taken_over_and_given_back() {
+    let mut rig = start(4, 1);
+    probed(&rig, 4);
+    rig.change(&What::Kill(1), 0.0, true);
+    rig.settle();
+    rig.until("the others take it for gone", |rig| [0, 2, 3].iter().all(|i| heard(rig, *i) == 2));
+    rig.until("they observe all", |rig| {
+        let observes = |i: usize| rig.view(i).map_or(0, |v| v.observes);
+        [0, 2, 3].into_iter().map(observes).sum::<u64>() == 12
+    });
+    probed(&rig, 4);
+    rig.change(&What::Kill(1), 0.0, false);
+    rig.settle();
+    rig.until("the new life is one of them", Rig::is_one);
+    rig.until("it has its share again", |rig| rig.view(1).is_some_and(|v| v.observes > 0));
+    probed(&rig, 4);
+    let (played, _) = sound(rig);
+    judges_see_planted_faults(&played);
+}
+
+/// Each judge is shown what it is there for.
+fn judges_see_planted_faults(played: &Played) {
+    let member = played.members[0].clone();
+    let middle = (played.from + played.to) / 2.0;
+    let good = judge(played);
+    let spoilt = |spoil: &dyn Fn(&mut Played)| {
+        let mut copy = played.clone();
+        spoil(&mut copy);
+        copy.facts.sort_by(|a, b| a.at.total_cmp(&b.at));
+        judge(&copy)
+    };
+    // An instance that goes on with what was taken over: its probes come on top.
+    let more = spoilt(&|p| {
+        let probe =
+            |i: usize| Seen { at: middle + i as f64 * 100.0, fact: Fact::Probed { member: member.clone() } };
+        p.facts.extend((0..16).map(probe));
+    });
+    assert!(more.probe_ratio_max >= 2.0, "{}", more.probe_ratio_max);
+    // One that ignores that it is to take over: nobody probes for a while.
+    let hole = spoilt(&|p| {
+        let within = middle - 2500.0..middle + 2500.0;
+        p.facts.retain(|s| {
+            !(matches!(&s.fact, Fact::Probed { member: m } if *m == member) && within.contains(&s.at))
+        });
+    });
+    assert!(hole.coverage_gap > 4000.0 && hole.coverage_gap > good.coverage_gap);
+    // A board that believes an old life: it never is that of the others.
+    let board = spoilt(&|p| p.logs[0] = p.logs[0].replace("\"board\":\"", "\"board\":\"ff"));
+    assert!(good.converge.is_some());
+    assert_ne!(board.converge, good.converge);
+    // One that hears another no more, though nothing is between them.
+    let deaf = spoilt(&|p| {
+        let first = p.logs[0].find("i2").expect("it heard i2");
+        let at = p.logs[0][first..].find("\"fleet view\"").map_or(first, |i| first + i);
+        let tail = p.logs[0][at..].replace(" i2", "");
+        p.logs[0].replace_range(at.., &tail);
+        p.absent.iter_mut().for_each(|a| *a = Default::default());
+        p.from = 0.0;
+    });
+    assert!(deaf.false_dead > 0);
+    let unanswered = spoilt(&|p| {
+        let name = p.facts.iter().find_map(|s| match &s.fact {
+            Fact::Answered { name, .. } => Some(name.clone()),
+            _ => None,
+        });
+        p.facts.retain(|s| !matches!(&s.fact, Fact::Answered { name: n, .. } if Some(n) == name.as_ref()));
+    });
+    assert_eq!(unanswered.verdict.unanswered, 1);
+}
+
+#[test]
+fn a_paused_instance_knows_that_its_view_is_old_and_takes_its_share_back() {
+    let mut rig = start(4, 2);
+    rig.change(&What::Pause(2), 0.0, true);
+    rig.settle();
+    rig.until("the others take it for gone", |rig| [0, 1, 3].iter().all(|i| heard(rig, *i) == 2));
+    probed(&rig, 3);
+    rig.change(&What::Pause(2), 0.0, false);
+    rig.settle();
+    rig.until("it says that it stood still", |rig| rig.log(2).contains("this process stood still"));
+    rig.until("all are one again", Rig::is_one);
+    probed(&rig, 4);
+    let views = deckproxy_rig::judge::views(&rig.log(2));
+    assert!(views.iter().skip_while(|v| v.old).any(|v| v.old), "its view was old after it had been good");
+    sound(rig);
+}
+
+#[test]
+fn two_parts_do_the_work_of_one_and_come_together() {
+    let mut rig = start(5, 3);
+    let split = What::Split(vec![1, 4]);
+    rig.change(&split, 0.0, true);
+    rig.until("both parts know what they are", |rig| {
+        let larger = |i: usize| rig.view(i).is_some_and(|v| v.larger && v.heard.len() == 2);
+        let smaller = |i: usize| rig.view(i).is_some_and(|v| !v.larger && v.heard.len() == 1);
+        [0, 2, 3].into_iter().all(larger) && [1, 4].into_iter().all(smaller)
+    });
+    probed(&rig, 6);
+    rig.change(&split, 0.0, false);
+    rig.until("all are one again", Rig::is_one);
+    probed(&rig, 4);
+    sound(rig);
+}
+
+#[test]
+fn who_is_not_heard_lets_go_though_it_hears_all() {
+    let mut rig = start(5, 4);
+    let mute = What::Mute(vec![0, 3]);
+    rig.change(&mute, 0.0, true);
+    rig.until("those not heard know it", |rig| {
+        [0, 3].into_iter().all(|i| rig.view(i).is_some_and(|v| !v.larger))
+            && [1, 2, 4].into_iter().all(|i| rig.view(i).is_some_and(|v| v.larger && v.heard.len() == 2))
+    });
+    probed(&rig, 6);
+    rig.change(&mute, 0.0, false);
+    rig.until("all are one again", Rig::is_one);
+    sound(rig);
+}
+
+#[test]
+fn lost_late_and_doubled_datagrams_part_nobody() {
+    let mut rig = start(4, 5);
+    rig.change(&What::Datagrams(0.3, 0.2, 60), 0.0, true);
+    probed(&rig, 20);
+    let (_, figures) = sound(rig);
+    assert_eq!(figures.false_dead, 0);
+}
+
+#[test]
+fn all_are_restarted_one_after_another_under_load() {
+    let mut rig = start(4, 6);
+    rig.change(&What::Rolling, 6.0, true);
+    rig.settle();
+    rig.until("all new lives are one", Rig::is_one);
+    assert!((0..4).all(|i| rig.log(i).matches("\"fleet: takes part\"").count() == 2));
+    probed(&rig, 4);
+    let (played, figures) = sound(rig);
+    assert_eq!(figures.verdict.unanswered, 0);
+    assert!(played.logs.iter().all(|log| !log.contains("another process is")));
+}
+
+#[test]
+fn a_hanging_cache_gets_nothing_from_anybody_until_its_observers_tried_it() {
+    let mut rig = start(4, 7);
+    let cache = rig.caches()[0].clone();
+    let hangs = What::Cache(0, Trouble::Hangs);
+    rig.change(&hangs, 0.0, true);
+    rig.until("all hold it back", |rig| (0..4).all(|i| rig.view(i).is_some_and(|v| v.held == 1)));
+    let (before, probes) = (rig.came(&cache), rig.probes(&cache));
+    rig.until("it is probed still", |rig| rig.probes(&cache) > probes + 4);
+    // What was on its way when the last one learned of it may have come.
+    assert!(rig.came(&cache) <= before + 2, "{} requests came to it", rig.came(&cache) - before);
+    rig.change(&hangs, 0.0, false);
+    rig.until("all have taken it back", |rig| (0..4).all(|i| rig.view(i).is_some_and(|v| v.held == 0)));
+    let now = rig.came(&cache);
+    rig.until("it gets requests again", |rig| rig.came(&cache) > now);
+    let lifts: Vec<f64> = (0..4)
+        .map(|i| {
+            let views = deckproxy_rig::judge::views(&rig.log(i));
+            let at =
+                views.windows(2).filter(|w| w[0].held == 1 && w[1].held == 0).map(|w| w[1].at).next_back();
+            at.expect("it held it back and took it back")
+        })
+        .collect();
+    let first = lifts.iter().copied().fold(f64::MAX, f64::min);
+    let last = lifts.iter().copied().fold(0.0, f64::max);
+    assert!(last - first > 100.0, "not all at one moment: {lifts:?}");
+    sound(rig);
+}
+
+#[test]
+fn a_crashed_cache_comes_back_cold_and_is_taken_back() {
+    let mut rig = start(4, 8);
+    let crash = What::Cache(1, Trouble::Crashes);
+    rig.change(&crash, 0.0, true);
+    rig.until("all hold it back", |rig| (0..4).all(|i| rig.view(i).is_some_and(|v| v.held == 1)));
+    rig.change(&crash, 0.0, false);
+    rig.until("all have taken it back", |rig| (0..4).all(|i| rig.view(i).is_some_and(|v| v.held == 0)));
+    sound(rig);
+}
+
+#[test]
+fn one_observer_that_reaches_nobody_holds_nothing_back() {
+    let mut plan = plan(4, 9);
+    // The rig places relays where the plan has cuts.
+    let cut = What::Cut(vec![0], 0, true);
+    plan.faults.push(deckproxy_rig::plan::Fault { at: 1.0, lasts: 1.0, what: cut.clone() });
+    let mut rig = Rig::start(&plan, &draw());
+    rig.change(&cut, 0.0, true);
+    rig.until("it says that caches fail", |rig| {
+        rig.log(0).contains("is Failing, as this instance observes it")
+    });
+    probed(&rig, 6);
+    assert!((0..4).all(|i| rig.view(i).is_some_and(|v| v.held == 0)), "the others see them well");
+    rig.change(&cut, 0.0, false);
+    rig.until("it says that they are back", |rig| {
+        rig.log(0).contains("is Good, as this instance observes it")
+    });
+    sound(rig);
+}
+
+#[test]
+fn lists_that_are_late_or_silent_part_no_fleet() {
+    let mut rig = start(4, 10);
+    rig.change(&What::Feed(vec![1], 0), 0.0, true);
+    rig.change(&What::Feed(vec![2], 1500), 0.0, true);
+    rig.settle();
+    rig.change(&What::Cache(2, Trouble::Crashes), 0.0, true);
+    rig.until("all hold it back", |rig| (0..4).all(|i| rig.view(i).is_some_and(|v| v.held == 1)));
+    rig.change(&What::Cache(2, Trouble::Crashes), 0.0, false);
+    rig.until("all take it back", |rig| (0..4).all(|i| rig.view(i).is_some_and(|v| v.held == 0)));
+    rig.change(&What::Feed(vec![1, 2], 0), 0.0, false);
+    rig.settle();
+    rig.until("all are one", Rig::is_one);
+    sound(rig);
+}
+
+#[test]
+fn strangers_words_are_dropped_and_counted() {
+    let rig = start(3, 11);
+    let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
+    for i in 0..3 {
+        let at = rig.reached_at(i);
+        stranger.send_to(b"hello", at).unwrap();
+        stranger.send_to(&[0; 1500], at).unwrap();
+        // A whole datagram of another fleet.
+        let other = deckproxy_fleet::wire::Wire::new("other", vec!["127.0.0.0/8".parse().unwrap()]);
+        let from = deckproxy_fleet::instance::Instance {
+            name: "i9".into(),
+            zone: "edge".into(),
+            address: stranger.local_addr().unwrap(),
+            start: 1,
+            renewals: 0,
+            weight: 1,
+        };
+        let body = deckproxy_fleet::wire::Body::Hello { answer: false, known: None };
+        let bytes = other.encode(&deckproxy_fleet::wire::Packet { from, body }).unwrap();
+        stranger.send_to(&bytes, at).unwrap();
+    }
+    rig.until("the relays have passed them", |rig| rig.sent() > 0);
+    probed(&rig, 4);
+    assert!(rig.is_one());
+    let (played, _) = sound(rig);
+    for log in &played.logs {
+        let summary =
+            log.lines().rfind(|line| line.contains("\"msg\":\"end\"")).expect("a summary at the end");
+        for doubt in ["garbled:1", "too_large:1", "other_fleet:1"] {
+            assert!(summary.contains(doubt), "{doubt}: {summary}");
+        }
+        assert!(!log.contains("i9"));
+    }
+}
+
+#[test]
+fn without_its_fellows_an_instance_serves_as_ever() {
+    let mut rig = start(3, 12);
+    for other in [1, 2] {
+        rig.change(&What::Kill(other), 0.0, true);
+    }
+    rig.settle();
+    rig.until("it is alone", |rig| rig.view(0).is_some_and(|v| v.heard.is_empty() && !v.larger));
+    let before = rig.served_by(0);
+    rig.until("it serves", |rig| rig.served_by(0) > before + 100);
+    probed(&rig, 2);
+    for other in [1, 2] {
+        rig.change(&What::Kill(other), 0.0, false);
+    }
+    rig.settle();
+    rig.until("all are one again", Rig::is_one);
+    sound(rig);
+}
