--- a/crates/deckproxy-fleet/tests/instances.rs
+++ b/crates/deckproxy-fleet/tests/instances.rs
@@ -1,9 +1,7 @@
 //! Several instances in simulated time: who hears whom, who probes what, what is held back.
 
-mod common;
-
-use common::{Net, Sim, address, name};
 use deckproxy_fleet::view::Standing;
+use deckproxy_rig::simulated::{Net, Sim, address, name};
 
 /// Until all hear each other after a start, ms.
 const MEET: f64 = 8000.0;
@@ -242,7 +240,7 @@
     let mut sim = met(4, 95);
     // Another process that says it is i002, from another address: the later one counts.
     let rival = {
-        let mut settings = common::settings(2, 2, u64::MAX / 2);
+        let mut settings = deckproxy_rig::simulated::settings(2, 2, u64::MAX / 2);
         settings.own.address = address(9);
         settings
     };
--- a/crates/deckproxy-fleet/tests/schedules.rs
+++ b/crates/deckproxy-fleet/tests/schedules.rs
@@ -1,9 +1,7 @@
 //! Hundreds of drawn schedules of kills, pauses, splits, one-way cuts, restarts, loss and disorder: what must hold whatever
 //! comes. DECKPROXY_SCHEDULES sets how many are played, DECKPROXY_SCHEDULE plays that one alone.
 
-mod common;
-
-use common::{Net, Sim};
+use deckproxy_rig::simulated::{Net, Sim};
 use proptest::prelude::*;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
@@ -145,8 +143,8 @@
     #[test]
     fn no_datagram_harms(bytes in prop::collection::vec(any::<u8>(), 0..1300), flips in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..4)) {
         use deckproxy_fleet::fleet::{Effect, Fleet};
-        let mut one = Fleet::new(0.0, common::settings(0, 1, 5), 1);
-        let mut other = Fleet::new(0.0, common::settings(1, 1, 5), 2);
+        let mut one = Fleet::new(0.0, deckproxy_rig::simulated::settings(0, 1, 5), 1);
+        let mut other = Fleet::new(0.0, deckproxy_rig::simulated::settings(1, 1, 5), 2);
         other.tick(1.0);
         let good = std::iter::from_fn(|| other.effect()).find_map(|e| match e {
             Effect::Send(_, bytes) => Some(bytes),
@@ -160,7 +158,7 @@
         let cut = good[..flips[0].0.index(good.len())].to_vec();
         for datagram in [bytes, bad.clone(), cut] {
             let before = one.counters;
-            one.datagram(2.0, common::address(1), &datagram);
+            one.datagram(2.0, deckproxy_rig::simulated::address(1), &datagram);
             if datagram != good {
                 prop_assert_eq!(one.counters.taken, before.taken);
                 prop_assert_eq!(one.counters.doubted.iter().sum::<u64>(), before.doubted.iter().sum::<u64>() + 1);
@@ -170,7 +168,7 @@
         one.datagram(3.0, "192.0.2.1:7100".parse().unwrap(), &good);
         prop_assert_eq!(one.counters.doubted[0], 1);
         prop_assert_eq!(one.standing_of("i001").is_some(), bad == good);
-        one.datagram(4.0, common::address(1), &good);
+        one.datagram(4.0, deckproxy_rig::simulated::address(1), &good);
         prop_assert!(one.standing_of("i001").is_some());
     }
 }
--- a/crates/deckproxy-lab/src/demo.rs
+++ b/crates/deckproxy-lab/src/demo.rs
@@ -3,6 +3,9 @@
 use crate::traffic;
 use clap::Args;
 use comfy_table::Table;
+use deckproxy_rig::judge::judge;
+use deckproxy_rig::plan::{Fault, Plan, What};
+use deckproxy_rig::play::play;
 use deckproxy_standins::caller::{Callers, Load};
 use deckproxy_standins::fleet::{Site, Terms};
 use deckproxy_standins::free_address;
@@ -11,6 +14,7 @@
 use hdrhistogram::Histogram;
 use indicatif::{ProgressBar, ProgressStyle};
 use std::process::ExitCode;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -32,10 +36,57 @@
     /// Seed of the traffic.
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// A fleet of so many gateways in two zones, one of which is killed and comes back; clients go on to the others.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u32).range(1..=24), conflicts_with = "operator")]
+    gateways: u32,
+}
+
+/// A small fleet at work.
+fn fleet(options: &Options) -> ExitCode {
+    let seconds = (options.seconds as f64).max(8.0);
+    let mut plan = Plan {
+        seconds,
+        instances: options.gateways as usize,
+        rate: f64::from(options.rate),
+        clients: options.clients as usize,
+        seed: options.seed,
+        ..Plan::default()
+    };
+    plan.faults.push(Fault { at: seconds * 0.3, lasts: seconds * 0.3, what: What::Kill(1) });
+    println!(
+        "{} gateways in 2 zones, 3 caches in each, a parent, an origin and the feeds run on loopback",
+        plan.instances
+    );
+    let draw = traffic::draw(0, 1, 2000, 0.0, 0.04);
+    let played = play(&plan, &draw, |at, what| println!("{at:5.1} s  {what}"));
+    let figures = judge(&played);
+    let v = &figures.verdict;
+    let mut table = Table::new();
+    table.set_header(["", ""]);
+    let wanted = played.counts.wanted.load(Ordering::SeqCst).max(1);
+    let got = played.counts.got.load(Ordering::SeqCst);
+    let rows = [
+        ("wanted by clients", wanted.to_string()),
+        ("got at last, wherever", format!("{got} ({:.1}%)", 100.0 * got as f64 / wanted as f64)),
+        ("requests / refused / failed", format!("{} / {} / {}", v.requests, v.refused, v.failed)),
+        ("probes of a member beside those meant for one fleet", format!("{:.2}", figures.probe_ratio)),
+        ("bytes a second that a gateway spends on its fellows", format!("{:.0}", figures.bytes)),
+        ("p50 / p99, ms", format!("{:.1} / {:.1}", v.quantile(0, 0.5), v.quantile(0, 0.99))),
+        ("rules broken", if v.holds() { "none".to_string() } else { v.breaches.join("; ") }),
+    ];
+    for (name, value) in rows {
+        table.add_row([name.to_string(), value]);
+    }
+    println!("{table}");
+    let good = v.holds() && played.wrongs.is_empty() && v.served > 0;
+    if good { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
 /// Runs it.
 pub fn run(options: &Options) -> ExitCode {
+    if options.gateways > 1 {
+        return fleet(options);
+    }
     let operator = options.operator.as_ref().map(std::fs::read_to_string).transpose();
     let operator = match operator {
         Ok(text) => text,
--- a/crates/deckproxy-lab/src/measure/mod.rs
+++ b/crates/deckproxy-lab/src/measure/mod.rs
@@ -1,6 +1,7 @@
 //! `decklab measure`: figures for docs/results.md, each beside a baseline in the same run.
 
 mod cpu;
+mod fleet;
 mod flows;
 mod model;
 mod routes;
@@ -35,6 +36,8 @@
     Flows,
     /// The model's queue of events beside a heap.
     Model,
+    /// A fleet's probes, bytes, time to agree, CPU.
+    Fleet,
     /// This build of the gateway beside another one, `--beside`: CPU a request, memory, descriptors.
     Program,
 }
@@ -46,6 +49,7 @@
         Name::Routes => routes::run(options),
         Name::Flows => flows::run(options),
         Name::Model => model::run(options),
+        Name::Fleet => fleet::run(options),
         Name::Program => options.beside.iter().for_each(|other| cpu::run(options, other)),
     }
     ExitCode::SUCCESS
--- a/crates/deckproxy-lab/tests/drill.rs
+++ b/crates/deckproxy-lab/tests/drill.rs
@@ -83,3 +83,68 @@
     assert!(output.status.success(), "{text}");
     assert!(text.contains("rules broken") && text.contains("none"), "{text}");
 }
+
+#[test]
+fn the_drill_of_a_fleet_sees_what_is_put_wrong() {
+    let _alone = ALONE.lock().unwrap();
+    // Under the time that each fault takes once it does not run.
+    assert_eq!(drill("fleet", "20", &[]).status.code(), Some(2));
+    let spoils = [
+        ("probes", "times the intended probes of a member"),
+        ("coverage", "a member was not probed"),
+        ("board", "boards were the same after None"),
+    ];
+    std::thread::scope(|scope| {
+        let bad = spoils.map(|(spoil, wrong)| {
+            (scope.spawn(move || drill("fleet", "36", &["--seed", "3", "--spoil", spoil])), wrong)
+        });
+        for (output, wrong) in bad {
+            let output = output.join().unwrap();
+            let (report, told) = (last_line(&output), String::from_utf8_lossy(&output.stderr).into_owned());
+            assert_eq!(output.status.code(), Some(1), "{wrong}: {report}");
+            assert!(told.contains(wrong) && report["ok"] == false, "{wrong}: {told} {report}");
+            let faults = ["kills", "pauses", "splits", "restarts"];
+            assert!(faults.iter().all(|f| report[f].as_u64() > Some(0)), "{report}");
+        }
+    });
+}
+
+#[test]
+fn a_plan_is_played_and_leaves_its_page_and_a_bad_one_is_told_whole() {
+    let _alone = ALONE.lock().unwrap();
+    let folder = std::env::temp_dir().join(format!("deckproxy-rig-test-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let plan = folder.join("plan.textproto");
+    let run = |text: &str| {
+        std::fs::write(&plan, text).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_decklab"));
+        command.arg("rig").arg(&plan).arg("--out").arg(folder.join("out")).output().unwrap()
+    };
+    let bad = run(
+        "instances: 2\nseconds: 5\nfaults { at: 1 lasts: 9 kill: 7 }\nfaults { at: 1 lasts: 1 split { instances: [0, 1] } }\n\
+                   faults { at: 1 lasts: 1 cache { number: 99 hangs: true } }\n",
+    );
+    let told = String::from_utf8_lossy(&bad.stderr).into_owned();
+    assert_eq!(bad.status.code(), Some(2), "{told}");
+    for want in [
+        ":3:1: faults[0]: from 1 to 10 s is not within the run of 5 s",
+        ":3:1: faults[0]: there is no instance 7; they are 0 to 1",
+        ":4:1: faults[1]: some of the instances are wanted, and not all",
+        ":5:26: faults[2].cache.number: there is no cache 99; they are 0 to 5",
+    ] {
+        assert!(told.contains(want), "{want} is not in {told}");
+    }
+    let good = run(
+        "question: \"a kill\" seconds: 6 instances: 2 rate: 40 clients: 6\nfaults { at: 1 lasts: 2 kill: 1 }\n",
+    );
+    let text = String::from_utf8_lossy(&good.stdout).into_owned();
+    assert!(good.status.success(), "{text} {}", String::from_utf8_lossy(&good.stderr));
+    assert!(text.contains("kill: 1 begins") && text.contains("served by instance: i0"), "{text}");
+    let page = std::fs::read_to_string(folder.join("out/timeline.html")).unwrap();
+    assert!(page.contains("<svg") && page.contains("a kill") && !page.contains("could not be drawn"));
+    assert!(std::fs::read_to_string(folder.join("out/i1.log")).unwrap().contains("fleet view"));
+    // The plan that was written plays again.
+    let again = std::fs::read_to_string(folder.join("out/plan.textproto")).unwrap();
+    assert!(again.contains("faults { at: 1.0 lasts: 2.0 kill: 1 }"), "{again}");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/crates/deckproxy-operator/tests/files.rs
+++ b/crates/deckproxy-operator/tests/files.rs
@@ -165,3 +165,32 @@
     assert!(told[0].starts_with("2:3: recovery.bad_share: good_share (0.9) is below"), "{told:#?}");
     assert!(told[1].contains("leave (0.5) must be under enter (0.5)"), "{told:#?}");
 }
+
+#[test]
+fn the_fleet_has_its_defaults_its_example_and_its_faults() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/fleet.example.textproto");
+    let fleet = read(&std::fs::read(path).unwrap()).unwrap().fleet.unwrap();
+    let set = fleet.settings("n1", "edge-1", 7).unwrap();
+    assert_eq!((&*set.own.name, &*set.own.zone, set.own.start), ("n1", "edge-1", 7));
+    assert_eq!((set.size, set.observers, set.probe, set.bytes), (2, 2, 1000.0, 16.0 * 1024.0));
+    let why = fleet.settings("Northern Gateway", "edge-1", 7).unwrap_err();
+    assert!(why.starts_with("fleet.instance must be set: the platform's \"Northern Gateway\""), "{why}");
+    let told = faults(
+        "fleet {\n  name: \"Edge\"\n  listen: \"0.0.0.0:7400\"\n  seeds: [\"10.0.0.1:7400\", \"192.0.2.1:7400\"]\n  \
+         prefixes: \"10.0.0.1/8\"\n  instance: \"a b\"\n  probes { observers: 9 interval_ms: 50 }\n  \
+         ways { instance: \"x\" address: \"10.0.0.2:1\" }\n  ways { instance: \"x\" address: \"10.0.0.3:1\" }\n}\n",
+    );
+    for want in [
+        "2:3: fleet.name: ",
+        "3:3: fleet.listen: 0.0.0.0:7400 is no address at which others reach it: set fleet.address",
+        "4:3: fleet.seeds[1]: 192.0.2.1:7400 is in none of fleet.prefixes",
+        "5:3: fleet.prefixes[0]: \"10.0.0.1/8\" has bits past its length; 10.0.0.0/8 is meant?",
+        "6:3: fleet.instance: \"a b\" is no name",
+        "7:12: fleet.probes.observers: ",
+        "7:25: fleet.probes.interval_ms: ",
+        "9:10: fleet.ways[1].instance: \"x\" has a way already",
+    ] {
+        assert!(told.iter().any(|line| line.contains(want)), "{want} is not in {told:#?}");
+    }
+    assert_eq!(told.len(), 8, "{told:#?}");
+}
--- a/crates/deckproxy-rig/src/judge.rs
+++ b/crates/deckproxy-rig/src/judge.rs
@@ -208,7 +208,7 @@
 
 fn converge(played: &Played) -> Option<f64> {
     let plan = &played.plan;
-    if !plan.fleet {
+    if !plan.fleet || plan.alone {
         return Some(0.0);
     }
     let views: Vec<Vec<View>> = played.logs.iter().map(|log| self::views(log)).collect();
--- a/crates/deckproxy-rig/src/lib.rs
+++ b/crates/deckproxy-rig/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`crowd`]: clients that come to any instance, and go to another after a refusal or a death.
 //! - [`play`]: a whole run.
 //! - [`judge`]: what was counted at members and clients, and what the instances' own logs show of their views.
+//! - [`simulated`]: many instances in simulated time.
 //! - [`timeline`]: a page of what happened.
 #![forbid(unsafe_code)]
 #![allow(clippy::missing_panics_doc)]
@@ -18,4 +19,5 @@
 pub mod posts;
 pub mod relay;
 pub mod shrink;
+pub mod simulated;
 pub mod timeline;
--- a/crates/deckproxy-rig/src/plan.rs
+++ b/crates/deckproxy-rig/src/plan.rs
@@ -84,6 +84,8 @@
     pub fleet: bool,
     /// Milliseconds between an observer's probes of a member.
     pub probe: u64,
+    /// Each is a fleet of its own, as a baseline.
+    pub alone: bool,
     /// What goes wrong.
     pub faults: Vec<Fault>,
 }
@@ -101,6 +103,7 @@
             seed: 1,
             fleet: true,
             probe: 1000,
+            alone: false,
             faults: Vec::new(),
         }
     }
@@ -202,7 +205,7 @@
         let _ = writeln!(out, "question: {:?}", self.question);
         let _ = writeln!(
             out,
-            "seconds: {:?} instances: {} zones: {} caches: {} rate: {:?} clients: {} seed: {} fleet: {} probe_ms: {}",
+            "seconds: {:?} instances: {} zones: {} caches: {} rate: {:?} clients: {} seed: {} fleet: {} probe_ms: {} alone: {}",
             self.seconds,
             self.instances,
             self.zones,
@@ -211,7 +214,8 @@
             self.clients,
             self.seed,
             self.fleet,
-            self.probe
+            self.probe,
+            self.alone
         );
         for fault in &self.faults {
             let _ = writeln!(
@@ -274,6 +278,7 @@
         seed: p.seed.unwrap_or(d.seed),
         fleet: p.fleet.unwrap_or(d.fleet),
         probe: p.probe_ms.map_or(d.probe, u64::from),
+        alone: p.alone.unwrap_or(d.alone),
         faults: Vec::new(),
     };
     let mut told = Vec::new();
--- a/crates/deckproxy-rig/src/play.rs
+++ b/crates/deckproxy-rig/src/play.rs
@@ -113,7 +113,7 @@
             from: 0.0,
             sent: (0, 0),
         };
-        if plan.fleet {
+        if plan.fleet && !plan.alone {
             rig.until("the instances have met", |rig| (0..rig.plan.instances).all(|i| rig.hears_all(i)));
         }
         let door = |p: &Arc<Mutex<Post>>| {
--- a/crates/deckproxy-rig/src/posts.rs
+++ b/crates/deckproxy-rig/src/posts.rs
@@ -126,16 +126,19 @@
         config["known"]["events"] = json!(known);
         let feed = site.feed.view(Box::new(move |event| readdressed(event, &ways)));
         config["feed"] = json!(feed.address.to_string());
+        let (fleet, size) = if plan.alone { (name.as_str(), 1) } else { ("rig", plan.instances) };
         let seeds: Vec<String> =
             relays.addresses.iter().take(2).map(|at| format!("{:?}", at.to_string())).collect();
         let operator = format!(
-            "fleet {{\n name: \"rig\" listen: \"{at}\" address: \"{}\" seeds: [{}]\n prefixes: \"127.0.0.0/8\" \
+            "fleet {{\n name: \"{fleet}\" listen: \"{at}\" address: \"{}\" seeds: [{}]\n prefixes: \"127.0.0.0/8\" \
              instance: \"{name}\" instances: {}\n probes {{ interval_ms: {} }}\n}}\n",
             relays.addresses[index],
             seeds.join(", "),
-            plan.instances,
+            size,
             plan.probe
         );
+        let operator =
+            if plan.alone { operator.replace("probes {", "probes { observers: 1") } else { operator };
         let folder =
             std::env::temp_dir().join(format!("deckproxy-rig-{}-{}", std::process::id(), next_number()));
         std::fs::create_dir_all(&folder).expect("the folder for temporary files takes one");
--- a/crates/deckproxy-fleet/tests/common/mod.rs
+++ b/crates/deckproxy-rig/src/simulated.rs
@@ -13,6 +13,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
 
+/// Where an instance is.
 pub fn address(i: usize) -> SocketAddr {
     format!("10.0.{}.{}:7100", i / 250, i % 250 + 1).parse().unwrap()
 }
@@ -23,10 +24,12 @@
     Some(usize::from(high) * 250 + usize::from(low) - 1)
 }
 
+/// An instance's name.
 pub fn name(i: usize) -> Name {
     Name::from(format!("i{i:03}"))
 }
 
+/// How an instance takes part.
 pub fn settings(i: usize, zones: usize, start: u64) -> Settings {
     let own = Instance {
         name: name(i),
@@ -60,7 +63,9 @@
 /// How datagrams fare.
 #[derive(Clone, Copy, Debug)]
 pub struct Net {
+    /// Share that is lost.
     pub loss: f64,
+    /// Share that comes twice.
     pub doubled: f64,
     /// Most milliseconds that one takes: more than the gap between two sends puts them out of order.
     pub late: Millis,
@@ -86,8 +91,11 @@
     Probe(usize, u64, u32, bool),
 }
 
+/// The network, its instances and members.
 pub struct Sim {
+    /// The time, ms.
     pub now: Millis,
+    /// How datagrams fare now.
     pub net: Net,
     nodes: Vec<Node>,
     zones: usize,
@@ -98,20 +106,24 @@
     order: u64,
     rng: Pcg64Mcg,
     members: Vec<Listed>,
-    /// Members that answer nobody, or not these instances.
+    /// Members that answer nobody.
     pub sick: BTreeSet<u32>,
+    /// Instances that do not reach single members.
     pub deaf: BTreeSet<(usize, u32)>,
     /// Probes as members saw them: time, instance, member.
     pub probes: Vec<(Millis, usize, u32)>,
     /// Held sets as they were set: time, instance, members.
     pub holds: Vec<(Millis, usize, Vec<u32>)>,
+    /// Log lines: time, instance, text.
     pub logs: Vec<(Millis, usize, String)>,
+    /// Bytes that each instance sent.
     pub bytes: Vec<u64>,
     /// What the operators say is the fleet's size; 0: nothing.
     pub size: usize,
 }
 
 impl Sim {
+    /// So many instances in so many zones, all started now, and members.
     pub fn new(instances: usize, zones: usize, members: usize, net: Net, seed: u64) -> Self {
         let listed = |id: usize| Listed {
             id: id as u32,
@@ -144,14 +156,17 @@
         sim
     }
 
+    /// How many instances there are, running or not.
     pub fn count(&self) -> usize {
         self.nodes.len()
     }
 
+    /// An instance that runs.
     pub fn fleet(&self, i: usize) -> &Fleet {
         self.nodes[i].fleet.as_ref().expect("it runs")
     }
 
+    /// Those that run and are not stopped.
     pub fn running(&self) -> Vec<usize> {
         (0..self.nodes.len()).filter(|i| self.nodes[*i].fleet.is_some() && !self.nodes[*i].stopped).collect()
     }
@@ -169,25 +184,30 @@
         node.waiting.clear();
     }
 
+    /// A new life.
     pub fn start(&mut self, i: usize) {
         let start = 1_000_000 + self.now as u64 + self.nodes[i].starts;
         self.start_as(i, start);
     }
 
+    /// Ends one at once.
     pub fn kill(&mut self, i: usize) {
         self.nodes[i].fleet = None;
     }
 
+    /// Has one say good-bye.
     pub fn leave(&mut self, i: usize) {
         let now = self.now;
         self.nodes[i].fleet.iter_mut().for_each(|f| f.leave(now));
         self.carry_out(i);
     }
 
+    /// Has one stand still.
     pub fn stop(&mut self, i: usize) {
         self.nodes[i].stopped = true;
     }
 
+    /// Has one go on.
     pub fn go_on(&mut self, i: usize) {
         self.nodes[i].stopped = false;
         // The loop finds all that came meanwhile, and its timers due.
@@ -208,6 +228,7 @@
         }
     }
 
+    /// Puts a datagram on its way.
     pub fn put(&mut self, after: Millis, from: SocketAddr, to: SocketAddr, bytes: Vec<u8>) {
         self.later(after, What::Datagram(from, to, bytes));
     }
@@ -273,6 +294,7 @@
         }
     }
 
+    /// Plays for a span, ms.
     pub fn run(&mut self, span: Millis) {
         self.run_to(self.now + span);
     }
@@ -350,6 +372,7 @@
         (worst.len() as f64 / intended, worst)
     }
 
+    /// The first of these.
     pub fn worst_ratio(&self, from: Millis, span: Millis) -> f64 {
         self.worst(from, span).0
     }
--- a/crates/deckproxy/tests/routing.rs
+++ b/crates/deckproxy/tests/routing.rs
@@ -142,7 +142,12 @@
                     assert!(!(refused && seen.class == 2 && seen.may_have_run), "a refusal that may do harm");
                     seen.over = true;
                 }
-                Effect::Probe { .. } | Effect::Close(_) | Effect::Purged { .. } | Effect::Log(_) => {}
+                Effect::Probe { .. }
+                | Effect::Probed { .. }
+                | Effect::Listed
+                | Effect::Close(_)
+                | Effect::Purged { .. }
+                | Effect::Log(_) => {}
             }
         }
     }
@@ -347,3 +352,75 @@
     assert_eq!(router.held(), 4 * router.sizes().find(|s| s.0 == "requests").unwrap().1);
     assert_eq!(router.counters.broken, 0);
 }
+
+/// Where the router sends requests for many objects.
+fn asked(router: &mut Router, now: f64, from: u32) -> Vec<String> {
+    let mut out = Vec::new();
+    for n in 0..40u32 {
+        let object = u64::from(n) * 0x0123_4567_89ab;
+        let call = Call {
+            name: format!("h{from}-{n}").into(),
+            allow: 1000.0,
+            object: (format!("{object:016x}").into(), object),
+            part: None,
+            group: 0,
+            size: Some(10.0),
+            class: "page".into(),
+            key: None,
+            have: None,
+            body: Bytes::new(),
+        };
+        router.request(now, 1, from + n, call);
+        while let Some(effect) = router.effect() {
+            if let Effect::Ask { key, member, .. } = effect {
+                out.push(router.member_name(member).to_string());
+                let reply = Reply {
+                    id: "".into(),
+                    word: Word::Ok,
+                    report: Vec::new(),
+                    copy: None,
+                    body: Bytes::from_static(b"x"),
+                };
+                router.reply(now, key, reply);
+            }
+        }
+    }
+    out
+}
+
+fn number(router: &Router, name: &str) -> u32 {
+    router.listed().find(|(_, other)| *other == name).map(|(m, _)| m.id).expect("it is listed")
+}
+
+#[test]
+fn what_is_held_back_gets_nothing_new_and_is_never_better_than_its_list() {
+    let mut router = router();
+    let one = number(&router, "s-1");
+    let two = number(&router, "s-2");
+    let both = asked(&mut router, NOW + 10.0, 0);
+    assert!(both.iter().any(|m| m == "s-1") && both.iter().any(|m| m == "s-2"), "{both:?}");
+    router.hold_back(NOW + 20.0, &[one]);
+    let held = asked(&mut router, NOW + 30.0, 100);
+    assert!(held.iter().all(|m| m == "s-2"), "{held:?}");
+    // The list has it drain; that it is held back no more does not bring it back.
+    let drains =
+        News::Members { whole: false, entries: vec![entry(0, Phase::Terminating, None)], dropped: 0 };
+    assert!(router.feed(NOW + 40.0, 2, drains, false));
+    router.hold_back(NOW + 50.0, &[]);
+    let drained = asked(&mut router, NOW + 60.0, 200);
+    assert!(drained.iter().all(|m| m == "s-2"), "{drained:?}");
+    // What the list tells while it is held back holds it back no less.
+    router.hold_back(NOW + 70.0, &[one, two]);
+    let ready = News::Members {
+        whole: true,
+        entries: (0..MEMBERS.len()).map(|at| entry(at, Phase::Ready, None)).collect(),
+        dropped: 0,
+    };
+    assert!(router.feed(NOW + 80.0, 3, ready, false));
+    router.hold_back(NOW + 90.0, &[one]);
+    let again = asked(&mut router, NOW + 100.0, 300);
+    assert!(again.iter().all(|m| m == "s-2"), "{again:?}");
+    router.hold_back(NOW + 110.0, &[]);
+    let both = asked(&mut router, NOW + 120.0, 400);
+    assert!(both.iter().any(|m| m == "s-1"), "{both:?}");
+}
