--- a/crates/deckproxy-rig/src/draw.rs
+++ b/crates/deckproxy-rig/src/draw.rs
@@ -10,14 +10,14 @@
 /// See `FIRST`.
 pub const REST: f64 = 3.5;
 /// The shortest run in which an instance is killed, one paused, one restarted, and the fleet split and muted.
-pub const SHORTEST: u64 = 34;
+pub const SHORTEST: u64 = 36;
 
 /// Each of the faults that part instances, once at least, one after another: kill, pause, restart, split, mute.
 pub fn partings(seed: u64, seconds: f64, instances: usize) -> Vec<Fault> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed.wrapping_mul(0x2545_f491_4f6c_dd1d) ^ 0xf1ee);
     let mut faults = Vec::new();
     let mut at = FIRST;
-    let mut kinds = vec![0, 1, 2, 3, 4];
+    let mut kinds = [0, 1, 2, 3, 4];
     kinds.shuffle(&mut rng);
     for turn in 0.. {
         let kind = kinds[turn % kinds.len()];
--- a/crates/deckproxy-rig/src/relay.rs
+++ b/crates/deckproxy-rig/src/relay.rs
@@ -179,7 +179,9 @@
         let at: Vec<SocketAddr> = ends.iter().map(|e| e.local_addr().unwrap()).collect();
         let relays = Relays::to(&at, 2);
         relays.fate(Fate { lost: 1.0, ..Fate::default() });
-        (0..50).for_each(|_| drop(ends[0].send_to(&[1], relays.addresses[1]).unwrap()));
+        for _ in 0..50 {
+            ends[0].send_to(&[1], relays.addresses[1]).unwrap();
+        }
         deckproxy_standins::until("all came to the relay", || relays.sent().0 == 50);
         relays.fate(Fate { doubled: 1.0, late: 5, ..Fate::default() });
         ends[0].send_to(&[2], relays.addresses[1]).unwrap();
--- a/crates/deckproxy-rig/src/timeline.rs
+++ b/crates/deckproxy-rig/src/timeline.rs
@@ -20,6 +20,8 @@
 const STEP: f64 = 0.5;
 
 type Drawn = Result<(), Box<dyn std::error::Error>>;
+/// A picture's name, and what draws it.
+type Picture = (&'static str, fn(&Played, &mut String) -> Drawn);
 
 /// The page.
 pub fn page(played: &Played, figures: &Figures) -> String {
@@ -49,18 +51,15 @@
         let _ = writeln!(out, "<tr><td>{name}</td><td>{}</td></tr>", escaped(&value));
     }
     out.push_str("</table>\n");
-    let pictures: [(&str, Box<dyn Fn(&mut String) -> Drawn>); 3] = [
-        ("Who hears how many others (grey: could not answer)", Box::new(|svg| seen(played, svg))),
-        ("Probes of each member in half a second", Box::new(|svg| probes(played, svg))),
-        (
-            "Answers in half a second: served (blue), refused (orange), failed (red)",
-            Box::new(|svg| service(played, svg)),
-        ),
+    let pictures: [Picture; 3] = [
+        ("Who hears how many others (grey: could not answer)", seen),
+        ("Probes of each member in half a second", probes),
+        ("Answers in half a second: served (blue), refused (orange), failed (red)", service),
     ];
     for (name, draw) in pictures {
         let mut svg = String::new();
         let _ = writeln!(out, "<h2>{name}</h2>");
-        match draw(&mut svg) {
+        match draw(played, &mut svg) {
             Ok(()) => out.push_str(&svg),
             Err(e) => drop(writeln!(out, "<p>could not be drawn: {}</p>", escaped(&e.to_string()))),
         }
--- a/crates/deckproxy/src/program/parts.rs
+++ b/crates/deckproxy/src/program/parts.rs
@@ -194,7 +194,9 @@
     /// All requests are answered and the clients gone. Tells whether all have done what they still have to.
     pub fn finish(&mut self, cx: &Context<'_>) -> bool {
         let (all, out) = self.all();
-        all.fold(true, |done, part| part.finish(cx, out) && done)
+        // Each has its turn, also after one that has not done yet.
+        let done: Vec<bool> = all.map(|part| part.finish(cx, out)).collect();
+        done.into_iter().all(|done| done)
     }
 
     /// Whether any has work left for a planned end that connections to members would disturb.
