Who speaks and is not there for SWIM is made known to, whatever it says

After a split under loss one side may hold another for alive and greet it no more, while that one holds it for dead and never speaks to it. The line to blame: only a greeting was answered with an announcement (fleet/peers.rs, hear).

--- a/crates/deckproxy-fleet/src/fleet/mod.rs
+++ b/crates/deckproxy-fleet/src/fleet/mod.rs
@@ -39,6 +39,8 @@
     left: bool,
     /// Since when it has been lost or has left.
     gone: Option<Millis>,
+    /// When we last made ourselves known to it.
+    announced: Millis,
 }
 
 /// One instance.
--- a/crates/deckproxy-fleet/src/fleet/peers.rs
+++ b/crates/deckproxy-fleet/src/fleet/peers.rs
@@ -12,6 +12,9 @@
 /// Within so long after the start a higher life of our name is an earlier one whose clock was ahead; later it is another
 /// process that took our place.
 const YOUNG: Millis = 10_000.0;
+/// From one time that an instance is made known to another that is not there for SWIM to the next, ms.
+const ANNOUNCE: Millis = 250.0;
+
 impl Fleet {
     /// Whether the words of a sender count: not those of an earlier life.
     pub(super) fn believe(&mut self, packet: Packet) -> Result<Packet, Doubt> {
@@ -52,6 +55,13 @@
         let own = self.time.look(now).0;
         let strange = !self.swim.alive().contains_key(&from.name);
         self.meet(&from);
+        // Whoever speaks and is not there for SWIM is made known to, whatever it says: it may hold us for alive and greet no
+        // more, while we hold it for dead and never speak to it. SWIM's own words find their answer themselves.
+        let due = self.peers.get(&from.name).is_some_and(|p| now - p.announced >= ANNOUNCE);
+        if strange && due && !matches!(body, Body::Swim(_)) {
+            self.peers.get_mut(&from.name).into_iter().for_each(|p| p.announced = now);
+            self.swim.announce(own, &from);
+        }
         match body {
             Body::Hello { answer, known } => {
                 if let Some(life) = known.filter(|life| *life >= self.own().start) {
@@ -67,9 +77,6 @@
                 if !answer {
                     self.send(&from, Body::Hello { answer: true, known: None });
                 }
-                if strange {
-                    self.swim.announce(own, &from);
-                }
             }
             Body::Swim(bytes) => {
                 self.swim.heard(own, &bytes);
@@ -112,6 +119,7 @@
             standing: Standing::Doubtful,
             left: false,
             gone: None,
+            announced: f64::MIN,
         };
         // Who is new, or in a new life, is there from now on: duties are divided with it.
         self.stirred |= self.peers.get(&one.name).is_none_or(|p| p.instance.start < one.start);
--- a/crates/deckproxy-rig/src/posts.rs
+++ b/crates/deckproxy-rig/src/posts.rs
@@ -127,8 +127,9 @@
         let feed = site.feed.view(Box::new(move |event| readdressed(event, &ways)));
         config["feed"] = json!(feed.address.to_string());
         let (fleet, size) = if plan.alone { (name.as_str(), 1) } else { ("rig", plan.instances) };
-        let seeds: Vec<String> =
-            relays.addresses.iter().take(2).map(|at| format!("{:?}", at.to_string())).collect();
+        // One that is to be alone knows nobody to find.
+        let known = if plan.alone { &relays.addresses[index..=index] } else { &relays.addresses[..] };
+        let seeds: Vec<String> = known.iter().take(2).map(|at| format!("{:?}", at.to_string())).collect();
         let operator = format!(
             "fleet {{\n name: \"{fleet}\" listen: \"{at}\" address: \"{}\" seeds: [{}]\n prefixes: \"127.0.0.0/8\" \
              instance: \"{name}\" instances: {}\n probes {{ interval_ms: {} }}\n}}\n",
