A held member stays so while its observers change

Who has seen nothing says nothing now, what is held is let go by a good word or by silence alone, and what a lost one said last holds nobody back anew and lets nobody go. Peers that are remembered are bounded, too. Lines to blame: health.rs judge, fleet/members.rs watch.

--- a/crates/deckproxy-fleet/src/fleet/members.rs
+++ b/crates/deckproxy-fleet/src/fleet/members.rs
@@ -53,7 +53,7 @@
         let before = watch.health();
         change(watch, &self.settings.terms);
         let (health, due) = (watch.health(), now - *written >= REPORT_AGAIN);
-        if health == before && !due {
+        if health == before && !(due && watch.is_sure()) {
             return;
         }
         *written = now;
@@ -111,17 +111,21 @@
         if self.view.old {
             return;
         }
-        let mut reports: BTreeMap<&Name, Vec<Health>> = BTreeMap::new();
+        let mut reports: BTreeMap<&Name, Vec<(Health, bool)>> = BTreeMap::new();
         for (author, member, _, value) in self.board.all(now, kinds::HEALTH) {
             let lost = self.peers.get(author).is_some_and(|p| p.standing == Standing::Lost);
-            if let (false, Ok(health)) = (lost, postcard::from_bytes(value)) {
-                reports.entry(member).or_default().push(health);
+            if let Ok(health) = postcard::from_bytes(value) {
+                reports.entry(member).or_default().push((health, lost));
             }
         }
         let mut wanted: BTreeMap<u32, Vec<(u64, u32)>> = BTreeMap::new();
         for member in self.members.values().filter(|m| m.ready) {
             let Some(reports) = reports.get(&member.name) else { continue };
-            let held = match judge(reports.iter().copied(), self.settings.observers) {
+            // What a lost one said last holds nobody back anew, and lets nobody go: its successors have to see for themselves.
+            let held = self.held.contains(&member.id);
+            let counts = reports.iter().filter(|(health, lost)| !lost || held && *health != Health::Good);
+            let counts = counts.map(|(health, _)| *health);
+            let held = match judge(counts, self.settings.observers, held) {
                 Held::No => false,
                 Held::ButObservers => !self.probing.has(member.id),
                 Held::Yes => true,
--- a/crates/deckproxy-fleet/src/fleet/peers.rs
+++ b/crates/deckproxy-fleet/src/fleet/peers.rs
@@ -12,6 +12,8 @@
 /// Within so long after the start a higher life of our name is an earlier one whose clock was ahead; later it is another
 /// process that took our place.
 const YOUNG: Millis = 10_000.0;
+/// Instances that are remembered, as the operators' largest fleet has.
+const MOST: usize = 2048;
 /// From one time that an instance is made known to another that is not there for SWIM to the next, ms.
 const ANNOUNCE: Millis = 250.0;
 
@@ -25,6 +27,10 @@
             }
             return Err(Doubt::OldLife);
         }
+        let full = self.peers.len() >= MOST && !self.peers.contains_key(&from.name);
+        if full {
+            return Err(Doubt::TooMany);
+        }
         let known = self.board.life(&from.name).max(self.peers.get(&from.name).map(|p| p.instance.start));
         match known {
             Some(known) if known > from.start => {
@@ -111,7 +117,8 @@
 
     /// Remembers an instance, in its last life.
     fn meet(&mut self, one: &Instance) {
-        if one.name == self.own().name {
+        let full = self.peers.len() >= MOST && !self.peers.contains_key(&one.name);
+        if one.name == self.own().name || full {
             return;
         }
         let new = |instance: &Instance| Peer {
--- a/crates/deckproxy-fleet/src/fleet/types.rs
+++ b/crates/deckproxy-fleet/src/fleet/types.rs
@@ -122,7 +122,7 @@
     /// Taken.
     pub taken: u64,
     /// Not believed, in the order of [`crate::wire::DOUBTS`].
-    pub doubted: [u64; 6],
+    pub doubted: [u64; 7],
     /// Not sent, as the budget of bytes was spent.
     pub held_back: u64,
     /// Entries dropped at a bound of the board.
--- a/crates/deckproxy-fleet/src/health.rs
+++ b/crates/deckproxy-fleet/src/health.rs
@@ -57,6 +57,12 @@
         self.health
     }
 
+    /// Whether that is known and not only what is taken for granted at first: an observer that has just taken over a sick
+    /// member must not say that it is well until it has seen that.
+    pub fn is_sure(&self) -> bool {
+        self.health != Health::Good || self.good
+    }
+
     fn turn(&mut self, now: Millis, health: Health) {
         (self.health, self.tried, self.since) = (health, 0, now);
     }
@@ -102,8 +108,9 @@
     Yes,
 }
 
-/// What all reports that count say together. `wanted`: observers that have to agree.
-pub fn judge(reports: impl Iterator<Item = Health>, wanted: usize) -> Held {
+/// What all reports that count say together. `wanted`: observers that have to agree. `held`: the member is held back so far;
+/// that stays so until one sees it well or nobody says anything of it any more, as when one of its observers is lost.
+pub fn judge(reports: impl Iterator<Item = Health>, wanted: usize, held: bool) -> Held {
     let (mut failing, mut back, mut good) = (0, 0, 0);
     for report in reports {
         match report {
@@ -114,7 +121,7 @@
     }
     match () {
         // One that sees it well outweighs those that do not: it may be they who are cut off.
-        () if good > 0 || failing + back < wanted.max(1) => Held::No,
+        () if good > 0 || failing + back < if held { 1 } else { wanted.max(1) } => Held::No,
         () if back > 0 => Held::ButObservers,
         () => Held::Yes,
     }
@@ -159,11 +166,14 @@
     #[test]
     fn one_sick_observer_proves_nothing() {
         use Health::{Back, Failing, Good};
-        let held = |reports: &[Health]| judge(reports.iter().copied(), 2);
+        let held = |reports: &[Health]| judge(reports.iter().copied(), 2, false);
         assert_eq!(held(&[Failing]), Held::No);
         assert_eq!(held(&[Failing, Good]), Held::No);
         assert_eq!(held(&[Failing, Failing]), Held::Yes);
         assert_eq!(held(&[Failing, Back]), Held::ButObservers);
         assert_eq!(held(&[Failing, Back, Good]), Held::No);
+        let still = |reports: &[Health]| judge(reports.iter().copied(), 2, true);
+        assert_eq!((still(&[Failing]), still(&[Back])), (Held::Yes, Held::ButObservers));
+        assert_eq!((still(&[Failing, Good]), still(&[])), (Held::No, Held::No));
     }
 }
--- a/crates/deckproxy-fleet/src/wire.rs
+++ b/crates/deckproxy-fleet/src/wire.rs
@@ -61,10 +61,13 @@
     OtherFleet,
     /// An earlier life of its sender, or of ourselves, says it.
     OldLife,
+    /// Of an instance that is new where as many are known as may be.
+    TooMany,
 }
 
 /// Names of the doubts, in the order of their places.
-pub const DOUBTS: [&str; 6] = ["foreign", "too_large", "garbled", "other_version", "other_fleet", "old_life"];
+pub const DOUBTS: [&str; 7] =
+    ["foreign", "too_large", "garbled", "other_version", "other_fleet", "old_life", "too_many"];
 
 /// Reads and writes the datagrams of one fleet.
 #[derive(Clone, Debug)]
--- a/crates/deckproxy-fleet/tests/instances.rs
+++ b/crates/deckproxy-fleet/tests/instances.rs
@@ -265,3 +265,29 @@
     sim.run(3000.0);
     assert!(sim.probes[before..].iter().all(|p| p.1 != 2), "it lets go of its duties");
 }
+
+#[test]
+fn a_held_member_stays_so_while_its_observers_change() {
+    for seed in 100..110 {
+        let mut sim = met(6, seed);
+        sim.sick.insert(4);
+        sim.run(7000.0);
+        assert!((0..6).all(|i| sim.fleet(i).held().contains(&4)), "seed {seed}: {:?}", sim.logs);
+        let observers: Vec<usize> = (0..6).filter(|i| sim.fleet(*i).observes(4)).collect();
+        let from = sim.now;
+        // First the one is killed, then the one that was there from the beginning.
+        sim.kill(observers[0]);
+        sim.run(9000.0);
+        sim.kill(observers[1]);
+        sim.run(9000.0);
+        let freed: Vec<_> = sim
+            .holds
+            .iter()
+            .filter(|(at, i, held)| *at > from && !held.contains(&4) && !observers.contains(i))
+            .collect();
+        assert!(freed.is_empty(), "seed {seed}: sent there again: {freed:?} {:?}", sim.logs);
+        sim.sick.remove(&4);
+        sim.run(14_000.0);
+        assert!(sim.running().iter().all(|i| sim.fleet(*i).held().is_empty()), "seed {seed}: {:?}", sim.logs);
+    }
+}
