--- a/crates/deckproxy/tests/fleet.rs
+++ b/crates/deckproxy/tests/fleet.rs
@@ -245,6 +245,52 @@
     sound(rig);
 }
 
+#[test]
+fn a_cache_that_fails_all_is_held_back_and_one_that_is_slow_is_not() {
+    let mut rig = start(3, 14);
+    let fails = What::Cache(3, Trouble::Fails(1.0));
+    rig.change(&fails, 0.0, true);
+    rig.until("all hold it back", |rig| (0..3).all(|i| rig.view(i).is_some_and(|v| v.held == 1)));
+    rig.change(&What::Cache(3, Trouble::Slow(150)), 0.0, true);
+    rig.until("all take it back", |rig| (0..3).all(|i| rig.view(i).is_some_and(|v| v.held == 0)));
+    let probes = rig.probes(&rig.caches()[3]);
+    rig.until("it is probed, slow as it is", |rig| rig.probes(&rig.caches()[3]) > probes + 8);
+    assert!((0..3).all(|i| rig.view(i).is_some_and(|v| v.held == 0)));
+    // Half of what it is asked fails: whatever its observers make of that, it is not probed more.
+    rig.change(&What::Cache(3, Trouble::Fails(0.5)), 0.0, true);
+    let probes = rig.probes(&rig.caches()[3]);
+    rig.until("it is probed on", |rig| rig.probes(&rig.caches()[3]) > probes + 8);
+    rig.change(&fails, 0.0, false);
+    rig.until("nothing is held back", |rig| (0..3).all(|i| rig.view(i).is_some_and(|v| v.held == 0)));
+    sound(rig);
+}
+
+#[test]
+fn a_zone_cut_off_from_all_goes_on_by_itself_and_comes_back() {
+    let mut plan = plan(5, 15);
+    // Instances 1 and 3 stand in the second zone. The rig places relays where the plan has cuts.
+    let cut = What::Cut(vec![1, 3], 0, true);
+    plan.faults.push(deckproxy_rig::plan::Fault { at: 1.0, lasts: 1.0, what: cut.clone() });
+    let mut rig = Rig::start(&plan, &draw());
+    let all = [What::Split(vec![1, 3]), cut, What::Feed(vec![1, 3], 0)];
+    all.iter().for_each(|what| rig.change(what, 0.0, true));
+    rig.settle();
+    rig.until("both parts know what they are", |rig| {
+        [0, 2, 4].into_iter().all(|i| rig.view(i).is_some_and(|v| v.larger && v.heard.len() == 2))
+            && [1, 3].into_iter().all(|i| rig.view(i).is_some_and(|v| !v.larger && v.heard.len() == 1))
+    });
+    let before: Vec<u64> = (0..5).map(|i| rig.served_by(i)).collect();
+    rig.until("both serve their clients", |rig| (0..5).all(|i| rig.served_by(i) > before[i] + 5));
+    probed(&rig, 4);
+    // The larger part sees all caches well: what the cut-off ones see of the other zone holds nothing back there.
+    assert!([0, 2, 4].into_iter().all(|i| rig.view(i).is_some_and(|v| v.held == 0)));
+    all.iter().for_each(|what| rig.change(what, 0.0, false));
+    rig.settle();
+    rig.until("all are one again", Rig::is_one);
+    rig.until("nothing is held back", |rig| (0..5).all(|i| rig.view(i).is_some_and(|v| v.held == 0)));
+    sound(rig);
+}
+
 #[test]
 fn a_new_operator_file_is_taken_and_what_takes_a_restart_is_said() {
     let at = deckproxy_standins::free_address();
