A test waits until the gateway has seen a connection's end

Seen: a_connection_closed_while_idle_costs_nothing failed once beside a build. The stand-in had closed its end, the gateway had not looked at it yet, and the next request crossed the close on the same connection (members.rs test; the loop serves what is ready in turn). Change: it waits for the gateway's descriptor to go.

--- a/crates/deckproxy/tests/members.rs
+++ b/crates/deckproxy/tests/members.rs
@@ -99,8 +99,11 @@
     let mut client = gateway.client();
     for _ in 0..3 {
         let (cache, conn) = warm(&world, &mut client);
+        let (_, before) = gateway.usage();
         cache.close(conn);
         cache.closed();
+        // The gateway learns of it by its own socket: what it sends before that crosses the close, which is another case.
+        until("the gateway has seen it", || gateway.usage().1 < before);
     }
     assert!(!gateway.log().contains("attempts out"), "{}", gateway.log());
 }
