--- a/crates/deckproxy-fleet/src/fleet/mod.rs
+++ b/crates/deckproxy-fleet/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 //! members out.
 
 mod members;
+mod overloaded;
 mod peers;
 mod types;
 
@@ -12,6 +13,7 @@
 use crate::clock::OwnTime;
 use crate::health::Watch;
 use crate::instance::{Instance, Name};
+use crate::overload::Overload;
 use crate::probing::Probing;
 use crate::swim::Swim;
 use crate::view::{Echoes, Spans, Standing, View};
@@ -59,6 +61,7 @@
     /// Duties are to be divided anew.
     stirred: bool,
     held: BTreeSet<u32>,
+    overload: Option<Box<Overload>>,
     /// When each member that is to be taken back is.
     lifts: BTreeMap<u32, Millis>,
     rng: Pcg64Mcg,
@@ -101,6 +104,7 @@
             probing: Probing::default(),
             stirred: true,
             held: BTreeSet::new(),
+            overload: settings.overload.clone().map(|set| Box::new(Overload::new(now, set))),
             lifts: BTreeMap::new(),
             rng: Pcg64Mcg::seed_from_u64(seed ^ 0x666c_6565_7400_0000),
             begun: now,
@@ -227,10 +231,11 @@
     pub fn reload(&mut self, new: Settings) -> bool {
         self.wire = Wire::new(&self.settings.fleet, new.prefixes.clone());
         let old = std::mem::replace(&mut self.settings, new);
-        let kept = (old.own, old.fleet, old.pace);
-        let asked = (self.settings.own.clone(), self.settings.fleet.clone(), self.settings.pace);
+        let kept = (old.own, old.fleet, old.pace, old.overload);
+        let new = &self.settings;
+        let asked = (new.own.clone(), new.fleet.clone(), new.pace, new.overload.clone());
         let other = asked != kept;
-        (self.settings.own, self.settings.fleet, self.settings.pace) = kept;
+        (self.settings.own, self.settings.fleet, self.settings.pace, self.settings.overload) = kept;
         self.time.allow(self.settings.pause);
         self.stirred = true;
         other
@@ -277,6 +282,7 @@
         self.settle(now);
         self.observe(now);
         self.judge(now);
+        self.shed(now);
         self.show(now);
     }
 
@@ -333,7 +339,7 @@
             view: self.view.clone(),
             heard: self.standing(Standing::Heard).map(|one| one.name.clone()).collect(),
             lost: self.standing(Standing::Lost).map(|one| one.name.clone()).collect(),
-            board: self.board.sum(now, &[kinds::BEAT]),
+            board: self.board.sum(now, &kinds::BRISK),
             held: self.held.len(),
         };
         if seen != self.seen {
--- a/crates/deckproxy-fleet/src/fleet/types.rs
+++ b/crates/deckproxy-fleet/src/fleet/types.rs
@@ -3,6 +3,7 @@
 use crate::Millis;
 use crate::health::Terms;
 use crate::instance::{Instance, Name};
+use crate::overload;
 use crate::swim::Pace;
 use crate::view::View;
 use ipnet::IpNet;
@@ -16,6 +17,15 @@
     pub const BEAT: u8 = 0;
     /// An observer's report on a member ([`crate::health::Health`]), by the member's name.
     pub const HEALTH: u8 = 1;
+    /// What an instance counted ([`crate::overload::summary::Summary`]).
+    pub const SUMMARY: u8 = 2;
+    /// What is cut, as one decided for all ([`crate::overload::cut::Cut`]).
+    pub const CUT: u8 = 3;
+    /// Who was turned away ([`crate::overload::turned::Piece`]), by turns.
+    pub const TURNED: u8 = 4;
+
+    /// Those that change so often that boards are not compared by them.
+    pub const BRISK: [u8; 4] = [BEAT, SUMMARY, CUT, TURNED];
 }
 
 /// How an instance takes part.
@@ -55,6 +65,8 @@
     pub spread: Millis,
     /// What it takes to hold a member back.
     pub terms: Terms,
+    /// How overload is handled as one; none: it is not.
+    pub overload: Option<overload::Settings>,
 }
 
 /// What an instance tells of itself with each beat.
--- a/crates/deckproxy-fleet/src/lib.rs
+++ b/crates/deckproxy-fleet/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`view`]: how sure an instance is of what it sees.
 //! - [`duties`]: who probes which member, and how often, whatever falls apart.
 //! - [`health`]: from probes and attempts to what the fleet holds of a member.
+//! - [`overload`]: who sheds what, and who may come back when, as one.
 #![forbid(unsafe_code)]
 
 pub mod board;
@@ -20,6 +21,7 @@
 pub mod fleet;
 pub mod health;
 pub mod instance;
+pub mod overload;
 mod probing;
 pub mod swim;
 pub mod view;
--- /dev/null
+++ b/crates/deckproxy-fleet/src/overload/cut.rs
@@ -0,0 +1,350 @@
+//! How much the fleet lets in, and which rank that is: decided by one of it for all, from what all count.
+//!
+//! A cut is made where work is in vain (failed, late, or repeated) and not only where the module turns away: to turn away
+//! is cheap, and to shed more than that would be a harm of its own. It goes by what was served: a little over that is let
+//! in, more with each good look, sooner each time, and less at once where it goes badly.
+
+use super::rank::{RANKS, cut};
+use super::summary::{Rates, THINGS};
+use crate::Millis;
+use serde::{Deserialize, Serialize};
+
+/// How cuts are made and taken back.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// Share served of what ended, below which it goes badly, and from which it goes well.
+    pub bad: f64,
+    /// See `bad`.
+    pub good: f64,
+    /// Share of what ended that was in vain, or repeats for each first try, without which nothing is cut.
+    pub vain: f64,
+    /// See `vain`.
+    pub repeats: f64,
+    /// Requests a second of the fleet that must end for it to be judged, and that are always let in.
+    pub least: f64,
+    /// Repeats that pass for each first try that does.
+    pub share: f64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { bad: 0.85, good: 0.95, vain: 0.05, repeats: 0.3, least: 10.0, share: 0.2 }
+    }
+}
+
+/// From one look to the next, ms: what a look changed has come round and been counted by the one after the next.
+pub const LOOK: Millis = 500.0;
+/// How long an epoch lasts, ms.
+const EPOCH: Millis = 2000.0;
+/// Bad looks in a row until a cut is made; looks in a row at which it was not in the way, until it is taken back.
+const BAD: u32 = 2;
+const CALM: u32 = 4;
+/// What a good look makes of what is let in at first, and how much more each further one does, at most: near what was too
+/// much it is probed, and once that is past it is climbed.
+const STEP: f64 = 1.05;
+const MORE: f64 = 1.6;
+const STEP_MOST: f64 = 1.3;
+/// The first step after much was in vain: what was served while queues were full says little of what can be.
+const STEP_ANEW: f64 = 1.15;
+/// So much of the crowd is left where it has gone: what is let in is found anew.
+const GONE: f64 = 0.6;
+/// Of what is served, the part let in while that takes long: the rest of the time goes to who waits already.
+const DRAINS: f64 = 0.95;
+/// Looks at which all is served, and most not soon, whatever is let in: that is how long it takes, and no queue.
+const PATIENT: u32 = 12;
+/// Looks for which it is left at that.
+const LEFT: u32 = 60;
+/// Looks from one change to the next at least: what one did must have been counted, or it is done twice.
+const SETTLE: u32 = 2;
+/// What a bad look leaves of it at least.
+const LESS: f64 = 0.7;
+/// Of what is let in, the part that may be promised to repeats at most.
+const PROMISED: f64 = 0.5;
+
+/// A cut at one thing, as it is told.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    /// Ranks below it are turned away.
+    pub rank: u32,
+    /// Requests a second that the fleet lets in.
+    pub cap: f32,
+    /// Requests a second that came when it was decided.
+    pub come: f32,
+    /// Share of those turned away that is promised a time, of 65,535.
+    pub promise: u16,
+    /// Repeats a second that the fleet lets in.
+    pub returns: f32,
+}
+
+/// What was decided.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Cut {
+    /// The epoch, by which draws are keyed.
+    pub epoch: u64,
+    /// For how long it had lasted, ms.
+    pub lasted: u16,
+    /// It is in force no more: who decides now has to know of it.
+    pub over: bool,
+    /// By thing, where something is cut.
+    pub things: [Option<Line>; THINGS],
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct State {
+    cap: Option<f64>,
+    bad: u32,
+    calm: u32,
+    step: f64,
+    /// Looks since it was changed.
+    since: u32,
+    /// Requests a second that came when less was let in last.
+    crowd: f64,
+    /// Looks in a row at which all was served and not soon, and those for which that is left out of account.
+    slow: u32,
+    left: u32,
+}
+
+/// What decides.
+#[derive(Clone, Debug)]
+pub struct Control {
+    limits: Limits,
+    things: [State; THINGS],
+    epoch: u64,
+    began: Millis,
+    /// What it decided last.
+    last: Cut,
+    /// Cuts made so far.
+    pub cuts: u64,
+}
+
+impl Control {
+    /// With nothing cut.
+    pub fn new(limits: Limits) -> Self {
+        Control { limits, things: Default::default(), epoch: 0, began: 0.0, last: Cut::default(), cuts: 0 }
+    }
+
+    /// Takes over from who decided until now; `parts`: the share of what came then that comes to those who go by this one,
+    /// by thing: a part of a split goes on with its own part.
+    pub fn take_over(&mut self, now: Millis, cut: &Cut, age: Millis, parts: [f64; THINGS]) {
+        for ((state, line), part) in self.things.iter_mut().zip(cut.things).zip(parts) {
+            let cap = line.map(|l| f64::from(l.cap) * part.clamp(0.0, 1.0));
+            *state = State { cap: cap.map(|cap| cap.max(self.limits.least)), step: STEP, ..State::default() };
+        }
+        (self.epoch, self.began) = (cut.epoch, now - age - f64::from(cut.lasted));
+        self.last = *cut;
+    }
+
+    /// What it decided last.
+    pub fn last(&self) -> Cut {
+        self.last
+    }
+
+    /// Another part of the fleet has come together with this one: what it let in is let in beside.
+    pub fn join(&mut self, other: &Cut, things: [bool; THINGS]) {
+        for ((state, line), joins) in self.things.iter_mut().zip(other.things).zip(things) {
+            if let (Some(cap), Some(line), true) = (&mut state.cap, line, joins) {
+                *cap += f64::from(line.cap);
+                state.since = 0;
+            }
+        }
+    }
+
+    /// Decides from what all have counted, once each [`LOOK`].
+    pub fn look(&mut self, now: Millis, sums: &[Rates; THINGS]) -> Cut {
+        if self.epoch == 0 || now - self.began >= EPOCH {
+            (self.epoch, self.began) = (self.epoch + 1, now);
+        }
+        let lasted = (now - self.began) as u16;
+        let mut told = Cut { epoch: self.epoch, lasted, over: false, things: [None; THINGS] };
+        for ((state, rates), line) in self.things.iter_mut().zip(sums).zip(&mut told.things) {
+            let had = state.cap.is_some();
+            state.look(&self.limits, rates);
+            self.cuts += u64::from(!had && state.cap.is_some());
+            *line = state.cap.map(|cap| state_line(&self.limits, cap, rates));
+        }
+        self.last = told;
+        told
+    }
+}
+
+fn state_line(limits: &Limits, cap: f64, rates: &Rates) -> Line {
+    // Repeats that pass do so beside the cut.
+    let room = (cap - rates.back).max(0.0);
+    let rank = cut(&rates.levels, room);
+    let returns = (limits.share * rates.firsts).min(cap * PROMISED);
+    let away = (rates.come() - room).max(0.0);
+    // While it goes badly nobody knows what will be free.
+    let good = (limits.bad + limits.good) / 2.0;
+    let well = rates.share() >= good && rates.soon() >= good;
+    let promise = if !well {
+        0.0
+    } else if away > 0.0 {
+        (returns / away).min(1.0)
+    } else {
+        1.0
+    };
+    Line {
+        rank: rank.min(RANKS - 1),
+        cap: cap as f32,
+        come: (rates.come() + rates.back) as f32,
+        promise: (promise * f64::from(u16::MAX)) as u16,
+        returns: returns as f32,
+    }
+}
+
+impl State {
+    fn look(&mut self, limits: &Limits, rates: &Rates) {
+        let tells = rates.ended() >= limits.least;
+        let share = rates.share();
+        self.left = self.left.saturating_sub(1);
+        let soon = if self.left > 0 { share } else { rates.soon() };
+        let Some(cap) = &mut self.cap else {
+            let in_vain = rates.wasted >= limits.vain * rates.ended()
+                || rates.repeats + rates.back >= limits.repeats * rates.come();
+            let bad = tells && (share < limits.bad && in_vain || share >= limits.bad && soon < limits.bad);
+            self.bad = if bad { self.bad + 1 } else { 0 };
+            if self.bad >= BAD {
+                let step = if share < limits.bad { STEP_ANEW } else { STEP };
+                *self = State { cap: Some(rates.served.max(limits.least)), step, ..State::default() };
+            }
+            return;
+        };
+        self.since += 1;
+        let in_the_way = rates.come() + rates.back > *cap * 0.98;
+        let settled = self.since >= SETTLE;
+        self.slow = if tells && share >= limits.good && soon < limits.bad { self.slow + 1 } else { 0 };
+        if self.slow >= PATIENT {
+            *self = State { left: LEFT, ..State::default() };
+            return;
+        }
+        if settled && tells && soon < limits.good {
+            self.crowd = rates.come();
+        }
+        if tells && share < limits.bad && settled {
+            *cap = rates.served.max(*cap * LESS).min(*cap).max(limits.least);
+            (self.step, self.since) = (STEP_ANEW, 0);
+        } else if tells && soon < limits.good && settled {
+            // Where more is served than let in, those who wait are on their way already.
+            if rates.served <= *cap {
+                *cap = (rates.served.max(*cap * LESS) * DRAINS).max(limits.least);
+            }
+            (self.step, self.since) = (STEP, 0);
+        } else if in_the_way && settled && (!tells || soon >= limits.good) {
+            self.since = 0;
+            if rates.come() < GONE * self.crowd {
+                self.step = self.step.max(STEP_ANEW);
+            }
+            *cap *= self.step;
+            self.step = (1.0 + (self.step - 1.0) * MORE).min(STEP_MOST);
+        }
+        self.calm = if in_the_way || share < limits.bad { 0 } else { self.calm + 1 };
+        if self.calm >= CALM {
+            *self = State { left: self.left, ..State::default() };
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::overload::rank::LEVELS;
+
+    /// What is counted where so many come a second and so many can be served; repeats beside them.
+    fn world(come: f64, room: f64, cap: Option<f64>, repeats: f64) -> Rates {
+        let passed = cap.unwrap_or(come).min(come);
+        Rates {
+            levels: [come / LEVELS as f64; LEVELS],
+            repeats,
+            firsts: passed,
+            passed,
+            served: passed.min(room),
+            refused: (passed - room).max(0.0),
+            ..Rates::default()
+        }
+    }
+
+    fn cap(cut: &Cut) -> Option<f64> {
+        cut.things[1].map(|l| f64::from(l.cap))
+    }
+
+    #[test]
+    fn three_times_the_load_is_cut_to_what_is_served_and_let_in_again_as_it_can_be() {
+        let mut control = Control::new(Limits::default());
+        let mut told = Cut::default();
+        let mut now = 0.0;
+        let mut play = |looks: usize, come: f64, room: f64| {
+            for _ in 0..looks {
+                now += LOOK;
+                told = control.look(now, &[Rates::default(), world(come, room, cap(&told), 0.5 * come)]);
+            }
+            told
+        };
+        assert_eq!(cap(&play(10, 300.0, 400.0)), None);
+        let tight = cap(&play(30, 900.0, 300.0)).expect("it is cut");
+        assert!((285.0..370.0).contains(&tight), "{tight}");
+        assert_eq!(play(1, 900.0, 300.0).things[0], None, "the caches do well");
+        // The room comes back: all are let in within some seconds.
+        assert_eq!(cap(&play(40, 900.0, 1200.0)), None);
+        assert_eq!(control.cuts, 1);
+    }
+
+    #[test]
+    fn what_takes_long_whatever_is_let_in_is_not_cut_for_long() {
+        let mut control = Control::new(Limits::default());
+        let mut told = Cut::default();
+        let mut cut = 0;
+        for i in 0..100 {
+            let mut rates = world(300.0, 1e9, cap(&told), 0.0);
+            rates.slow = rates.served;
+            told = control.look(f64::from(i) * LOOK, &[Rates::default(), rates]);
+            cut += u32::from(told.things[1].is_some());
+        }
+        assert!((1..30).contains(&cut), "{cut} of 100 looks");
+    }
+
+    #[test]
+    fn what_is_only_turned_away_is_not_cut() {
+        let mut control = Control::new(Limits::default());
+        for i in 0..20 {
+            let told = control.look(f64::from(i) * LOOK, &[Rates::default(), world(900.0, 300.0, None, 0.0)]);
+            assert_eq!(told.things, [None; THINGS]);
+        }
+    }
+
+    #[test]
+    fn parts_of_a_split_let_in_what_the_whole_did() {
+        let whole = Cut {
+            epoch: 9,
+            lasted: 100,
+            over: false,
+            things: [None, Some(Line { rank: 9, cap: 300.0, come: 900.0, promise: 0, returns: 0.0 })],
+        };
+        let mut sum = 0.0;
+        for part in [0.3, 0.7] {
+            let mut control = Control::new(Limits::default());
+            control.take_over(1000.0, &whole, 50.0, [1.0, part]);
+            let told = control.look(
+                1001.0,
+                &[Rates::default(), world(900.0 * part, 300.0 * part, Some(300.0 * part), 0.0)],
+            );
+            assert_eq!(told.epoch, 9);
+            sum += cap(&told).unwrap();
+        }
+        assert!((290.0..320.0).contains(&sum), "{sum}");
+    }
+
+    #[test]
+    fn promises_fit_the_budget_of_repeats() {
+        let mut control = Control::new(Limits::default());
+        let mut told = Cut::default();
+        for i in 0..20 {
+            told = control
+                .look(f64::from(i) * LOOK, &[Rates::default(), world(900.0, 300.0, cap(&told), 400.0)]);
+        }
+        let line = told.things[1].unwrap();
+        let away = 900.0 - f64::from(line.cap);
+        let promised = away * f64::from(line.promise) / 65_535.0;
+        assert!((promised - f64::from(line.returns)).abs() < 1.0, "{promised} {line:?}");
+        assert!(f64::from(line.returns) <= 0.21 * f64::from(line.cap), "{line:?}");
+    }
+}
--- /dev/null
+++ b/crates/deckproxy-fleet/src/overload/mod.rs
@@ -0,0 +1,599 @@
+//! Overload, handled by the fleet as one: who sheds what, and who may come back when.
+//!
+//! Each gateway counts what is asked of it and what becomes of that ([`summary`]), and tells the others on the board. One
+//! of those that hear each other looks at the sum and decides one cut for all ([`cut`]): requests of ranks below it are
+//! turned away ([`rank`]) wherever they come. Of those turned away so many are promised a time as the fleet's budget of
+//! repeats bears; who was turned away is known to all ([`turned`]), so that coming back elsewhere or too early gains
+//! nothing. What the caches hold passes where only the way to the sources is crowded ([`warmth`]).
+//!
+//! Whoever hears nobody decides for itself, from what it counts itself: its own share, and no more.
+
+pub mod cut;
+pub mod rank;
+pub mod summary;
+pub mod turned;
+pub mod warmth;
+
+use crate::Millis;
+use crate::board::{Board, Key};
+use crate::duties::{Candidate, observers};
+use crate::fleet::kinds;
+use crate::instance::Name;
+use cut::{Control, Cut, LOOK, Limits, Line};
+use deckproxy_recovery::budget::{self, Budget};
+use rank::{Draw, Keys, rank};
+use std::collections::BTreeMap;
+use summary::{Counting, Rates, Summary, THINGS, Thing};
+use turned::{PIECES, Piece, Turned, Wishes};
+use warmth::Warmth;
+
+/// A class, as far as this goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Class {
+    /// Its band by worth, 0 the one worth least.
+    pub band: usize,
+    /// It may run once only: no copy serves it, and once it may have run it is not turned away.
+    pub effect: bool,
+}
+
+/// How overload is handled.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The fleet's name: the key of all draws.
+    pub fleet: String,
+    /// The classes, by their places.
+    pub classes: Vec<Class>,
+    /// How cuts are made.
+    pub limits: Limits,
+    /// What a gateway's own repeats may cost while nothing is cut.
+    pub budget: budget::Limits,
+    /// Clients are told when to come back, and are held to it.
+    pub advice: bool,
+    /// The shortest and the longest time after which one is asked back, ms.
+    pub least_back: Millis,
+    /// See `least_back`.
+    pub most_back: Millis,
+    /// Wishes turned away, and objects served, that are remembered.
+    pub remembered: usize,
+    /// From one summary to the next, ms.
+    pub window: Millis,
+}
+
+/// Who is there, as the fleet's view tells.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Seat {
+    /// Ourselves.
+    pub own: Option<Name>,
+    /// The others that are there, with the life of each.
+    pub others: Vec<(Name, u64)>,
+    /// What is known is old: nothing is decided.
+    pub old: bool,
+}
+
+/// A request, as far as this goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Asked {
+    /// Who asks.
+    pub client: u64,
+    /// The class, by its place.
+    pub class: usize,
+    /// What for.
+    pub object: u64,
+    /// How long the client still waits, ms.
+    pub left: Millis,
+    /// KB of the answer, where it is known.
+    pub size: Option<f64>,
+    /// The client says itself that it has asked before.
+    pub again: bool,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    /// It goes to the module; how it ends is to be told.
+    Pass(Ticket),
+    /// It is refused at once, and asked back after so many ms; 0: no time is told.
+    Refuse(Millis),
+}
+
+/// A request that passed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ticket {
+    asked: Asked,
+    thing: Thing,
+    at: Millis,
+}
+
+/// How a request that passed ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// Served.
+    Served,
+    /// Turned away by the module.
+    Refused,
+    /// Failed.
+    Failed,
+    /// Its client left first.
+    Gone,
+}
+
+/// What was done, by reason.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Passed, and those of them that had been promised it.
+    pub passed: u64,
+    /// See `passed`.
+    pub kept: u64,
+    /// Came before they were asked to; below the cut; repeats for which no budget was left.
+    pub hasty: u64,
+    /// See `hasty`.
+    pub below: u64,
+    /// See `hasty`.
+    pub no_budget: u64,
+    /// Promised ones that came in time and could not be let in.
+    pub broken: u64,
+    /// Times to come back that were promised.
+    pub promised: u64,
+    /// Looks at which this instance decided for others and itself.
+    pub looks: u64,
+}
+
+/// An entry that is to stand on the board: its kind and subject, how long it counts, and what it says; none: it is taken
+/// back.
+pub type Entry = (Key, u32, Option<Vec<u8>>);
+
+/// How long a summary and a cut count unless they are written again, ms: where datagrams are lost, one that is a little old
+/// says more than none; and until another decides, what was decided last holds.
+const SUMMARY_LIFE: u32 = 2500;
+const CUT_LIFE: u32 = 6000;
+/// A promised time is that far off at least, so that it is known to all by then, ms.
+const TOLD: Millis = 400.0;
+/// Times are promised over so long, ms: of what is further off nobody knows.
+const AHEAD: Millis = 800.0;
+/// What is left of a client's time when it comes back must be enough to serve it, ms.
+const ENOUGH: Millis = 200.0;
+/// Who comes so little too early is in time, ms: clocks and pieces are not finer.
+const EARLY: Millis = 30.0;
+/// Who comes so much after its time has lost it, ms.
+const LATE: Millis = 1000.0;
+/// Over its part of the repeats that the fleet lets in, an instance may go by that: they do not come evenly.
+const SLACK: f64 = 1.1;
+/// For how long an instance's part of the repeats may be saved up, ms.
+const SAVED: Millis = 500.0;
+/// Parts of the fleet together had so much of what comes in view at most, beside what comes once they are one.
+const WHOLE: f64 = 1.25;
+/// KB of an answer that costs what is usual; the same at all gateways, so that ranks are.
+const USUAL: f64 = 16.0;
+
+/// An instance's part of a budget of the fleet: lent by each cut, gone with it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Part {
+    left: f64,
+    /// A second.
+    rate: f64,
+    filled: Millis,
+}
+
+impl Part {
+    fn lend(&mut self, now: Millis, rate: f64) {
+        self.fill(now);
+        self.rate = rate;
+    }
+
+    fn fill(&mut self, now: Millis) {
+        let more = self.rate * (now - self.filled).max(0.0) / 1000.0;
+        self.left = (self.left + more).min((self.rate * SAVED / 1000.0).max(1.0));
+        self.filled = now;
+    }
+
+    /// Whether one may pass; `promised`: that is owed, and may be paid for a little later.
+    fn spend(&mut self, now: Millis, promised: bool) -> bool {
+        self.fill(now);
+        let owed = if promised { self.rate * SAVED / 1000.0 + 1.0 } else { 0.0 };
+        let may = self.left + owed >= 1.0;
+        if may {
+            self.left -= 1.0;
+        }
+        may
+    }
+}
+
+/// What one gateway does about the fleet's overload.
+#[derive(Debug)]
+pub struct Overload {
+    set: Settings,
+    keys: Keys,
+    bands: usize,
+    counting: Counting,
+    control: Control,
+    /// It decided at the last look.
+    leads: bool,
+    next_look: Millis,
+    /// What is in force, and when its epoch began.
+    force: Cut,
+    began: Millis,
+    parts: [Part; THINGS],
+    budget: Budget,
+    wishes: Wishes,
+    warmth: Warmth,
+    lives: BTreeMap<Name, u64>,
+    /// What others have decided lately, with when that was heard last.
+    told: BTreeMap<Name, (Cut, Millis)>,
+    /// Counts.
+    pub counters: Counters,
+}
+
+impl Overload {
+    /// One that has heard nothing yet.
+    pub fn new(now: Millis, set: Settings) -> Self {
+        Overload {
+            keys: Keys::of(&set.fleet),
+            bands: set.classes.iter().map(|c| c.band + 1).max().unwrap_or(1),
+            counting: Counting::new(now, set.window),
+            control: Control::new(set.limits),
+            leads: false,
+            next_look: now,
+            force: Cut::default(),
+            began: now,
+            parts: [Part { filled: now, ..Part::default() }; THINGS],
+            budget: Budget::new(set.budget),
+            wishes: Wishes::new(set.remembered, set.most_back.max(1000.0) * 4.0),
+            warmth: Warmth::new(set.remembered, 60_000.0),
+            lives: BTreeMap::new(),
+            told: BTreeMap::new(),
+            counters: Counters::default(),
+            set,
+        }
+    }
+
+    /// What is in force.
+    pub fn cut(&self) -> &Cut {
+        &self.force
+    }
+
+    /// Whether it decides for those that hear it.
+    pub fn leads(&self) -> bool {
+        self.leads
+    }
+
+    /// Wishes that are remembered, and those turned away here that the others were not told.
+    pub fn sizes(&self) -> [u64; 2] {
+        [self.wishes.len() as u64, self.wishes.kept_back]
+    }
+
+    // ---- Requests ------------------------------------------------------------------------------------------
+
+    /// A request came. Of a class that is not known nothing is said: it passes.
+    pub fn request(&mut self, now: Millis, asked: Asked) -> Verdict {
+        let Some(class) = self.set.classes.get(asked.class).copied() else {
+            return self.pass(now, asked, Thing::Caches);
+        };
+        let warm = !class.effect && self.warmth.has(asked.object);
+        let thing = if warm { Thing::Caches } else { Thing::Sources };
+        let turned = self.wishes.get(self.keys.wish(asked.client, asked.object));
+        if turned.is_some_and(|t| t.ran && class.effect) {
+            return self.pass(now, asked, thing);
+        }
+        let early = turned.map_or(0.0, |t| t.back - now);
+        if self.set.advice && (EARLY..=self.set.most_back).contains(&early) {
+            // It gains nothing by it, and loses nothing: its time stays as it was.
+            self.counters.hasty += 1;
+            return Verdict::Refuse(early);
+        }
+        let line = self.force.things[thing as usize];
+        if turned.is_some_and(|t| t.promised && now - t.back <= LATE) {
+            // Where nothing is cut it was paid for when it was promised.
+            if line.is_none() || self.parts[thing as usize].spend(now, true) {
+                self.counters.kept += 1;
+                return self.pass_again(now, asked, thing);
+            }
+            self.counters.broken += 1;
+            return self.turn_away(now, &asked, None);
+        }
+        let draw = self.keys.draw(Draw::Place, asked.client, 0, self.force.epoch);
+        let cost = asked.size.map_or(1.0, |kb| (kb / USUAL).max(0.0).sqrt().sqrt());
+        let rank = rank(class.band, self.bands, cost, draw);
+        let tally = self.counting.of(thing);
+        // Who moves on at once is there before the word of it: what it says itself is taken for true, as it gains nothing by it.
+        let repeat = turned.is_some() || asked.again;
+        if repeat {
+            // It came when it was a first try, and is counted as such there: however often a wish is tried, it is one.
+            tally.repeats = tally.repeats.saturating_add(1);
+        } else {
+            tally.came(rank);
+        }
+        if line.is_some_and(|line| rank < line.rank) {
+            self.counters.below += 1;
+            return self.turn_away(now, &asked, line);
+        }
+        let paid = match (repeat, line) {
+            (false, _) => true,
+            (true, Some(_)) => self.parts[thing as usize].spend(now, false),
+            (true, None) => self.budget.spend(),
+        };
+        if !paid {
+            self.counters.no_budget += 1;
+            return self.turn_away(now, &asked, None);
+        }
+        if repeat {
+            return self.pass_again(now, asked, thing);
+        }
+        self.budget.earn();
+        let tally = self.counting.of(thing);
+        tally.firsts = tally.firsts.saturating_add(1);
+        self.pass(now, asked, thing)
+    }
+
+    fn pass_again(&mut self, now: Millis, asked: Asked, thing: Thing) -> Verdict {
+        let tally = self.counting.of(thing);
+        tally.back = tally.back.saturating_add(1);
+        self.pass(now, asked, thing)
+    }
+
+    fn pass(&mut self, now: Millis, asked: Asked, thing: Thing) -> Verdict {
+        let tally = self.counting.of(thing);
+        tally.passed = tally.passed.saturating_add(1);
+        self.counters.passed += 1;
+        Verdict::Pass(Ticket { asked, thing, at: now })
+    }
+
+    /// The time at which the fleet would have a client back, whoever is asked, ms from now; none: not while it waits.
+    fn time(&self, now: Millis, asked: &Asked) -> Option<Millis> {
+        let most = self.set.most_back;
+        let least = TOLD.min(most / 2.0).max(self.set.least_back.min(most));
+        let span = (most - least).clamp(1.0, AHEAD);
+        let place = self.keys.draw(Draw::Time, asked.client, asked.object, self.force.epoch) * span;
+        let after = least + (self.began + place - now - least).rem_euclid(span);
+        (after + ENOUGH <= asked.left).then_some(after)
+    }
+
+    /// Refuses it, with a time: a promised one, where a line says how many are promised one and the draw falls so.
+    fn turn_away(&mut self, now: Millis, asked: &Asked, line: Option<Line>) -> Verdict {
+        let draw = self.keys.draw(Draw::Promise, asked.client, asked.object, self.force.epoch);
+        let promised = line.is_some_and(|l| draw * f64::from(u16::MAX) < f64::from(l.promise));
+        let back = if promised { self.time(now, asked) } else { None };
+        self.counters.promised += u64::from(back.is_some());
+        Verdict::Refuse(self.remember(now, asked, back, back.is_some()))
+    }
+
+    fn remember(&mut self, now: Millis, asked: &Asked, back: Option<Millis>, promised: bool) -> Millis {
+        let back = back.unwrap_or(self.set.most_back);
+        let wish = self.keys.wish(asked.client, asked.object);
+        self.wishes.turned(now, wish, Turned { back: now + back, promised, ran: false });
+        if self.set.advice { back } else { 0.0 }
+    }
+
+    /// A request that passed has ended. `back`: when the module asks the client back, ms. Gives when it is to be asked
+    /// back.
+    pub fn ended(&mut self, now: Millis, ticket: &Ticket, ended: Ended, back: Millis) -> Millis {
+        let Ticket { asked, thing, at } = ticket;
+        let wish = self.keys.wish(asked.client, asked.object);
+        let effect = self.set.classes.get(asked.class).is_some_and(|c| c.effect);
+        let tally = self.counting.of(*thing);
+        let count = match ended {
+            Ended::Served => &mut tally.served,
+            Ended::Refused => &mut tally.refused,
+            Ended::Failed | Ended::Gone => &mut tally.wasted,
+        };
+        *count = count.saturating_add(1);
+        if ended == Ended::Served && now - at > asked.left / 2.0 {
+            tally.slow = tally.slow.saturating_add(1);
+        }
+        match ended {
+            Ended::Served => {
+                self.wishes.served(wish);
+                if !effect {
+                    self.warmth.served(now, asked.object);
+                }
+                back
+            }
+            Ended::Refused => {
+                self.warmth.lost(asked.object);
+                let left = Asked { left: asked.left - (now - at), ..*asked };
+                let line = self.force.things[*thing as usize];
+                let time = self.time(now, &left);
+                match line {
+                    Some(_) => match self.turn_away(now, &left, line) {
+                        Verdict::Refuse(back) => back,
+                        Verdict::Pass(_) => back,
+                    },
+                    // Nothing is cut: as many are promised a place among all as the budget bears.
+                    None => {
+                        let mut own = Rates::default();
+                        own.add(&self.counting.summary(), *thing as usize);
+                        let well = own.share() >= self.set.limits.good;
+                        let time = time.map(|time| time.max(back)).filter(|_| well && self.budget.spend());
+                        self.counters.promised += u64::from(time.is_some());
+                        self.remember(now, &left, time, time.is_some())
+                    }
+                }
+            }
+            Ended::Failed | Ended::Gone => {
+                self.warmth.lost(asked.object);
+                // Nobody asked it back: when it comes it is a repeat, and not hasty.
+                self.wishes.turned(now, wish, Turned { back: now, promised: false, ran: effect });
+                back
+            }
+        }
+    }
+
+    // ---- The others ----------------------------------------------------------------------------------------
+
+    /// Carries out what is due; gives what is to stand on the board.
+    pub fn tick(&mut self, now: Millis, seat: &Seat, board: &Board) -> Vec<Entry> {
+        let mut out = Vec::new();
+        let key = |kind, subject: String| Key { kind, subject: subject.into() };
+        if self.counting.tick(now) {
+            let value = postcard::to_stdvec(&self.counting.summary()).unwrap_or_default();
+            out.push((key(kinds::SUMMARY, String::new()), SUMMARY_LIFE, Some(value)));
+        }
+        self.hear(now, seat, board);
+        if let Some(piece) = self.wishes.piece(now) {
+            let life = (self.set.most_back + LATE).min(10_000.0) as u32;
+            let value = postcard::to_stdvec(&piece).unwrap_or_default();
+            out.push((key(kinds::TURNED, (piece.number % PIECES).to_string()), life, Some(value)));
+        }
+        if now >= self.next_look && !seat.old {
+            self.next_look = now + LOOK;
+            let led = self.leads;
+            self.leads = leader(seat);
+            if self.leads {
+                let cut = self.look(now, seat, board, led);
+                let value = postcard::to_stdvec(&cut).unwrap_or_default();
+                out.push((key(kinds::CUT, String::new()), CUT_LIFE, Some(value)));
+            } else if led {
+                // What was decided here until now stands no more, and is told on: the part of a split that it was for is part
+                // of the whole again.
+                let over = Cut { over: true, ..self.control.last() };
+                let value = postcard::to_stdvec(&over).unwrap_or_default();
+                out.push((key(kinds::CUT, String::new()), SUMMARY_LIFE, Some(value)));
+            }
+        }
+        out
+    }
+
+    fn look(&mut self, now: Millis, seat: &Seat, board: &Board, led: bool) -> Cut {
+        let mut sums = [Rates::default(); THINGS];
+        let own = self.counting.summary();
+        let others = board.all(now, kinds::SUMMARY).filter(|(author, ..)| is_heard(seat, author));
+        let others = others.filter_map(|(_, _, _, value)| postcard::from_bytes::<Summary>(value).ok());
+        for summary in others.chain([own]) {
+            sums.iter_mut().enumerate().for_each(|(thing, sum)| sum.add(&summary, thing));
+        }
+        if !led {
+            let force = self.force;
+            let part = |i: usize| {
+                force.things[i].map_or(1.0, |l| (sums[i].come() + sums[i].back) / f64::from(l.come).max(1.0))
+            };
+            self.control.take_over(
+                now,
+                &force,
+                now - self.began - f64::from(force.lasted),
+                [part(0), part(1)],
+            );
+        }
+        self.join(now, &sums);
+        self.counters.looks += 1;
+        let cut = self.control.look(now, &sums);
+        self.enforce(now, cut, now - f64::from(cut.lasted));
+        cut
+    }
+
+    /// Where another has decided for a part of the fleet that comes here from now on, what both let in is let in. Two who
+    /// decided for the same ones do not add up: together they had more in view than there is.
+    fn join(&mut self, now: Millis, sums: &[Rates; THINGS]) {
+        let own = self.control.last();
+        let come = |cut: &Cut, i: usize| cut.things[i].map_or(0.0, |l| f64::from(l.come));
+        let is_part = |other: &Cut, i: usize| {
+            let both = come(&own, i) + come(other, i);
+            come(&own, i) > 0.0 && come(other, i) > 0.0 && both <= WHOLE * (sums[i].come() + sums[i].back)
+        };
+        let joined: Vec<(Name, Cut, [bool; THINGS])> = self
+            .told
+            .iter()
+            .map(|(name, (cut, _))| (name.clone(), *cut, [0, 1].map(|i| is_part(cut, i))))
+            .filter(|(_, _, parts)| parts.iter().any(|p| *p))
+            .collect();
+        for (name, cut, parts) in joined {
+            self.control.join(&cut, parts);
+            self.told.remove(&name);
+        }
+        self.told.retain(|_, (_, at)| now - *at < f64::from(SUMMARY_LIFE));
+    }
+
+    /// Takes what the others tell. Of several cuts the stricter one counts, until the others have ended.
+    fn hear(&mut self, now: Millis, seat: &Seat, board: &Board) {
+        for (author, life) in &seat.others {
+            let known = self.lives.insert(author.clone(), *life);
+            if known.is_some_and(|known| known < *life) {
+                self.wishes.inherit(now, author);
+            }
+        }
+        for (author, _, age, value) in board.all(now, kinds::TURNED) {
+            let life = board.life(author).unwrap_or(0);
+            if Some(author) != seat.own.as_ref()
+                && let Ok(piece) = postcard::from_bytes::<Piece>(value)
+            {
+                self.wishes.hear(now, author, life, age, &piece);
+            }
+        }
+        // Who has slept, or hears nobody yet, goes on as it was.
+        if seat.old {
+            return;
+        }
+        let mut force: Option<(Cut, Millis)> = None;
+        for (author, _, age, value) in board.all(now, kinds::CUT) {
+            if Some(author) != seat.own.as_ref() && !is_heard(seat, author) {
+                continue;
+            }
+            let Ok(cut) = postcard::from_bytes::<Cut>(value) else { continue };
+            if Some(author) != seat.own.as_ref() && cut.things.iter().any(Option::is_some) {
+                self.told.insert(author.clone(), (cut, now));
+            }
+            if cut.over {
+                continue;
+            }
+            let began = now - age - f64::from(cut.lasted);
+            force = Some(match force {
+                None => (cut, began),
+                Some((other, _)) if other.epoch < cut.epoch => (stricter(cut, &other), began),
+                Some((other, began)) => (stricter(other, &cut), began),
+            });
+        }
+        match force {
+            Some((cut, began)) => self.enforce(now, cut, began),
+            None if !self.leads => {
+                self.enforce(now, Cut { epoch: self.force.epoch, ..Cut::default() }, self.began)
+            }
+            None => {}
+        }
+    }
+
+    fn enforce(&mut self, now: Millis, cut: Cut, began: Millis) {
+        if cut.epoch != self.force.epoch {
+            self.began = began;
+        }
+        let own = self.counting.summary();
+        for (thing, part) in self.parts.iter_mut().enumerate() {
+            let Some(line) = cut.things[thing] else {
+                *part = Part { filled: now, ..Part::default() };
+                continue;
+            };
+            let mut mine = Rates::default();
+            mine.add(&own, thing);
+            // A part by what comes here of what comes to all.
+            let share = ((mine.come() + mine.back) / f64::from(line.come).max(1.0)).min(1.0);
+            part.lend(now, f64::from(line.returns) * share * SLACK);
+        }
+        self.force = cut;
+    }
+}
+
+fn is_heard(seat: &Seat, author: &Name) -> bool {
+    seat.others.iter().any(|(other, _)| other == author)
+}
+
+/// Whether this instance decides for those that hear each other: by rendezvous, without a word.
+fn leader(seat: &Seat) -> bool {
+    let Some(own) = &seat.own else { return false };
+    let candidate = |name: &Name| Candidate { name: name.clone(), zone: Name::from(""), weight: 1 };
+    let all: Vec<Candidate> =
+        std::iter::once(own).chain(seat.others.iter().map(|(name, _)| name)).map(candidate).collect();
+    observers("overload", "", &all, 1) == [0]
+}
+
+fn stricter(cut: Cut, other: &Cut) -> Cut {
+    let mut out = cut;
+    for (line, other) in out.things.iter_mut().zip(other.things) {
+        if let Some(other) = other {
+            *line = match *line {
+                Some(line) if line.rank >= other.rank => Some(line),
+                _ => Some(other),
+            };
+        }
+    }
+    out
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/deckproxy-fleet/src/overload/turned.rs
@@ -0,0 +1,243 @@
+//! Who was turned away, here or by another gateway of the fleet, and when each is to come back.
+//!
+//! A wish is known by 32 bits of client and object; of a hundred thousand that are remembered, a first try is taken for
+//! one of them with a chance of one in 43,000, which costs that client a wait. Those turned away here are told the
+//! others in pieces of the board: bounded in bytes, the rest is counted and not told.
+
+use crate::Millis;
+use crate::instance::Name;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap};
+
+/// Pieces of the board in which one gateway tells, by turns; wishes in one; between two pieces, ms at least.
+pub const PIECES: u64 = 24;
+/// See `PIECES`.
+const WISHES: usize = 36;
+/// See `PIECES`.
+const EACH: Millis = 125.0;
+/// Unit of times to come back in a piece, ms.
+const UNIT: Millis = 20.0;
+
+/// What is known of a wish that was turned away.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Turned {
+    /// When it is to come back; what comes before is hasty.
+    pub back: Millis,
+    /// There is room kept for it then.
+    pub promised: bool,
+    /// It may have run: it is turned away no more.
+    pub ran: bool,
+}
+
+/// Some who were turned away, as the others are told.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Piece {
+    /// Its number, one more each time.
+    pub number: u64,
+    /// Five bytes each: the wish, and when it is to come back, in units after the piece was made; the highest bit: it was
+    /// promised.
+    pub wishes: Vec<u8>,
+}
+
+/// All that are known.
+#[derive(Debug)]
+pub struct Wishes {
+    young: HashMap<u32, Turned>,
+    old: HashMap<u32, Turned>,
+    since: Millis,
+    most: usize,
+    span: Millis,
+    /// To be told.
+    untold: Vec<(u32, Turned)>,
+    told: Millis,
+    number: u64,
+    /// The last piece heard of each author's life.
+    heard: BTreeMap<Name, (u64, u64)>,
+    /// Pieces heard of each author, with when each was made: one that is restarted has forgotten them.
+    pieces: BTreeMap<Name, Vec<(Millis, Piece)>>,
+    /// Turned away here and not told the others, as there was no room for it.
+    pub kept_back: u64,
+}
+
+impl Wishes {
+    /// Remembers so many at least, twice as many at most, for `span` ms at least.
+    pub fn new(most: usize, span: Millis) -> Self {
+        Wishes {
+            young: HashMap::new(),
+            old: HashMap::new(),
+            since: 0.0,
+            most: most.max(1),
+            span,
+            untold: Vec::new(),
+            told: f64::MIN,
+            number: 0,
+            heard: BTreeMap::new(),
+            pieces: BTreeMap::new(),
+            kept_back: 0,
+        }
+    }
+
+    fn put(&mut self, now: Millis, wish: u32, turned: Turned) {
+        // Of two who turned it away, the promise counts, and of two promises the earlier one.
+        let known = self.get(wish);
+        if self.young.len() >= self.most || now - self.since > self.span {
+            self.old = std::mem::take(&mut self.young);
+            self.since = now;
+        }
+        let better =
+            known.is_none_or(|k| (turned.promised, -turned.back) > (k.promised, -k.back) || now > k.back);
+        let ran = turned.ran || known.is_some_and(|k| k.ran);
+        let keep = if better { turned } else { known.unwrap_or(turned) };
+        self.young.insert(wish, Turned { ran, ..keep });
+    }
+
+    /// A wish was turned away here.
+    pub fn turned(&mut self, now: Millis, wish: u32, turned: Turned) {
+        self.put(now, wish, turned);
+        if self.untold.len() < 2 * WISHES {
+            self.untold.push((wish, turned));
+        } else {
+            self.kept_back += 1;
+        }
+    }
+
+    /// What is known of a wish.
+    pub fn get(&self, wish: u32) -> Option<Turned> {
+        self.young.get(&wish).or(self.old.get(&wish)).copied()
+    }
+
+    /// It was served: the next one is a first try.
+    pub fn served(&mut self, wish: u32) {
+        self.young.remove(&wish);
+        self.old.remove(&wish);
+    }
+
+    /// The next piece to be told, if it is time for one.
+    pub fn piece(&mut self, now: Millis) -> Option<Piece> {
+        if self.untold.is_empty() || now - self.told < EACH {
+            return None;
+        }
+        self.told = now;
+        self.number += 1;
+        let some = self.untold.len().min(WISHES);
+        let wishes = self.untold.drain(..some).flat_map(|(wish, turned)| {
+            let after = ((turned.back - now) / UNIT).ceil().clamp(0.0, 127.0) as u8;
+            let [a, b, c, d] = wish.to_le_bytes();
+            [a, b, c, d, after | u8::from(turned.promised) << 7]
+        });
+        Some(Piece { number: self.number, wishes: wishes.collect() })
+    }
+
+    /// Another gateway's piece, made so long ago.
+    pub fn hear(&mut self, now: Millis, author: &Name, life: u64, age: Millis, piece: &Piece) {
+        let last = self.heard.get(author).copied().unwrap_or((0, 0));
+        if (life, piece.number) <= last {
+            return;
+        }
+        self.heard.insert(author.clone(), (life, piece.number));
+        self.learn(now, age, piece);
+        let kept = self.pieces.entry(author.clone()).or_default();
+        kept.retain(|(made, _)| now - made < self.span);
+        kept.push((now - age, piece.clone()));
+    }
+
+    fn learn(&mut self, now: Millis, age: Millis, piece: &Piece) {
+        for five in piece.wishes.chunks_exact(5) {
+            let (wish, after) = (u32::from_le_bytes([five[0], five[1], five[2], five[3]]), five[4]);
+            let back = now - age + f64::from(after & 127) * UNIT;
+            self.put(now, wish, Turned { back, promised: after > 127, ran: false });
+        }
+    }
+
+    /// An author has a new life and knows nothing: what the last one said is told again, as ours.
+    pub fn inherit(&mut self, now: Millis, author: &Name) {
+        for (made, piece) in self.pieces.remove(author).unwrap_or_default() {
+            for five in piece.wishes.chunks_exact(5) {
+                let wish = u32::from_le_bytes([five[0], five[1], five[2], five[3]]);
+                let back = made + f64::from(five[4] & 127) * UNIT;
+                if back > now && self.untold.len() < 4 * WISHES {
+                    self.untold.push((wish, Turned { back, promised: five[4] > 127, ran: false }));
+                }
+            }
+        }
+    }
+
+    /// Wishes that are remembered.
+    pub fn len(&self) -> usize {
+        self.young.len() + self.old.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn away(back: Millis, promised: bool) -> Turned {
+        Turned { back, promised, ran: false }
+    }
+
+    #[test]
+    fn who_was_turned_away_here_is_known_there() {
+        let (mut here, mut there) = (Wishes::new(100, 5000.0), Wishes::new(100, 5000.0));
+        here.turned(1000.0, 7, away(1400.0, true));
+        here.turned(1000.0, 8, away(3000.0, false));
+        let piece = here.piece(1000.0).unwrap();
+        assert!(postcard::to_stdvec(&piece).unwrap().len() <= crate::board::LARGEST_VALUE);
+        there.hear(91_200.0, &"a".into(), 5, 200.0, &piece);
+        // There the clock shows another time; the piece's age tells what that means.
+        assert_eq!(there.get(7), Some(away(91_400.0, true)));
+        assert_eq!(there.get(8).map(|t| t.promised), Some(false));
+        there.served(7);
+        assert_eq!(there.get(7), None);
+        // The same piece again, or an earlier life's, says nothing new.
+        there.hear(91_300.0, &"a".into(), 5, 300.0, &piece);
+        there.hear(91_300.0, &"a".into(), 4, 300.0, &Piece { number: 99, ..piece });
+        assert_eq!(there.get(7), None);
+    }
+
+    #[test]
+    fn a_successor_is_told_what_the_killed_one_said() {
+        let (mut killed, mut fellow, mut next) =
+            (Wishes::new(100, 5000.0), Wishes::new(100, 5000.0), Wishes::new(100, 5000.0));
+        killed.turned(0.0, 7, away(900.0, true));
+        fellow.hear(100.0, &"a".into(), 1, 100.0, &killed.piece(0.0).unwrap());
+        fellow.inherit(300.0, &"a".into());
+        next.hear(400.0, &"b".into(), 1, 100.0, &fellow.piece(300.0).unwrap());
+        assert_eq!(next.get(7), Some(away(900.0, true)));
+        fellow.inherit(500.0, &"a".into());
+        assert_eq!(fellow.piece(500.0), None, "once");
+    }
+
+    #[test]
+    fn bytes_are_bounded_and_what_is_not_told_is_counted() {
+        let mut all = Wishes::new(1000, 5000.0);
+        (0..1000).for_each(|i| all.turned(0.0, i, away(500.0, false)));
+        assert_eq!(all.kept_back, 1000 - 2 * WISHES as u64);
+        assert!(all.piece(0.0).is_some() && all.piece(100.0).is_none() && all.piece(125.0).is_some());
+    }
+
+    proptest! {
+        /// Whatever order pieces come in, and however often, memory stays bounded and no promise is lost to a refusal.
+        #[test]
+        fn memory_is_bounded(ops in proptest::collection::vec((0u32..400, 0.0f64..2000.0, any::<bool>()), 1..600)) {
+            let mut all = Wishes::new(50, 1000.0);
+            let mut now = 0.0;
+            for (wish, after, promised) in ops {
+                now += 5.0;
+                let before = all.get(wish).filter(|k| k.promised && k.back >= now);
+                all.turned(now, wish, away(now + after, promised));
+                prop_assert!(all.len() <= 101);
+                if let Some(before) = before {
+                    let known = all.get(wish).unwrap();
+                    prop_assert!(known.promised && known.back <= before.back);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/deckproxy-fleet/src/overload/warmth.rs
@@ -0,0 +1,60 @@
+//! Which objects the caches were seen to hold lately, in bounded memory.
+
+use crate::Millis;
+use std::collections::HashSet;
+
+/// Objects that were served, by two generations: the older is dropped when the younger is full or old.
+#[derive(Debug)]
+pub struct Warmth {
+    young: HashSet<u64>,
+    old: HashSet<u64>,
+    since: Millis,
+    most: usize,
+    span: Millis,
+}
+
+impl Warmth {
+    /// Remembers so many at least, twice as many at most, for `span` ms at least.
+    pub fn new(most: usize, span: Millis) -> Self {
+        Warmth { young: HashSet::new(), old: HashSet::new(), since: 0.0, most: most.max(1), span }
+    }
+
+    /// It was served.
+    pub fn served(&mut self, now: Millis, object: u64) {
+        if self.young.len() >= self.most || now - self.since > self.span {
+            self.old = std::mem::take(&mut self.young);
+            self.since = now;
+        }
+        self.young.insert(object);
+    }
+
+    /// It was turned away for want of a source, or failed: it is held no more.
+    pub fn lost(&mut self, object: u64) {
+        self.young.remove(&object);
+        self.old.remove(&object);
+    }
+
+    /// Whether it was served lately.
+    pub fn has(&self, object: u64) -> bool {
+        self.young.contains(&object) || self.old.contains(&object)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_was_served_lately_is_warm_until_it_is_lost_or_old() {
+        let mut warmth = Warmth::new(4, 1000.0);
+        (0..4).for_each(|i| warmth.served(f64::from(i as u32), i));
+        assert!((0..4).all(|i| warmth.has(i)));
+        warmth.lost(2);
+        assert!(!warmth.has(2));
+        (4..12).for_each(|i| warmth.served(10.0, i));
+        assert!(!warmth.has(0) && warmth.has(11), "two generations of four");
+        warmth.served(1500.0, 20);
+        warmth.served(3000.0, 21);
+        assert!(!warmth.has(11) && warmth.has(20));
+    }
+}
--- a/crates/deckproxy-lab/src/drills/mod.rs
+++ b/crates/deckproxy-lab/src/drills/mod.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod flows;
+mod overload;
 mod recovery;
 mod sites;
 
@@ -38,6 +39,9 @@
     Flows,
     /// Instances of one fleet: killed, paused, restarted, split, one way too; who probes what, and who serves.
     Fleet,
+    /// Overload of a fleet: three times the traffic, a slow origin, instances killed, a split; as one, door by door, and with
+    /// nothing.
+    Overload,
     /// Recovery from a storm of repeats: an origin that is slow for a while, with recovery on, off, and clients that come
     /// again at once.
     Recovery,
@@ -80,6 +84,7 @@
         Name::Flows => flows::run(options),
         Name::Recovery => recovery::run(options),
         Name::Fleet => fleet::run(options),
+        Name::Overload => overload::run(options),
     });
     let Ok(report) = outcome else {
         eprintln!("the drill could not run");
--- a/crates/deckproxy-model/src/hosts.rs
+++ b/crates/deckproxy-model/src/hosts.rs
@@ -326,6 +326,7 @@
             group: 0,
             size: Some(wish.size),
             have: None,
+            again: false,
             body: Bytes::new(),
         };
         self.router.request(clock(now), CLIENT, of, call);
--- a/crates/deckproxy-operator/src/defaults.rs
+++ b/crates/deckproxy-operator/src/defaults.rs
@@ -82,6 +82,22 @@
 pub const GOOD_SHARE: f64 = 0.9;
 /// `Recovery.storm_repeats`.
 pub const STORM_REPEATS: f64 = 0.3;
+/// `Overload.share_of_repeats`.
+pub const FLEET_SHARE_OF_REPEATS: f64 = 0.2;
+/// `Overload.remembered`.
+pub const FLEET_REMEMBERED: u32 = 65_536;
+/// `Overload.least_back_ms`.
+pub const FLEET_LEAST_BACK_MS: u32 = 50;
+/// `Overload.bad_share`.
+pub const FLEET_BAD_SHARE: f64 = 0.85;
+/// `Overload.good_share`.
+pub const FLEET_GOOD_SHARE: f64 = 0.95;
+/// `Overload.vain_share`.
+pub const VAIN_SHARE: f64 = 0.05;
+/// `Overload.repeats`.
+pub const REPEATS: f64 = 0.3;
+/// `Overload.least_per_s`.
+pub const LEAST_PER_S: u32 = 10;
 /// `Fleet.instances`.
 pub const INSTANCES: u32 = 0;
 /// `Fleet.kb_per_s`.
--- a/crates/deckproxy-operator/src/fleet.rs
+++ b/crates/deckproxy-operator/src/fleet.rs
@@ -1,10 +1,12 @@
 //! The fleet's part of the file: relations between its entries, and its form for `deckproxy-fleet`.
 
-use crate::{Fleet, Operator, defaults};
+use crate::{Client, Fleet, Operator, Overload, defaults};
 use deckproxy_fleet::fleet::Settings;
 use deckproxy_fleet::health::Terms;
 use deckproxy_fleet::instance::Instance;
+use deckproxy_fleet::overload::{self, Class, cut};
 use deckproxy_fleet::swim::Pace;
+use deckproxy_recovery::budget;
 use ipnet::IpNet;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -60,6 +62,7 @@
             most_held: probes.most_held.unwrap_or(defaults::MOST_HELD),
             spread: f64::from(probes.spread_ms.unwrap_or(defaults::SPREAD_MS)),
             terms: Terms { fails: probes.fails.unwrap_or(defaults::FAILS), ..Terms::default() },
+            overload: None,
         })
     }
 
@@ -68,6 +71,59 @@
     }
 }
 
+/// What the platform's settings say that overload has to do with.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Platform {
+    /// Worth of each class, and whether it has an effect.
+    pub classes: Vec<(f64, bool)>,
+    /// Clients may be told when to come back, and the longest time for that, ms.
+    pub advice: bool,
+    /// See `advice`.
+    pub most_back: f64,
+}
+
+/// Repeats that an instance may have saved up while nothing is cut.
+const SAVED: f64 = 5.0;
+
+impl Overload {
+    /// How overload is handled in a fleet of that name, defaults filled in.
+    pub fn settings(&self, fleet: &str, platform: &Platform) -> overload::Settings {
+        let mut worths: Vec<f64> = platform.classes.iter().map(|(worth, _)| *worth).collect();
+        worths.sort_by(f64::total_cmp);
+        worths.dedup();
+        let band = |worth: f64| worths.iter().position(|w| *w == worth).unwrap_or(0);
+        let share = self.share_of_repeats.unwrap_or(defaults::FLEET_SHARE_OF_REPEATS);
+        let most_back = platform.most_back.max(1.0);
+        overload::Settings {
+            fleet: fleet.to_string(),
+            classes: platform
+                .classes
+                .iter()
+                .map(|(w, effect)| Class { band: band(*w), effect: *effect })
+                .collect(),
+            limits: cut::Limits {
+                bad: self.bad_share.unwrap_or(defaults::FLEET_BAD_SHARE),
+                good: self.good_share.unwrap_or(defaults::FLEET_GOOD_SHARE),
+                vain: self.vain_share.unwrap_or(defaults::VAIN_SHARE),
+                repeats: self.repeats.unwrap_or(defaults::REPEATS),
+                least: f64::from(self.least_per_s.unwrap_or(defaults::LEAST_PER_S)),
+                share,
+            },
+            budget: budget::Limits { share, saved: SAVED },
+            advice: platform.advice,
+            least_back: f64::from(self.least_back_ms.unwrap_or(defaults::FLEET_LEAST_BACK_MS)).min(most_back),
+            most_back,
+            remembered: self.remembered.unwrap_or(defaults::FLEET_REMEMBERED) as usize / 2,
+            window: f64::from(defaults::WINDOW_MS),
+        }
+    }
+
+    /// Who a repeat is known by.
+    pub fn known_by(&self) -> Client {
+        self.client.and_then(|c| Client::try_from(c).ok()).unwrap_or(Client::Address)
+    }
+}
+
 /// Faults between the entries, as path and text.
 pub(crate) fn check(operator: &Operator) -> Vec<(String, String)> {
     let Some(fleet) = &operator.fleet else { return Vec::new() };
@@ -89,6 +145,20 @@
             }
         }
     }
+    if let Some(overload) = &fleet.overload {
+        let bad = overload.bad_share.unwrap_or(defaults::FLEET_BAD_SHARE);
+        let good = overload.good_share.unwrap_or(defaults::FLEET_GOOD_SHARE);
+        if good < bad {
+            let field = if overload.good_share.is_some() { "good_share" } else { "bad_share" };
+            let what = format!("good_share ({good}) is below bad_share ({bad})");
+            out.push((format!("fleet.overload.{field}"), what));
+        }
+        if operator.recovery.is_some() {
+            let what =
+                "recovery does for an instance alone what this does for the fleet: leave one of them out";
+            out.push(("fleet.overload".to_string(), what.to_string()));
+        }
+    }
     let mut seen = BTreeSet::new();
     for (i, way) in fleet.ways.iter().enumerate() {
         if !seen.insert(&way.instance) {
--- a/crates/deckproxy-operator/src/lib.rs
+++ b/crates/deckproxy-operator/src/lib.rs
@@ -10,6 +10,7 @@
 mod recovery;
 pub mod rules;
 mod sites;
+pub use fleet::Platform;
 pub use sites::check_together;
 pub mod source;
 pub mod text;
--- a/crates/deckproxy-operator/tests/files.rs
+++ b/crates/deckproxy-operator/tests/files.rs
@@ -39,15 +39,24 @@
 fn the_schemas_comments_name_the_defaults() {
     let schema = include_str!("../proto/operator.proto");
     let source = include_str!("../src/defaults.rs");
-    let constants = source.lines().filter_map(|l| l.strip_prefix("pub const "));
     let mut seen = 0;
-    for line in constants {
-        let (name, value) = line.split_once(": ").unwrap();
-        let value = value.split_once("= ").unwrap().1.trim_end_matches(';').replace('_', "");
-        let field = format!(" {} = ", name.to_lowercase());
-        let at = schema.find(&field).unwrap_or_else(|| panic!("no field {field}"));
-        let comment = &schema[schema[..at].rfind("Default ").unwrap()..at];
-        assert!(comment.starts_with(&format!("Default {value}.")), "{name}: {comment}");
+    let mut place = None;
+    for line in source.lines() {
+        // Above each stands whose it is: the message and the field.
+        if let Some((message, field)) =
+            line.strip_prefix("/// `").and_then(|l| l.split('`').next()?.split_once('.'))
+        {
+            place = Some((message, field));
+        }
+        let Some(line) = line.strip_prefix("pub const ") else { continue };
+        let value = line.split_once("= ").unwrap().1.trim_end_matches(';').replace('_', "");
+        let (message, field) = place.take().unwrap_or_else(|| panic!("whose is {line}"));
+        let from =
+            schema.find(&format!("\nmessage {message} {{")).unwrap_or_else(|| panic!("no message {message}"));
+        let within = &schema[from..];
+        let at = within.find(&format!(" {field} = ")).unwrap_or_else(|| panic!("no field {message}.{field}"));
+        let comment = &within[within[..at].rfind("Default ").unwrap()..at];
+        assert!(comment.starts_with(&format!("Default {value}.")), "{message}.{field}: {comment}");
         seen += 1;
     }
     assert!(seen > 10);
--- a/crates/deckproxy-rig/src/crowd.rs
+++ b/crates/deckproxy-rig/src/crowd.rs
@@ -155,12 +155,14 @@
     fn want(&mut self, wish: Wish) {
         self.counts.wanted.fetch_add(1, Ordering::SeqCst);
         let until = Instant::now() + Duration::from_millis(u64::from(wish.allow));
+        let mut again = false;
         loop {
             let left = until.saturating_duration_since(Instant::now()).as_millis();
             if left < 20 {
                 return;
             }
-            let became = self.ask(Wish { allow: left as u32, ..wish });
+            let became = self.ask(Wish { allow: left as u32, ..wish }, again);
+            again = true;
             match became {
                 Became::Served => {
                     self.counts.got.fetch_add(1, Ordering::SeqCst);
@@ -189,7 +191,7 @@
         }
     }
 
-    fn ask(&mut self, wish: Wish) -> Became {
+    fn ask(&mut self, wish: Wish, again: bool) -> Became {
         if self.line.is_none() {
             let made = TcpStream::connect_timeout(&self.doors[self.door].at, Duration::from_millis(300));
             let Ok(stream) = made else { return Became::Nobody };
@@ -206,7 +208,7 @@
         self.record.note(Fact::Asked { name: name.clone(), site: 0, home: 0, class, object, group, allow });
         self.counts.by_instance.lock().unwrap().entry(self.door).or_default()[0] += 1;
         let end = began + Duration::from_millis(u64::from(wish.allow)) + PATIENCE;
-        if line.stream.write_all(&encode(id, &name, &wish)).is_err() {
+        if line.stream.write_all(&encode(id, &name, &wish, again)).is_err() {
             return self.gone(name, began, at);
         }
         loop {
--- a/crates/deckproxy-rig/src/lib.rs
+++ b/crates/deckproxy-rig/src/lib.rs
@@ -4,20 +4,26 @@
 //! - [`relay`]: datagrams between every two instances, cut one way or both, lost, late, doubled.
 //! - [`posts`]: the instances' processes: started, killed, stopped, ended, restarted.
 //! - [`crowd`]: clients that come to any instance, and go to another after a refusal or a death.
+//! - [`throng`]: clients as overload has them: many requests open at a time, repeated at once.
+//! - [`crowded`]: the same in simulated time, around what serves only so much.
 //! - [`play`]: a whole run.
 //! - [`judge`]: what was counted at members and clients, and what the instances' own logs show of their views.
+//! - [`overloaded`]: what a run under overload came to.
 //! - [`simulated`]: many instances in simulated time.
 //! - [`timeline`]: a page of what happened.
 #![forbid(unsafe_code)]
 #![allow(clippy::missing_panics_doc)]
 
 pub mod crowd;
+pub mod crowded;
 pub mod draw;
 pub mod judge;
+pub mod overloaded;
 pub mod plan;
 pub mod play;
 pub mod posts;
 pub mod relay;
 pub mod shrink;
 pub mod simulated;
+pub mod throng;
 pub mod timeline;
--- a/crates/deckproxy-rig/src/plan.rs
+++ b/crates/deckproxy-rig/src/plan.rs
@@ -35,6 +35,12 @@
     Cut(Vec<usize>, usize, bool),
     /// The feed of these instances (none: all) is so many ms late; 0: silent.
     Feed(Vec<usize>, u64),
+    /// So many times the traffic.
+    Load(f64),
+    /// The origin takes so many ms longer.
+    Origin(u64),
+    /// All caches of a zone crash, and start again with nothing kept.
+    Cold(usize),
 }
 
 /// What is wrong with a cache.
@@ -50,6 +56,18 @@
     Slow(u64),
 }
 
+/// What stands against overload.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Shed {
+    /// The module alone.
+    #[default]
+    Nothing,
+    /// A door at each instance.
+    Door,
+    /// All instances as one.
+    Fleet,
+}
+
 /// Something that goes wrong for a while.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Fault {
@@ -86,6 +104,16 @@
     pub probe: u64,
     /// Each is a fleet of its own, as a baseline.
     pub alone: bool,
+    /// What stands against overload.
+    pub shed: Shed,
+    /// Requests that the origin works on at once; 0: any number.
+    pub room: usize,
+    /// Clients have many requests open, and go on at once when they are refused.
+    pub throng: bool,
+    /// They do so for ever.
+    pub hasty: bool,
+    /// Traffic of the first instance beside each other's.
+    pub skew: f64,
     /// What goes wrong.
     pub faults: Vec<Fault>,
 }
@@ -104,6 +132,11 @@
             fleet: true,
             probe: 1000,
             alone: false,
+            shed: Shed::Nothing,
+            room: 0,
+            throng: false,
+            hasty: false,
+            skew: 1.0,
             faults: Vec::new(),
         }
     }
@@ -124,6 +157,9 @@
         W::Mute(part) => What::Mute(places(&part.instances)),
         W::Datagrams(d) => What::Datagrams(d.lost, d.doubled, u64::from(d.late_ms)),
         W::Cut(cut) => What::Cut(places(&cut.instances), cut.zone as usize, cut.silent),
+        W::Load(times) => What::Load(*times),
+        W::OriginSlowMs(ms) => What::Origin(u64::from(*ms)),
+        W::ZoneCold(zone) => What::Cold(*zone as usize),
         W::Feed(feed) => What::Feed(places(&feed.instances), u64::from(feed.late_ms)),
         W::Cache(cache) => {
             use schema::cache::Trouble as T;
@@ -155,6 +191,8 @@
         range("rate", self.rate, 1.0, 5000.0);
         range("clients", self.clients as f64, 1.0, 500.0);
         range("probe_ms", self.probe as f64, 100.0, 60_000.0);
+        range("origin_room", self.room as f64, 0.0, 1000.0);
+        range("skew", self.skew, 0.1, 20.0);
         for (i, fault) in self.faults.iter().enumerate() {
             let mut wrong = |field: &str, what: String| out.push((format!("faults[{i}]{field}"), what));
             if !(fault.at >= 0.0 && fault.lasts > 0.0 && fault.at + fault.lasts <= self.seconds) {
@@ -170,6 +208,7 @@
                 What::Kill(i) | What::Pause(i) | What::Restart(i) => std::slice::from_ref(i),
                 What::Split(all) | What::Mute(all) | What::Cut(all, ..) | What::Feed(all, _) => all,
                 What::Rolling | What::Datagrams(..) | What::Cache(..) => &[],
+                What::Load(_) | What::Origin(_) | What::Cold(_) => &[],
             };
             if let Some(i) = instances.iter().find(|i| **i >= self.instances) {
                 wrong("", format!("there is no instance {i}; they are 0 to {}", self.instances - 1));
@@ -185,6 +224,16 @@
                 What::Cache(_, Trouble::Fails(share)) if !(0.0..=1.0).contains(share) => {
                     wrong(".cache.fails", format!("{share} is no share"));
                 }
+                What::Load(times) if !(*times > 0.0 && *times <= 20.0) => {
+                    wrong(".load", format!("{times} is not over 0 and up to 20"));
+                }
+                What::Load(_) if !self.throng => {
+                    wrong(".load", "only a throng of clients has another traffic: set throng".to_string());
+                }
+                What::Cold(zone) if *zone >= self.zones => {
+                    let most = self.zones - 1;
+                    wrong(".zone_cold", format!("there is no zone {zone}; they are 0 to {most}"));
+                }
                 What::Cut(_, zone, _) if *zone >= self.zones => {
                     wrong(".cut.zone", format!("there is no zone {zone}; they are 0 to {}", self.zones - 1));
                 }
@@ -205,7 +254,8 @@
         let _ = writeln!(out, "question: {:?}", self.question);
         let _ = writeln!(
             out,
-            "seconds: {:?} instances: {} zones: {} caches: {} rate: {:?} clients: {} seed: {} fleet: {} probe_ms: {} alone: {}",
+            "seconds: {:?} instances: {} zones: {} caches: {} rate: {:?} clients: {} seed: {} fleet: {} probe_ms: {} alone: {} \
+             shed: {} origin_room: {} throng: {} hasty: {} skew: {:?}",
             self.seconds,
             self.instances,
             self.zones,
@@ -215,7 +265,16 @@
             self.seed,
             self.fleet,
             self.probe,
-            self.alone
+            self.alone,
+            match self.shed {
+                Shed::Nothing => "NOTHING",
+                Shed::Door => "DOOR",
+                Shed::Fleet => "FLEET",
+            },
+            self.room,
+            self.throng,
+            self.hasty,
+            self.skew
         );
         for fault in &self.faults {
             let _ = writeln!(
@@ -253,6 +312,9 @@
             format!("cache {{ number: {n} {trouble} }}")
         }
         What::Cut(all, zone, silent) => format!("cut {{ {} zone: {zone} silent: {silent} }}", list(all)),
+        What::Load(times) => format!("load: {times:?}"),
+        What::Origin(ms) => format!("origin_slow_ms: {ms}"),
+        What::Cold(zone) => format!("zone_cold: {zone}"),
         What::Feed(all, late) => format!("feed {{ {} late_ms: {late} }}", list(all)),
     }
 }
@@ -279,6 +341,15 @@
         fleet: p.fleet.unwrap_or(d.fleet),
         probe: p.probe_ms.map_or(d.probe, u64::from),
         alone: p.alone.unwrap_or(d.alone),
+        shed: match p.shed() {
+            schema::Shed::Nothing => Shed::Nothing,
+            schema::Shed::Door => Shed::Door,
+            schema::Shed::Fleet => Shed::Fleet,
+        },
+        room: usize(p.origin_room, d.room),
+        throng: p.throng.unwrap_or(d.throng),
+        hasty: p.hasty.unwrap_or(d.hasty),
+        skew: p.skew.unwrap_or(d.skew),
         faults: Vec::new(),
     };
     let mut told = Vec::new();
--- a/crates/deckproxy-rig/src/play.rs
+++ b/crates/deckproxy-rig/src/play.rs
@@ -5,6 +5,7 @@
 use crate::plan::{Plan, Trouble, What};
 use crate::posts::{Absences, Post, Shims, sockets};
 use crate::relay::{Fate, Relays};
+use crate::throng::{self, Manners, Rate, Throng, Try};
 use deckproxy_standins::caller::Draw;
 use deckproxy_standins::fleet::{self, Site, Terms, zone_name};
 use deckproxy_standins::record::{Fact, Record, Seen};
@@ -35,6 +36,8 @@
     pub absent: Vec<Absences>,
     /// What clients counted.
     pub counts: Arc<Counts>,
+    /// What each try of a throng came to.
+    pub tries: Vec<Try>,
     /// All members' names; the caches zone after zone first.
     pub members: Vec<String>,
     /// Datagrams and bytes between instances while there was traffic.
@@ -57,6 +60,8 @@
     caches: Vec<String>,
     busy: Vec<JoinHandle<()>>,
     crowd: Option<Crowd>,
+    throng: Option<Throng>,
+    rate: Arc<Rate>,
     from: f64,
     sent: (u64, u64),
 }
@@ -86,7 +91,13 @@
     /// Starts all, waits until the instances have met, and lets the clients come.
     pub fn start(plan: &Plan, draw: &Draw) -> Self {
         let record = Record::default();
-        let terms = Terms { caches: plan.caches, zones: plan.zones, lingers: 2000, ..Terms::default() };
+        let terms = Terms {
+            caches: plan.caches,
+            zones: plan.zones,
+            lingers: 2000,
+            room: plan.room,
+            ..Terms::default()
+        };
         let site = Site::start(0, terms, &record);
         let at = sockets(plan);
         let relays = Relays::to(&at, plan.seed);
@@ -110,6 +121,8 @@
             caches,
             busy: Vec::new(),
             crowd: None,
+            throng: None,
+            rate: Arc::new(Rate::new(plan.rate)),
             from: 0.0,
             sent: (0, 0),
         };
@@ -121,6 +134,14 @@
             Door { at: post.listen, absent: post.absent.clone() }
         };
         let doors: Vec<Door> = rig.posts.iter().map(door).collect();
+        if plan.throng {
+            let manners = if plan.hasty { Manners::Hasty } else { Manners::Moves };
+            let (clients, rate, seed) = (plan.clients, rig.rate.clone(), plan.seed);
+            let coming = throng::Coming { clients, rate, seed, draw: draw.clone(), manners, skew: plan.skew };
+            rig.throng = Some(Throng::start(&coming, &doors, &rig.record));
+            (rig.from, rig.sent) = (rig.record.now(), rig.relays.sent());
+            return rig;
+        }
         let coming = Coming { clients: plan.clients, rate: plan.rate, seed: plan.seed, draw: draw.clone() };
         rig.crowd = Some(Crowd::start(&coming, &doors, &rig.record));
         (rig.from, rig.sent) = (rig.record.now(), rig.relays.sent());
@@ -210,6 +231,7 @@
         let to = self.record.now();
         let after = self.relays.sent();
         let counts = self.crowd.take().map_or_else(Arc::default, Crowd::finish);
+        let tries = self.throng.take().map_or_else(Vec::new, Throng::finish);
         thread::scope(|scope| {
             for post in &self.posts {
                 scope.spawn(|| post.lock().unwrap().end());
@@ -228,6 +250,7 @@
             logs: posts().map(|p| p.log()).collect(),
             absent: posts().map(|p| p.absent.clone()).collect(),
             counts,
+            tries,
             members: self.caches.iter().cloned().chain(others).collect(),
             sent: (after.0 - self.sent.0, after.1 - self.sent.1),
             wrongs: posts().flat_map(|p| p.wrongs.clone()).collect(),
@@ -318,6 +341,14 @@
                     }
                 }
             }
+            What::Load(times) => self.rate.set(self.plan.rate * if begins { *times } else { 1.0 }),
+            What::Origin(ms) => self.site.slow_origin(if begins { *ms } else { 0 }),
+            What::Cold(zone) => {
+                let of = self.site.caches_of(&zone_name(self.plan.zones, *zone));
+                for name in of {
+                    if begins { self.site.crash(&name) } else { self.site.revive(&name) }
+                }
+            }
             What::Feed(instances, late) => {
                 let all = (0..self.plan.instances).filter(|i| instances.is_empty() || instances.contains(i));
                 for i in all.collect::<Vec<_>>() {
--- a/crates/deckproxy-rig/src/posts.rs
+++ b/crates/deckproxy-rig/src/posts.rs
@@ -1,7 +1,7 @@
 //! The instances' processes: started, killed, stopped, ended by themselves, restarted; and the times at which each could
 //! not answer.
 
-use crate::plan::Plan;
+use crate::plan::{Plan, Shed};
 use crate::relay::Relays;
 use deckproxy_standins::fleet::{Site, zone_name};
 use deckproxy_standins::live::View;
@@ -138,6 +138,16 @@
             size,
             plan.probe
         );
+        let operator = match plan.shed {
+            Shed::Nothing => operator,
+            // What the instances of a site have to tell each other of 1,000 requests a second.
+            Shed::Fleet => operator.replacen("probes {", "kb_per_s: 64 overload { } probes {", 1),
+            Shed::Door => format!("{operator}recovery {{ client: ADDRESS }}\n"),
+        };
+        if plan.throng {
+            config["settings"]["limits"]["maxRetryAfterMs"] = json!(2000.0);
+            config["limits"]["sockets"] = json!(4096);
+        }
         let operator =
             if plan.alone { operator.replace("probes {", "probes { observers: 1") } else { operator };
         let folder =
--- a/crates/deckproxy-rig/src/simulated.rs
+++ b/crates/deckproxy-rig/src/simulated.rs
@@ -57,6 +57,7 @@
         most_held: 0.34,
         spread: 2000.0,
         terms: Terms::default(),
+        overload: None,
     }
 }
 
@@ -120,6 +121,8 @@
     pub bytes: Vec<u64>,
     /// What the operators say is the fleet's size; 0: nothing.
     pub size: usize,
+    /// How instances that start from now on handle overload.
+    pub overload: Option<deckproxy_fleet::overload::Settings>,
 }
 
 impl Sim {
@@ -151,6 +154,7 @@
             logs: Vec::new(),
             bytes: vec![0; instances],
             size: 0,
+            overload: None,
         };
         (0..instances).for_each(|i| sim.start(i));
         sim
@@ -166,6 +170,12 @@
         self.nodes[i].fleet.as_ref().expect("it runs")
     }
 
+    /// One that runs and is not stopped, to be asked.
+    pub fn fleet_mut(&mut self, i: usize) -> Option<&mut Fleet> {
+        let node = &mut self.nodes[i];
+        node.fleet.as_mut().filter(|_| !node.stopped)
+    }
+
     /// Those that run and are not stopped.
     pub fn running(&self) -> Vec<usize> {
         (0..self.nodes.len()).filter(|i| self.nodes[*i].fleet.is_some() && !self.nodes[*i].stopped).collect()
@@ -177,6 +187,7 @@
         let mut settings = settings(i, self.zones, start);
         settings.seeds.truncate(self.nodes.len());
         settings.size = self.size;
+        settings.overload = self.overload.clone();
         let mut fleet = Fleet::new(self.now, settings, seed);
         fleet.list(self.members.iter().cloned());
         let node = &mut self.nodes[i];
--- a/crates/deckproxy-standins/src/caller.rs
+++ b/crates/deckproxy-standins/src/caller.rs
@@ -165,8 +165,8 @@
             let at = again.iter().position(|(due, ..)| *due <= now);
             at.map(|i| again.swap_remove(i))
         };
-        let (wish, until) = match back {
-            Some((_, wish, until)) => (wish, until),
+        let (wish, until, repeats) = match back {
+            Some((_, wish, until)) => (wish, until, true),
             None if now >= due => {
                 let gap = -(1.0 - rng.random::<f64>()).ln() / rate;
                 due += Duration::from_secs_f64(gap.min(5.0));
@@ -174,7 +174,7 @@
                     continue;
                 }
                 let wish = (load.draw)(rng);
-                (wish, now + Duration::from_millis(u64::from(wish.allow)))
+                (wish, now + Duration::from_millis(u64::from(wish.allow)), false)
             }
             None => {
                 let next = again.lock().unwrap().iter().map(|(due, ..)| *due).fold(due, Instant::min);
@@ -188,7 +188,7 @@
         }
         let wish = Wish { allow: left, ..wish };
         let name = fresh_name();
-        let bytes = encode(next, &name, &wish);
+        let bytes = encode(next, &name, &wish, repeats);
         open.lock().unwrap().insert(next, Open { name: name.clone(), answered: false, at: now, wish, until });
         next += 1;
         // Noted before, so that no answer can come before the question; what can't be written was never asked.
@@ -302,8 +302,8 @@
     Some((id, if unchanged { Outcome::Unchanged } else { Outcome::Served(Stamp::read(body)) }))
 }
 
-/// The bytes of a request.
-pub fn encode(id: u64, name: &str, wish: &Wish) -> Vec<u8> {
+/// The bytes of a request; `again`: marked as a repeat.
+pub fn encode(id: u64, name: &str, wish: &Wish, again: bool) -> Vec<u8> {
     let size = crate::fleet::size_of_object(wish.object) as f64 / 1024.0;
     let mut fields = vec![
         ("ref", name.to_string()),
@@ -312,6 +312,9 @@
         ("bucket", wish.group.to_string()),
         ("room", format!("{size:.2}")),
     ];
+    if again {
+        fields.push(("dup", "1".to_string()));
+    }
     if wish.class == "post" {
         fields.push(("replay", format!("k{name}")));
     }
--- a/crates/deckproxy/src/program/parts.rs
+++ b/crates/deckproxy/src/program/parts.rs
@@ -68,7 +68,9 @@
 
     /// Whether clients' addresses are wanted.
     pub fn wants_addresses(&self) -> bool {
-        self.flows.is_some() || self.recovery.as_ref().is_some_and(|r| r.wants_addresses())
+        self.flows.is_some()
+            || self.recovery.as_ref().is_some_and(|r| r.wants_addresses())
+            || self.fleet.as_ref().is_some_and(|f| f.wants_addresses())
     }
 
     /// Collectors of flows.
--- a/crates/deckproxy/src/program/recovery.rs
+++ b/crates/deckproxy/src/program/recovery.rs
@@ -1,6 +1,6 @@
 //! Recovery from storms, before the router: which requests pass, and when the others are asked back.
 
-use crate::program::subsystem::{Context, Effects, Event, Subsystem, Verdict, ended};
+use crate::program::subsystem::{Callers, Context, Effects, Event, Subsystem, Verdict, ended};
 use crate::protocol::front::{Answer, Call};
 use crate::routing::router::ClientId;
 use deckproxy_operator::{Client, Operator};
@@ -8,7 +8,6 @@
 use deckproxy_settings::Conf;
 use slog::{Logger, info, warn};
 use std::collections::{BTreeMap, HashMap};
-use std::net::IpAddr;
 
 /// The door of one gateway.
 pub struct Recovery {
@@ -17,22 +16,13 @@
     classes: HashMap<Box<str>, usize>,
     /// Requests that passed, with their objects.
     open: BTreeMap<(ClientId, u32), u64>,
-    /// Clients' addresses, where they are known by those.
-    addresses: Option<HashMap<ClientId, u64>>,
+    callers: Callers,
     /// Whether clients are told when to come back.
     advice: bool,
     /// A storm was on when this was looked at last.
     stormy: bool,
 }
 
-fn number(address: IpAddr) -> u64 {
-    match address.to_canonical() {
-        IpAddr::V4(v4) => u64::from(u32::from(v4)),
-        // Of IPv6 the network's half: a client has many addresses in it.
-        IpAddr::V6(v6) => (u128::from(v6) >> 64) as u64,
-    }
-}
-
 impl Recovery {
     /// Starts what the operator file asks for; none where it asks for nothing.
     pub(super) fn start(log: &Logger, conf: &Conf, seed: u64, operator: &Operator) -> Option<Box<Self>> {
@@ -52,7 +42,7 @@
             door: Door::new(settings, seed),
             classes: classes.iter().enumerate().map(|(i, (name, _))| (name.as_str().into(), i)).collect(),
             open: BTreeMap::new(),
-            addresses: (recovery.client() == Client::Address).then(HashMap::new),
+            callers: Callers::known_by(recovery.client() == Client::Address),
             advice,
             stormy: false,
         }))
@@ -60,18 +50,14 @@
 
     /// Whether clients' addresses are wanted.
     pub(super) fn wants_addresses(&self) -> bool {
-        self.addresses.is_some()
-    }
-
-    fn client(&self, id: ClientId) -> u64 {
-        self.addresses.as_ref().and_then(|all| all.get(&id).copied()).unwrap_or(id)
+        self.callers.wants_addresses()
     }
 
     /// A client gave requests up, or has gone with all of them.
     fn gone(&mut self, now: f64, id: ClientId, requests: std::ops::RangeInclusive<u32>) {
         let keys = (id, *requests.start())..=(id, *requests.end());
         let gone: Vec<_> = self.open.range(keys).map(|(key, object)| (*key, *object)).collect();
-        let client = self.client(id);
+        let client = self.callers.of(id);
         for (key, object) in gone {
             self.open.remove(&key);
             self.door.ended(now, client, object, Ended::Gone, 0.0);
@@ -96,21 +82,11 @@
         if let Some((client, requests)) = ended(event) {
             self.gone(cx.now, client, requests);
         }
-        match event {
-            Event::ClientCame { client, address: Some(address) } => {
-                if let Some(all) = &mut self.addresses {
-                    all.insert(*client, number(*address));
-                }
-            }
-            Event::ClientGone { client, .. } => {
-                self.addresses.as_mut().map(|all| all.remove(client));
-            }
-            Event::Kept => {
-                if let Some(text) = self.news() {
-                    info!(self.log, "recovery"; "what" => text);
-                }
-            }
-            _ => {}
+        self.callers.event(event);
+        if let Event::Kept = event
+            && let Some(text) = self.news()
+        {
+            info!(self.log, "recovery"; "what" => text);
         }
     }
 
@@ -118,7 +94,7 @@
     fn request(&mut self, cx: &Context<'_>, of: (ClientId, u32), call: &Call, _: &mut Effects) -> Verdict {
         // What names no class is not for the door to judge.
         let Some(class) = self.classes.get(&call.class).copied() else { return Verdict::Pass };
-        let client = self.client(of.0);
+        let client = self.callers.of(of.0);
         match self.door.request(cx.now, client, class, call.object.1, call.allow) {
             door::Verdict::Pass => {
                 self.open.insert(of, call.object.1);
@@ -140,7 +116,7 @@
             // That says nothing of how the gateway does.
             Answer::Unusable(_) => return None,
         };
-        let client = self.client(of.0);
+        let client = self.callers.of(of.0);
         let back = self.door.ended(cx.now, client, object, ended, back);
         (ended == Ended::Refused && self.advice).then_some(Answer::Refused(back))
     }
--- a/crates/deckproxy/src/program/subsystem.rs
+++ b/crates/deckproxy/src/program/subsystem.rs
@@ -16,7 +16,7 @@
 use deckproxy_operator::Operator;
 use deckproxy_sites::far::Run;
 use deckproxy_sites::frame::Frame;
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::net::{IpAddr, SocketAddr};
 use std::ops::RangeInclusive;
 
@@ -234,6 +234,51 @@
     fn summary(&mut self) -> String;
 }
 
+/// Who clients are: their connections or, where asked for, their addresses.
+#[derive(Debug, Default)]
+pub struct Callers {
+    addresses: Option<HashMap<ClientId, u64>>,
+}
+
+impl Callers {
+    /// Known by their addresses, or by their connections.
+    pub fn known_by(addresses: bool) -> Self {
+        Callers { addresses: addresses.then(HashMap::new) }
+    }
+
+    /// Whether clients' addresses are wanted.
+    pub fn wants_addresses(&self) -> bool {
+        self.addresses.is_some()
+    }
+
+    /// Takes up who came and who went. To be told after all else that an event means: who has gone is not known any more.
+    pub fn event(&mut self, event: &Event<'_>) {
+        let Some(all) = &mut self.addresses else { return };
+        match event {
+            Event::ClientCame { client, address: Some(address) } => {
+                all.insert(*client, number(*address));
+            }
+            Event::ClientGone { client, .. } => {
+                all.remove(client);
+            }
+            _ => {}
+        }
+    }
+
+    /// The number of a client, also over other connections where it is known by its address.
+    pub fn of(&self, id: ClientId) -> u64 {
+        self.addresses.as_ref().and_then(|all| all.get(&id).copied()).unwrap_or(id)
+    }
+}
+
+fn number(address: IpAddr) -> u64 {
+    match address.to_canonical() {
+        IpAddr::V4(v4) => u64::from(u32::from(v4)),
+        // Of IPv6 the network's half: a client has many addresses in it.
+        IpAddr::V6(v6) => (u128::from(v6) >> 64) as u64,
+    }
+}
+
 /// The requests of a client that an event ends: those it gave up, or all.
 pub fn ended(event: &Event<'_>) -> Option<(ClientId, RangeInclusive<u32>)> {
     match event {
--- a/crates/deckproxy/src/protocol/front.rs
+++ b/crates/deckproxy/src/protocol/front.rs
@@ -29,6 +29,8 @@
     pub size: Option<f64>,
     /// The tag of the client's copy.
     pub have: Option<Box<str>>,
+    /// The client marks it as one that it has asked before.
+    pub again: bool,
     /// The body.
     pub body: Bytes,
 }
@@ -233,6 +235,7 @@
         group: 0,
         size: None,
         have: None,
+        again: false,
         body: Bytes::new(),
     };
     for _ in 0..fields {
@@ -255,6 +258,7 @@
                 if text(&mut rest)? != "1" {
                     return Err("dup");
                 }
+                call.again = true;
             }
             "replay" => call.key = Some(word(text(&mut rest)?, "replay")?),
             "etag" => call.have = Some(word(text(&mut rest)?, "etag")?),
--- a/crates/deckproxy/src/protocol/link.rs
+++ b/crates/deckproxy/src/protocol/link.rs
@@ -95,6 +95,8 @@
         group: ask.group,
         size,
         have,
+        // It is counted where the client asked.
+        again: false,
         body: Bytes::copy_from_slice(&ask.body),
     })
 }
--- a/crates/deckproxy/tests/codecs.rs
+++ b/crates/deckproxy/tests/codecs.rs
@@ -232,6 +232,7 @@
         group: 17,
         size: Some(412.5),
         have: Some("4be0".into()),
+        again: true,
         body: Bytes::from_static(b"body"),
     };
     let text = |orders: &Orders| {
--- a/crates/deckproxy/tests/endings.rs
+++ b/crates/deckproxy/tests/endings.rs
@@ -49,6 +49,7 @@
         group: 0,
         size: Some(10.0),
         have: None,
+        again: false,
         body: Bytes::new(),
     }
 }
--- a/crates/deckproxy/tests/fleet.rs
+++ b/crates/deckproxy/tests/fleet.rs
@@ -309,7 +309,7 @@
     assert!(!told("take a restart"));
     gateway.operate(&text("two", 0));
     deckproxy_standins::until("it is said", || {
-        told("reload: the fleet's name, listen, instance, zone, address and weight take a restart")
+        told("reload: the fleet's name, listen, instance, zone, address, weight and overload take a restart")
     });
     gateway.operate("");
     deckproxy_standins::until("off takes one too", || {
--- a/crates/deckproxy/tests/links.rs
+++ b/crates/deckproxy/tests/links.rs
@@ -103,6 +103,7 @@
         group: 17,
         size: Some(412.5),
         have: Some("t1".into()),
+        again: false,
         body: Bytes::from_static(b"write"),
     };
     assert_eq!(link::call(link::ask(&call, vec!["north".into()])), Ok(call));
--- a/crates/deckproxy/tests/routing.rs
+++ b/crates/deckproxy/tests/routing.rs
@@ -173,6 +173,7 @@
                     group: 3,
                     size: Some(20.0),
                     have: None,
+                    again: false,
                     body: Bytes::from_static(b"body"),
                 };
                 self.router.request(self.now, client, id, call);
@@ -312,6 +313,7 @@
                 group: 0,
                 size: Some(10.0),
                 have: None,
+                again: false,
                 body: Bytes::from_static(b"body"),
             };
             router.request(now, generation, n, call);
@@ -368,6 +370,7 @@
             class: "page".into(),
             key: None,
             have: None,
+            again: false,
             body: Bytes::new(),
         };
         router.request(now, 1, from + n, call);
