--- a/crates/deckproxy-fleet/src/fleet/overloaded.rs
+++ b/crates/deckproxy-fleet/src/fleet/overloaded.rs
@@ -58,12 +58,12 @@
     before: [Option<crate::overload::cut::Line>; 2],
     now: [Option<crate::overload::cut::Line>; 2],
 ) -> Option<String> {
-    let names = ["the caches", "the way to the sources"];
+    let names = [("the caches", "are"), ("the way to the sources", "is")];
     let mut lines = Vec::new();
-    for ((name, before), now) in names.iter().zip(before).zip(now) {
+    for (((name, verb), before), now) in names.iter().zip(before).zip(now) {
         match (before, now) {
             (None, Some(line)) => lines.push(format!(
-                "{name} are crowded: the fleet lets in {:.0} of {:.0} requests a second",
+                "{name} {verb} crowded: the fleet lets in {:.0} of {:.0} requests a second",
                 line.cap, line.come
             )),
             (Some(_), None) => lines.push(format!("{name}: all are let in again")),
--- a/crates/deckproxy-fleet/src/overload/cut.rs
+++ b/crates/deckproxy-fleet/src/overload/cut.rs
@@ -48,6 +48,8 @@
 const STEP_ANEW: f64 = 1.15;
 /// Of what is let in, the part that must come out in the same time.
 const OUT: f64 = 0.6;
+/// Of what is let in, the part that must come for the cut to be in the way.
+const NEAR: f64 = 0.75;
 /// Bounds on what passes beside what was to.
 const OVER: std::ops::RangeInclusive<f64> = 0.8..=1.5;
 /// Of the most that was served, what is let in in a collapse.
@@ -75,6 +77,10 @@
 const ANEW: f64 = 0.7;
 const FADES: f64 = 0.99;
 const FAILED: f64 = 0.75;
+/// What is left by each look of the most that was served in a longer time; up to so much of it what is let in is doubled each
+/// time that it goes well, as TCP begins anew after a time-out (RFC 5681, 3.1).
+const LASTS: f64 = 0.999;
+const DOUBLED: f64 = 0.5;
 /// Of what is let in, the part that may be promised to repeats at most.
 const PROMISED: f64 = 0.5;
 
@@ -112,6 +118,10 @@
     step: f64,
     /// The most that was served lately.
     peak: f64,
+    /// The same over a longer time, whatever went badly.
+    best: f64,
+    /// It went badly, and has not been found out since how much can be served.
+    anew: bool,
     /// What passed beside what was to, lately.
     over: f64,
     /// Looks since it was changed.
@@ -148,7 +158,14 @@
         for ((state, line), part) in self.things.iter_mut().zip(cut.things).zip(parts) {
             let cap = line.map(|l| f64::from(l.cap) * part.clamp(0.0, 1.0));
             let cap = cap.map(|cap| cap.max(self.limits.least));
-            *state = State { cap, step: STEP, over: 1.0, peak: cap.unwrap_or(0.0), ..State::default() };
+            *state = State {
+                cap,
+                step: STEP,
+                over: 1.0,
+                peak: cap.unwrap_or(0.0),
+                best: cap.unwrap_or(0.0),
+                ..State::default()
+            };
         }
         (self.epoch, self.began) = (cut.epoch, now - age - f64::from(cut.lasted));
     }
@@ -159,6 +176,7 @@
         for (state, times) in self.things.iter_mut().zip(times) {
             state.cap = state.cap.map(|cap| (cap * times).max(self.limits.least));
             state.peak *= times;
+            state.best *= times;
             state.since = 0;
         }
     }
@@ -217,6 +235,7 @@
         self.left = self.left.saturating_sub(1);
         let soon = if self.left > 0 { share } else { rates.soon() };
         self.peak = (self.peak * FADES).max(rates.served);
+        self.best = (self.best * LASTS).max(rates.served);
         let Some(cap) = self.cap else {
             let in_vain = rates.wasted >= limits.vain * rates.ended()
                 || rates.repeats + rates.back >= limits.repeats * rates.come();
@@ -226,20 +245,24 @@
                 // Where little came to an end, as in a collapse, what was served before says nothing.
                 let peak = if share >= HALF { PEAK * self.peak } else { 0.0 };
                 let cap = Some((rates.served.max(peak) * drained(soon)).max(limits.least));
-                *self = State { cap, step: STEP, over: 1.0, bad: 0, calm: 0, since: 0, slow: 0, ..*self };
+                let anew = share < limits.bad;
+                *self =
+                    State { cap, step: STEP, over: 1.0, anew, bad: 0, calm: 0, since: 0, slow: 0, ..*self };
             }
             return;
         };
         self.since += 1;
-        let in_the_way = rates.come() + rates.back > cap * 0.98;
-        if in_the_way {
+        let come = rates.come() + rates.back;
+        // What comes goes up and down: a cut that is as high as it is on the average is in the way half of the time.
+        let in_the_way = come > cap * NEAR;
+        if come > cap {
             self.over = (0.5 * self.over + 0.5 * rates.passed / cap).clamp(*OVER.start(), *OVER.end());
         }
         let settled = self.since >= SETTLE;
         self.slow = if tells && share >= limits.good && soon < limits.bad { self.slow + 1 } else { 0 };
         if self.slow >= PATIENT {
             let left = self.patience.max(LEFT);
-            *self = State { left, patience: (left * 2).min(LEFT_MOST), ..State::default() };
+            *self = State { left, patience: (left * 2).min(LEFT_MOST), best: self.best, ..State::default() };
             return;
         }
         // What is let in and does not come out stands in queues already.
@@ -251,6 +274,7 @@
             self.crowd = rates.come();
             self.since = 0;
             self.step = if bad { STEP_ANEW } else { STEP };
+            self.anew = bad;
             self.peak = if bad { self.peak * FAILED } else { self.peak };
             let less = match () {
                 // Queues are full of what nobody waits for any more: until that has gone nothing else is served.
@@ -264,12 +288,15 @@
             if rates.come() < GONE * self.crowd {
                 self.step = self.step.max(STEP_ANEW);
             }
-            self.cap = Some((cap * self.step).max(ANEW * self.peak));
+            self.anew &= cap < DOUBLED * self.best;
+            let step = if self.anew { 2.0 } else { self.step };
+            self.cap = Some((cap * step).max(ANEW * self.peak));
             self.step = (1.0 + (self.step - 1.0) * MORE).min(STEP_MOST);
         }
         self.calm = if in_the_way || share < limits.bad { 0 } else { self.calm + 1 };
         if self.calm >= CALM {
-            *self = State { left: self.left, patience: self.patience, peak: self.peak, ..State::default() };
+            let State { left, patience, peak, best, .. } = *self;
+            *self = State { left, patience, peak, best, ..State::default() };
         }
     }
 }
--- a/crates/deckproxy-lab/src/rig.rs
+++ b/crates/deckproxy-lab/src/rig.rs
@@ -4,6 +4,7 @@
 use clap::Args;
 use comfy_table::Table;
 use deckproxy_rig::judge::{Figures, judge};
+use deckproxy_rig::overloaded;
 use deckproxy_rig::plan::{self, Plan};
 use deckproxy_rig::play::{Played, play};
 use deckproxy_rig::shrink::shrink;
@@ -111,7 +112,7 @@
 }
 
 fn once(plan: &Plan, aloud: bool) -> (Played, Figures) {
-    let draw = traffic::draw(0, 1, 600, 0.0, 0.06);
+    let draw = if plan.throng { overloaded::draw() } else { traffic::draw(0, 1, 600, 0.0, 0.06) };
     let played = play(plan, &draw, |at, what| {
         if aloud {
             println!("{at:7.2} s  {what}");
@@ -142,7 +143,13 @@
     for (name, value) in rows {
         table.add_row([name.to_string(), value]);
     }
+    if played.plan.throng {
+        overload(played, &mut table);
+    }
     println!("{table}");
+    if played.plan.throng {
+        return;
+    }
     let by = played.counts.by_instance.lock().expect("the run is over");
     let mut by: Vec<_> = by.iter().collect();
     by.sort();
@@ -150,6 +157,27 @@
     println!("served by instance: {}", by.join(", "));
 }
 
+/// What came of a throng.
+fn overload(played: &Played, table: &mut Table) {
+    let f = overloaded::judge(played, overloaded::terms());
+    let rows = [
+        ("wishes / tries of them", format!("{} / {}", f.firsts, f.tries)),
+        (
+            "work for a first try beside the calm time's",
+            format!("{:.2}, at members {:.2}", f.amplification, f.attempts),
+        ),
+        ("repeats beside their budget", format!("{:.2}, while split {:.2}", f.budget, f.budget_split)),
+        ("refused while one of less worth was served", format!("{:.4}", f.inversions)),
+        ("Jain's index over instances", format!("{:.3}", f.jain)),
+        ("times to come back that came true", format!("{} of {}", f.kept, f.promises)),
+        ("served in time before, least, after", format!("{:.2} {:.2} {:.2}", f.before, f.trough, f.after)),
+        ("seconds until that was back", f.seconds.map_or("never".to_string(), |s| format!("{s:.2}"))),
+    ];
+    for (name, value) in rows {
+        table.add_row([name.to_string(), value]);
+    }
+}
+
 fn write(folder: &std::path::Path, played: &Played, figures: &Figures) -> std::io::Result<()> {
     std::fs::create_dir_all(folder)?;
     std::fs::write(folder.join("timeline.html"), timeline::page(played, figures))?;
--- a/crates/deckproxy-operator/tests/files.rs
+++ b/crates/deckproxy-operator/tests/files.rs
@@ -203,3 +203,29 @@
     }
     assert_eq!(told.len(), 8, "{told:#?}");
 }
+
+#[test]
+fn overload_has_its_defaults_its_example_and_its_faults() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/overload.example.textproto");
+    let fleet = read(&std::fs::read(path).unwrap()).unwrap().fleet.unwrap();
+    let overload = fleet.overload.unwrap();
+    assert_eq!(overload.known_by(), deckproxy_operator::Client::Address);
+    let classes = vec![(1.0, false), (3.0, true), (1.0, false), (2.0, false)];
+    let platform = deckproxy_operator::Platform { classes, advice: true, most_back: 500.0 };
+    let set = overload.settings(&fleet.name, &platform);
+    assert_eq!(
+        set.classes.iter().map(|c| (c.band, c.effect)).collect::<Vec<_>>(),
+        [(0, false), (2, true), (0, false), (1, false)]
+    );
+    assert_eq!(
+        (set.fleet.as_str(), set.limits.share, set.most_back, set.least_back),
+        ("edge", 0.2, 500.0, 50.0)
+    );
+    let told = faults(
+        "fleet {\n  name: \"e\" listen: \"127.0.0.1:1\" prefixes: \"127.0.0.0/8\"\n  overload { good_share: 0.5 share_of_repeats: 2 least_per_s: 0 }\n}\nrecovery { }\n",
+    );
+    assert_eq!(told.len(), 4, "{told:#?}");
+    assert!(told.iter().all(|t| t.starts_with("3:")), "{told:#?}");
+    assert!(told.iter().any(|t| t.contains("good_share (0.5) is below bad_share (0.85)")), "{told:#?}");
+    assert!(told.iter().any(|t| t.contains("leave one of them out")), "{told:#?}");
+}
