--- a/crates/deckproxy-fleet/src/overload/mod.rs
+++ b/crates/deckproxy-fleet/src/overload/mod.rs
@@ -9,136 +9,30 @@
 //! Whoever hears nobody decides for itself, from what it counts itself: its own share, and no more.
 
 pub mod cut;
+pub mod part;
 pub mod rank;
 pub mod summary;
 pub mod turned;
+mod types;
 pub mod warmth;
 
+pub use deckproxy_recovery::door::Ended;
+pub use types::{Asked, Class, Counters, Seat, Settings, Ticket, Verdict};
+
 use crate::Millis;
 use crate::board::{Board, Key};
 use crate::duties::{Candidate, observers};
 use crate::fleet::kinds;
 use crate::instance::Name;
-use cut::{Control, Cut, LOOK, Limits, Line};
-use deckproxy_recovery::budget::{self, Budget};
+use cut::{Control, Cut, LOOK, Line};
+use deckproxy_recovery::budget::Budget;
+use part::Part;
 use rank::{Draw, Keys, rank};
 use std::collections::BTreeMap;
 use summary::{Counting, Rates, Summary, THINGS, Thing};
 use turned::{PIECES, Piece, Turned, Wishes};
 use warmth::Warmth;
 
-/// A class, as far as this goes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Class {
-    /// Its band by worth, 0 the one worth least.
-    pub band: usize,
-    /// It may run once only: no copy serves it, and once it may have run it is not turned away.
-    pub effect: bool,
-}
-
-/// How overload is handled.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Settings {
-    /// The fleet's name: the key of all draws.
-    pub fleet: String,
-    /// The classes, by their places.
-    pub classes: Vec<Class>,
-    /// How cuts are made.
-    pub limits: Limits,
-    /// What a gateway's own repeats may cost while nothing is cut.
-    pub budget: budget::Limits,
-    /// Clients are told when to come back, and are held to it.
-    pub advice: bool,
-    /// The shortest and the longest time after which one is asked back, ms.
-    pub least_back: Millis,
-    /// See `least_back`.
-    pub most_back: Millis,
-    /// Wishes turned away, and objects served, that are remembered.
-    pub remembered: usize,
-    /// From one summary to the next, ms.
-    pub window: Millis,
-}
-
-/// Who is there, as the fleet's view tells.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Seat {
-    /// Ourselves.
-    pub own: Option<Name>,
-    /// The others that are there, with the life of each.
-    pub others: Vec<(Name, u64)>,
-    /// What is known is old: nothing is decided.
-    pub old: bool,
-}
-
-/// A request, as far as this goes.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Asked {
-    /// Who asks.
-    pub client: u64,
-    /// The class, by its place.
-    pub class: usize,
-    /// What for.
-    pub object: u64,
-    /// How long the client still waits, ms.
-    pub left: Millis,
-    /// KB of the answer, where it is known.
-    pub size: Option<f64>,
-    /// The client says itself that it has asked before.
-    pub again: bool,
-}
-
-/// What becomes of a request.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Verdict {
-    /// It goes to the module; how it ends is to be told.
-    Pass(Ticket),
-    /// It is refused at once, and asked back after so many ms; 0: no time is told.
-    Refuse(Millis),
-}
-
-/// A request that passed.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Ticket {
-    asked: Asked,
-    thing: Thing,
-    at: Millis,
-    again: bool,
-}
-
-/// How a request that passed ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ended {
-    /// Served.
-    Served,
-    /// Turned away by the module.
-    Refused,
-    /// Failed.
-    Failed,
-    /// Its client left first.
-    Gone,
-}
-
-/// What was done, by reason.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counters {
-    /// Passed, and those of them that had been promised it.
-    pub passed: u64,
-    /// See `passed`.
-    pub kept: u64,
-    /// Came before they were asked to; below the cut; repeats for which no budget was left.
-    pub hasty: u64,
-    /// See `hasty`.
-    pub below: u64,
-    /// See `hasty`.
-    pub no_budget: u64,
-    /// Promised ones that came in time and could not be let in.
-    pub broken: u64,
-    /// Times to come back that were promised.
-    pub promised: u64,
-    /// Looks at which this instance decided for others and itself.
-    pub looks: u64,
-}
-
 /// An entry that is to stand on the board: its kind and subject, how long it counts, and what it says; none: it is taken
 /// back.
 pub type Entry = (Key, u32, Option<Vec<u8>>);
@@ -159,8 +53,6 @@
 const LATE: Millis = 1000.0;
 /// Over its part of the repeats that the fleet lets in, an instance may go by that: they do not come evenly.
 const SLACK: f64 = 1.05;
-/// For how long an instance's part of the repeats may be saved up, ms.
-const SAVED: Millis = 500.0;
 /// Those whose word is still on its way are taken for so much of those whose word is there, at most.
 const UNTOLD: f64 = 1.5;
 /// What takes more than that part of its client's time has stood in a queue: seen so early, the queue is cut before it is as
@@ -169,39 +61,6 @@
 /// KB of an answer that costs what is usual; the same at all gateways, so that ranks are.
 const USUAL: f64 = 16.0;
 
-/// An instance's part of a budget of the fleet: lent by each cut, gone with it.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-struct Part {
-    left: f64,
-    /// A second.
-    rate: f64,
-    filled: Millis,
-}
-
-impl Part {
-    fn lend(&mut self, now: Millis, rate: f64) {
-        self.fill(now);
-        self.rate = rate;
-    }
-
-    fn fill(&mut self, now: Millis) {
-        let more = self.rate * (now - self.filled).max(0.0) / 1000.0;
-        self.left = (self.left + more).min((self.rate * SAVED / 1000.0).max(1.0));
-        self.filled = now;
-    }
-
-    /// Whether one may pass; `promised`: that is owed, and may be paid for a little later.
-    fn spend(&mut self, now: Millis, promised: bool) -> bool {
-        self.fill(now);
-        let owed = if promised { self.rate * SAVED / 1000.0 + 1.0 } else { 0.0 };
-        let may = self.left + owed >= 1.0;
-        if may {
-            self.left -= 1.0;
-        }
-        may
-    }
-}
-
 /// What one gateway does about the fleet's overload.
 #[derive(Debug)]
 pub struct Overload {
@@ -239,7 +98,7 @@
             next_look: now,
             force: Cut::default(),
             began: now,
-            parts: [Part { filled: now, ..Part::default() }; THINGS],
+            parts: [Part::none(now); THINGS],
             budget: Budget::new(set.budget),
             wishes: Wishes::new(set.remembered, set.most_back.max(1000.0) * 4.0),
             warmth: Warmth::new(set.remembered, 60_000.0),
@@ -534,7 +393,7 @@
         let own = self.counting.summary();
         for (thing, part) in self.parts.iter_mut().enumerate() {
             let Some(line) = cut.things[thing] else {
-                *part = Part { filled: now, ..Part::default() };
+                *part = Part::none(now);
                 continue;
             };
             let mut mine = Rates::default();
--- a/crates/deckproxy-fleet/src/overload/tests.rs
+++ b/crates/deckproxy-fleet/src/overload/tests.rs
@@ -1,11 +1,12 @@
 use super::*;
 use crate::board::Limits as Bounds;
+use deckproxy_recovery::budget;
 
 fn settings() -> Settings {
     Settings {
         fleet: "edge".to_string(),
         classes: vec![Class { band: 0, effect: false }, Class { band: 1, effect: true }],
-        limits: Limits::default(),
+        limits: cut::Limits::default(),
         budget: budget::Limits { share: 0.2, saved: 2.0 },
         advice: true,
         least_back: 50.0,
@@ -83,7 +84,7 @@
     assert_eq!(back(one.request(200.0, again)), Some(time - 100.0));
     assert_eq!(one.counters.hasty, 1);
     // Its part of the budget is filled by then.
-    one.parts[1] = Part { left: 3.0, rate: 10.0, filled: 100.0 + time };
+    one.parts[1].lend(100.0, 10.0);
     assert_eq!(back(one.request(100.0 + time, again)), None);
     assert_eq!((one.counters.kept, one.counters.promised), (1, 1));
 }
--- a/crates/deckproxy-lab/src/drills/fleet.rs
+++ b/crates/deckproxy-lab/src/drills/fleet.rs
@@ -66,12 +66,7 @@
         format!("{} times an instance was taken for gone without cause", f.false_dead),
     );
     let v = &f.verdict;
-    let breaks = v.double_attempts
-        + v.double_effects
-        + v.stale_after_purge
-        + v.sends_after_drain
-        + v.wrong_bodies
-        + v.late;
+    let breaks = v.rule_breaks();
     let figures = json!({
         "instances": played.plan.instances, "kills": f.kills, "pauses": f.pauses, "splits": f.splits,
         "restarts": f.restarts, "probes": f.probes, "probe_ratio": round(f.probe_ratio),
--- a/crates/deckproxy-lab/src/drills/overload.rs
+++ b/crates/deckproxy-lab/src/drills/overload.rs
@@ -134,12 +134,7 @@
         ),
     );
     let v = &f.verdict;
-    let breaks = v.double_attempts
-        + v.double_effects
-        + v.stale_after_purge
-        + v.sends_after_drain
-        + v.wrong_bodies
-        + v.late;
+    let breaks = v.rule_breaks();
     let is = |what: fn(&What) -> bool| played.plan.faults.iter().filter(|f| what(&f.what)).count();
     let figures = json!({
         "instances": played.plan.instances, "first_tries": f.firsts, "tries": f.tries,
--- a/crates/deckproxy-standins/src/rules.rs
+++ b/crates/deckproxy-standins/src/rules.rs
@@ -80,6 +80,16 @@
         wrongs.iter().all(|n| *n == 0)
     }
 
+    /// Times that a rule was broken, but for answers that were doubled or never came.
+    pub fn rule_breaks(&self) -> usize {
+        self.double_attempts
+            + self.double_effects
+            + self.stale_after_purge
+            + self.sends_after_drain
+            + self.wrong_bodies
+            + self.late
+    }
+
     /// A quantile of the times of own (0) or crossing (1) requests.
     pub fn quantile(&self, which: usize, q: f64) -> f64 {
         let all = &self.took[which];
