--- a/crates/deckproxy-fleet/src/fleet/mod.rs
+++ b/crates/deckproxy-fleet/src/fleet/mod.rs
@@ -6,7 +6,8 @@
 mod peers;
 mod types;
 
-pub use types::{Beat, Counters, Effect, Listed, Seen, Settings, kinds};
+pub use crate::board::kinds;
+pub use types::{Beat, Counters, Effect, Listed, Seen, Settings};
 
 use crate::Millis;
 use crate::board::{Board, Key, Limits};
--- a/crates/deckproxy-fleet/src/fleet/types.rs
+++ b/crates/deckproxy-fleet/src/fleet/types.rs
@@ -11,23 +11,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// Kinds of entries on the board.
-pub mod kinds {
-    /// An instance's beat ([`super::Beat`]).
-    pub const BEAT: u8 = 0;
-    /// An observer's report on a member ([`crate::health::Health`]), by the member's name.
-    pub const HEALTH: u8 = 1;
-    /// What an instance counted ([`crate::overload::summary::Summary`]).
-    pub const SUMMARY: u8 = 2;
-    /// What is cut, as one decided for all ([`crate::overload::cut::Cut`]).
-    pub const CUT: u8 = 3;
-    /// Who was turned away ([`crate::overload::turned::Piece`]), by turns.
-    pub const TURNED: u8 = 4;
-
-    /// Those that change so often that boards are not compared by them.
-    pub const BRISK: [u8; 4] = [BEAT, SUMMARY, CUT, TURNED];
-}
-
 /// How an instance takes part.
 #[derive(Clone, Debug)]
 pub struct Settings {
--- a/crates/deckproxy-fleet/src/overload/mod.rs
+++ b/crates/deckproxy-fleet/src/overload/mod.rs
@@ -20,9 +20,8 @@
 pub use types::{Asked, Class, Counters, Seat, Settings, Ticket, Verdict};
 
 use crate::Millis;
-use crate::board::{Board, Key};
+use crate::board::{Board, Key, kinds};
 use crate::duties::{Candidate, observers};
-use crate::fleet::kinds;
 use crate::instance::Name;
 use cut::{Control, Cut, LOOK, Line};
 use deckproxy_recovery::budget::Budget;
