Turns at a cold member lapse after a window: the sum over all processes holds by arithmetic

Seen by a test: 24 routers that hear of a small cold member, a lull of 40 s, then all ask at once: 17 calls came in one moment where the settings allow 8.5 in a window (N + 2 x root of N + 2 is 16.4). Each had saved up the dearest send (COLD_SAVED bounded only a router that is alone), so the sum grew with their number. COLD_SHARE 0.6 and COLD_SAVED 0.5 were tuned and bounded nothing in sum.

Now half of what the rule allows in a window comes up as turns, each good for one window: in any window only those of two can be taken, in sum what the rule allows. A router that has just started leaves cold members that it knows from before alone for a window, as it may have sent to them a moment ago. The constant changes for the rule's own arithmetic (two windows times a half).

Ruled out: drawing lots by request, each for what came since the last one: it lapses what gaps leave all the same, or does not bound a surge.

--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -43,10 +43,9 @@
 /// ms over which the origin's pace is seen, and weight of an answer as due put in beside it.
 const ORIGIN_SPAN: Millis = 5000.0;
 const ORIGIN_DUE: Millis = 500.0;
-/// Share of the cold rule that all routers use, of a window's part that one may save up, and times a class's
-/// mean sending time that one send weighs (room for misjudged times); and the golden ratio's fraction.
-const COLD_SHARE: f64 = 0.6;
-const COLD_SAVED: f64 = 0.5;
+/// Share of the cold rule that comes up as turns, each good for a window: those of two, which can be taken in
+/// one, make up the rule's. Times a class's mean that a send weighs (it may be wrong); the golden fraction.
+const COLD_SHARE: f64 = 0.5;
 const COLD_COST: f64 = 1.1;
 const GOLDEN: f64 = 0.618_033_988_749_895;
 /// Busy share from which a member may hold more than it tells.
@@ -74,9 +73,9 @@
 /// Times what it should take after which an attempt is late; the slowdown that a late or failed one shows.
 const LATE: f64 = 2.0;
 const LATE_DRAG: f64 = 8.0;
-/// Share of its aim that a refused client is asked to stay away: there is time to be served within it.
+/// Share of its aim that a refused client is asked to stay away; requests that wait for one fill, at most (later
+/// ones go alone), and log lines of one router.
 const COME_BACK: f64 = 0.2;
-/// Requests that wait for one fill, at most (later ones go alone), and log lines of one router.
 const WAITERS_MOST: usize = 512;
 const LOGS: u32 = 60;
 
@@ -110,8 +109,8 @@
 }
 
 impl Peer {
-    fn new(m: Member, known: Millis) -> Self {
-        Peer { m, saved_at: known, out_until: f64::MIN, ..Peer::default() }
+    fn new(m: Member, known: Millis, from: Millis) -> Self {
+        Peer { m, saved_at: known, out_until: from, ..Peer::default() }
     }
 
     fn usable(&self, now: Millis) -> bool {
@@ -129,22 +128,18 @@
     }
 
     /// Whether a router whose part of a member's size is that may send to it, if it is cold. What the rule
-    /// allows on the slowest ramp comes to each evenly with time, and is saved up until it holds the dearest
-    /// send, or without other routers a part of a window. Where they start to save is spread evenly (by the
-    /// golden ratio, for any run of positions): turns come one by one, and a restart gains nothing.
+    /// allows on the slowest ramp comes evenly; a turn is up once that holds the dearest send, and is over a
+    /// window later: lulls save nothing up. By the golden ratio turns of any run of positions come singly.
     fn cold_room(&mut self, place: u32, rule: &ColdRule, part: f64, dearest: f64, now: Millis) -> bool {
-        let started = self.m.started.unwrap_or(f64::MIN);
-        if now - started >= rule.ramp {
-            return true;
-        }
-        let capacity = rule.from + (1.0 - rule.from) * (now - started).max(0.0) / rule.ramp;
+        let age = (now - self.m.started.unwrap_or(now)).max(0.0);
+        let capacity = rule.from + (1.0 - rule.from) * age / rule.ramp;
         let pace = COLD_SHARE * rule.multiple * capacity * part;
         let shift = mix(u64::from(self.m.id)) as f64 / u64::MAX as f64;
         let first = dearest * (f64::from(place) * GOLDEN + shift).fract();
-        let most = dearest.max(pace * rule.window * COLD_SAVED);
         let saved = self.saved.unwrap_or(first) + pace * (now - self.saved_at).max(0.0);
-        (self.saved, self.saved_at) = (Some(saved.min(most)), now);
-        saved >= dearest
+        let lapsed = ((saved - pace * rule.window) / dearest).floor().max(0.0) * dearest;
+        (self.saved, self.saved_at) = (Some(saved - lapsed), now.max(self.saved_at));
+        saved - lapsed >= dearest
     }
 }
 
@@ -420,9 +415,11 @@
                 Some(p) if m.lifecycle == Lifecycle::Gone => p.m.lifecycle = Lifecycle::Gone,
                 None if m.lifecycle == Lifecycle::Gone => {}
                 Some(p) if p.m.started == m.started => p.m = m,
-                // Also a new process: it knows nothing of the old one's troubles, its budget starts anew.
+                // A new process starts anew. One that a starting router knows may have been sent to just before.
                 _ => {
-                    self.peers.insert(m.id, Peer::new(m, self.now));
+                    let known = kind == ListKind::Cached && self.is_cold(&m);
+                    let from = if known { self.now + self.s.cold_cache.window } else { f64::MIN };
+                    self.peers.insert(m.id, Peer::new(m, self.now, from));
                 }
             }
         }
@@ -440,6 +437,14 @@
         self.s.origin_kind == Some(m.kind)
     }
 
+    fn cold_rule(&self, m: &Member) -> ColdRule {
+        if self.is_cache(m) { self.s.cold_cache } else { self.s.cold_parent }
+    }
+
+    fn is_cold(&self, m: &Member) -> bool {
+        !self.is_origin(m) && m.started.is_some_and(|at| self.now - at < self.cold_rule(m).ramp)
+    }
+
     fn is_cache(&self, m: &Member) -> bool {
         !self.is_parent(m) && !self.is_origin(m)
     }
@@ -692,9 +697,8 @@
         let Some(m) = self.peers.get(&id).filter(|p| p.usable(self.now)).map(|p| p.m) else { return false };
         let part = self.size(&m).unwrap_or(1.0) / self.sharers(&m);
         let dearest = self.means.iter().map(|m| m.0 * COLD_COST).fold(1.0, f64::max);
-        let rule = if self.is_cache(&m) { self.s.cold_cache } else { self.s.cold_parent };
-        let (warm, place, now) = (self.is_origin(&m), self.s.position, self.now);
-        self.peers.get_mut(&id).is_some_and(|p| warm || p.cold_room(place, &rule, part, dearest, now))
+        let (cold, rule, place, now) = (self.is_cold(&m), self.cold_rule(&m), self.s.position, self.now);
+        self.peers.get_mut(&id).is_some_and(|p| !cold || p.cold_room(place, &rule, part, dearest, now))
     }
 
     fn leads(&self, id: RequestId) -> bool {
@@ -799,9 +803,7 @@
         let bad = o.bad.clone();
         for c in order.into_iter().filter(|c| !bad.contains(c)) {
             // A cold cache is empty, and a look-up weighs on it as much as its fill: that comes at once.
-            let ramp = self.s.cold_cache.ramp;
-            let cold = |p: &Peer| p.m.started.is_some_and(|at| self.now - at < ramp);
-            if self.peers.get(&c).is_some_and(cold) && self.has_room(c) {
+            if self.peers.get(&c).is_some_and(|p| self.is_cold(&p.m)) && self.has_room(c) {
                 return self.missed(id, c);
             } else if self.emit(id, c, None, Kind::LookUp) {
                 return;
--- /dev/null
+++ b/crates/deckproxy-control/tests/cold_sums.rs
@@ -0,0 +1,154 @@
+//! A cold member bears what all routers send it together. The judge counts calls at the member, whoever sent them, in
+//! each window: beyond the budget of N calls of mean work only 2 x root of N + 2 are chance.
+
+mod common;
+use common::*;
+use deckproxy_control::interface::*;
+use deckproxy_standins::bounds::{ColdCalls, ColdMember};
+
+const STARTED: Millis = 900.0;
+
+/// What a member bears by these settings.
+fn bears(member: &Member, rule: ColdRule) -> ColdMember {
+    let ColdRule { from, ramp, multiple, window } = rule;
+    ColdMember { started: STARTED, weight: member.weight, from, ramp, multiple, window }
+}
+
+/// Routers of one location, of unequal traffic, with one cold member among those that serve it.
+struct Fleet {
+    rigs: Vec<Rig>,
+    told: Settings,
+    cold: Member,
+    judge: ColdCalls,
+    object: u64,
+}
+
+impl Fleet {
+    fn of(routers: u32, cold: Member) -> Fleet {
+        let set = settings();
+        let (cold_cache, cold_parent) = (slow(set.cold_cache), slow(set.cold_parent));
+        let told = Settings { routers, zone_routers: vec![0, 0, routers], cold_cache, cold_parent, ..set };
+        let rigs = (0..routers)
+            .map(|position| Rig::with(Settings { position, ..told.clone() }, Self::others(&cold)))
+            .collect();
+        Fleet { rigs, told, cold, judge: ColdCalls::default(), object: 10_000 }
+    }
+
+    /// Where the member is a cache, another takes what it does not; its parents are warm, or it is the only one.
+    fn others(cold: &Member) -> Vec<Member> {
+        let all = [member(101), member(102), member(201), member(301)];
+        all.into_iter().filter(|m| m.kind != cold.kind || m.id != cold.id && m.kind == CACHE).collect()
+    }
+
+    fn at(&mut self, now: Millis) {
+        self.rigs.iter_mut().for_each(|rig| rig.now = now);
+    }
+
+    fn tell(&mut self, i: usize) {
+        let cold = self.cold;
+        self.rigs[i].event(Event::Members(ListKind::Delta, vec![cold]));
+    }
+
+    /// The process is started again: it knows the list, and nothing of what it sent.
+    fn restart(&mut self, i: usize) {
+        let mut list = Self::others(&self.cold);
+        list.push(self.cold);
+        let now = self.rigs[i].now;
+        let position = u32::try_from(i).unwrap();
+        let mut rig = Rig::with(Settings { position, ..self.told.clone() }, Vec::new());
+        rig.now = now;
+        rig.event(Event::Members(ListKind::Cached, list));
+        self.rigs[i] = rig;
+    }
+
+    /// One request through a router, with all its attempts; a parent's fills count.
+    fn ask(&mut self, i: usize) {
+        self.object += 1;
+        let class = if self.object.is_multiple_of(3) { LARGE } else { SMALL };
+        let id = self.rigs[i].ask(class, self.object, 0);
+        let mut attempt = 0;
+        while let Some((_, to, source)) = self.rigs[i].sends().first().copied() {
+            if to == self.cold.id || source == Some(self.cold.id) {
+                self.judge.came(self.rigs[i].now, SIZES[class]);
+            }
+            let fills = source.is_some_and(|s| s != to);
+            self.rigs[i].end(id, attempt, to, if fills { Ending::Ok } else { Ending::Miss });
+            attempt += 1;
+        }
+    }
+}
+
+/// Warm after five minutes: as the settings say, a lull can be long against the time from one turn to the next.
+fn slow(rule: ColdRule) -> ColdRule {
+    ColdRule { ramp: 300_000.0, ..rule }
+}
+
+/// A small cache and a small parent: all routers together have more than a handful of calls only in sum.
+fn cases() -> [(Member, ColdRule); 2] {
+    let cold = |id, weight| Member { started: Some(STARTED), weight, ..member(id) };
+    [(cold(101, 0.8), slow(settings().cold_cache)), (cold(201, 1.5), slow(settings().cold_parent))]
+}
+
+/// 24 routers, the busiest with twelve times the traffic of the quietest. Some hear of the member late, some start
+/// again within the ramp, there is a lull, and after it all ask at once.
+#[test]
+fn twenty_four_routers_keep_a_cold_members_budget_through_lulls_surges_and_restarts() {
+    for (cold, rule) in cases() {
+        let mut fleet = Fleet::of(24, cold);
+        for step in 0..8000_u32 {
+            let now = 1000.0 + 20.0 * f64::from(step);
+            fleet.at(now);
+            let lull = (800..4000).contains(&step) || (4300..7000).contains(&step);
+            for i in 0..24_usize {
+                if step == 20 * (u32::try_from(i).unwrap() % 5) {
+                    fleet.tell(i);
+                }
+                if (step == 700 || step == 3999) && i % 4 == 1 {
+                    fleet.restart(i);
+                }
+                let every = 6 + 6 * u32::try_from(i).unwrap() % 72;
+                let surge = step == 4000 || step == 7000;
+                if !lull && (surge || (step + u32::try_from(i).unwrap()).is_multiple_of(every)) {
+                    (0..if surge { 40 } else { 1 }).for_each(|_| fleet.ask(i));
+                }
+            }
+        }
+        assert_eq!(fleet.judge.fall(bears(&cold, rule)), None, "{}", cold.id);
+        // It is used: a tenth at least of what it bears at its slowest, but for the lulls.
+        let least = 0.1 * rule.multiple * rule.from * cold.weight * 42_000.0;
+        assert!(fleet.judge.work() > least, "{}: {}", cold.id, fleet.judge.work());
+    }
+}
+
+/// All that could be saved up in a lull came at once: 24 sends where the budget was a handful.
+#[test]
+fn a_lull_saves_nothing_up_for_the_surge_behind_it() {
+    for (cold, rule) in cases() {
+        let mut fleet = Fleet::of(24, cold);
+        fleet.at(1000.0);
+        (0..24).for_each(|i| fleet.tell(i));
+        fleet.at(41_000.0);
+        for _ in 0..40 {
+            (0..24).for_each(|i| fleet.ask(i));
+        }
+        assert_eq!(fleet.judge.fall(bears(&cold, rule)), None, "{}", cold.id);
+    }
+}
+
+/// Each may have spent its turn in the moment before, which it does not know any more.
+#[test]
+fn a_fleet_that_starts_again_within_a_window_has_no_second_budget() {
+    for (cold, rule) in cases() {
+        let mut fleet = Fleet::of(24, cold);
+        fleet.at(1000.0);
+        (0..24).for_each(|i| fleet.tell(i));
+        for step in 0..1200 {
+            fleet.at(1000.0 + 5.0 * f64::from(step));
+            if step % 30 == 29 {
+                (0..24).for_each(|i| fleet.restart(i));
+            }
+            (0..24).for_each(|i| fleet.ask(i));
+        }
+        assert_eq!(fleet.judge.fall(bears(&cold, rule)), None, "{}", cold.id);
+    }
+}
--- a/crates/deckproxy-standins/src/lib.rs
+++ b/crates/deckproxy-standins/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![allow(clippy::missing_panics_doc, missing_docs)]
 
+pub mod bounds;
 pub mod caller;
 pub mod client;
 pub mod collector;
