--- a/crates/deckproxy/tests/lifecycle.rs
+++ b/crates/deckproxy/tests/lifecycle.rs
@@ -3,6 +3,7 @@
 mod common;
 use common::*;
 use serde_json::json;
+use std::io::Write;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
@@ -190,3 +191,22 @@
     waiting.iter_mut().zip(&late).for_each(|(client, id)| drop(client.error(*id, "Shed")));
     assert_eq!(gateway.ended(), Some(0));
 }
+
+/// Its configuration comes through a pipe: whoever opens that for writing knows that it is being read.
+#[test]
+fn told_to_end_before_it_is_ready_it_ends_by_itself() {
+    let world = World::start();
+    let setup = world.setup();
+    let folder = tempfile::tempdir().unwrap();
+    let pipe = folder.path().join("config.json");
+    assert!(std::process::Command::new("mkfifo").arg(&pipe).status().unwrap().success());
+    let mut gateway = Gateway::spawn_with(&pipe, setup.listen, "true", &[]);
+    let mut writer = std::fs::OpenOptions::new().write(true).open(&pipe).unwrap();
+    gateway.signal("TERM");
+    writer.write_all(setup.config().to_string().as_bytes()).unwrap();
+    drop(writer);
+    let start = Instant::now();
+    assert_eq!(gateway.ended(), Some(0));
+    assert!(start.elapsed() < Duration::from_millis(3000), "{:?}", start.elapsed());
+    assert!(gateway.log().contains("told to end"), "{}", gateway.log());
+}
