--- a/crates/deckproxy-standins/src/bounds.rs
+++ b/crates/deckproxy-standins/src/bounds.rs
@@ -1,5 +1,6 @@
-//! Judges of what no rule of the platform counts in one place: what a cold member gets from all processes together, and
-//! what begins for a client that has left. Both are told what came at members, and ask nobody else.
+//! Judges of what no rule of the platform counts in one place: what a cold member gets from all processes together,
+//! what begins for a client that has left, whether a restarted fleet is ready in time, and who is served where idle
+//! clients hold the descriptors. They are told what came at members, feed and clients, and ask nobody else.
 
 use std::collections::HashMap;
 
@@ -91,3 +92,67 @@
         self.late.len() > Self::PASSED
     }
 }
+
+/// Processes that were started together, and when each said that it is ready, ms.
+#[derive(Debug, Default)]
+pub struct Starts {
+    took: Vec<Option<f64>>,
+}
+
+impl Starts {
+    /// Longest time from its start until a process is ready, ms.
+    pub const IN_TIME: f64 = 10_000.0;
+    /// Share of the processes that must be ready by then.
+    pub const SHARE: f64 = 0.9;
+
+    /// A process was started, and was ready so many ms later; none: it never was.
+    pub fn took(&mut self, ms: Option<f64>) {
+        self.took.push(ms);
+    }
+
+    /// Whether enough of them were ready in time.
+    pub fn hold(&self) -> bool {
+        let ready = self.took.iter().flatten().filter(|ms| **ms <= Self::IN_TIME).count();
+        !self.took.is_empty() && ready as f64 >= Self::SHARE * self.took.len() as f64
+    }
+}
+
+/// Idle clients hold all descriptors while discovery is down: what becomes of honest newcomers, and of the watch once
+/// discovery is back.
+#[derive(Debug, Default)]
+pub struct Filled {
+    came: usize,
+    answered: usize,
+    back: Option<f64>,
+    watched: Option<f64>,
+}
+
+impl Filled {
+    /// Share of the newcomers that must be answered in their time.
+    pub const SHARE: f64 = 0.9;
+    /// Longest time from discovery's return until it is watched, ms: less than the time after which idle clients are
+    /// closed for being idle, which would give back descriptors in any case.
+    pub const WATCHED: f64 = 3000.0;
+
+    /// An honest newcomer asked; whether it was answered in its time.
+    pub fn newcomer(&mut self, answered: bool) {
+        self.came += 1;
+        self.answered += usize::from(answered);
+    }
+
+    /// Discovery is back.
+    pub fn back(&mut self, at: f64) {
+        self.back = Some(at);
+    }
+
+    /// The watch has subscribed.
+    pub fn watched(&mut self, at: f64) {
+        self.watched.get_or_insert(at);
+    }
+
+    /// Whether newcomers were served and discovery is watched.
+    pub fn holds(&self) -> bool {
+        let served = self.came > 0 && self.answered as f64 >= Self::SHARE * self.came as f64;
+        served && self.back.zip(self.watched).is_some_and(|(back, at)| at - back <= Self::WATCHED)
+    }
+}
--- a/crates/deckproxy-standins/tests/bounds.rs
+++ b/crates/deckproxy-standins/tests/bounds.rs
@@ -1,6 +1,6 @@
-//! The judges of sums and leavers, each shown what it is to object to and what it is not.
+//! The judges of sums, leavers, starts and filled descriptors, each shown what it is to object to and what it is not.
 
-use deckproxy_standins::bounds::{ColdCalls, ColdMember, Leavers};
+use deckproxy_standins::bounds::{ColdCalls, ColdMember, Filled, Leavers, Starts};
 
 #[test]
 fn calls_beyond_the_budget_and_chance_are_seen_and_no_others() {
@@ -34,3 +34,32 @@
     judge.began("a", 1301.0);
     assert!(judge.is_broken(), "{:?}", judge.late());
 }
+
+#[test]
+fn a_fleet_of_which_more_than_one_in_ten_is_late_or_never_ready_is_seen() {
+    let hold = |late: usize, never: usize| {
+        let mut judge = Starts::default();
+        (0..20 - late - never).for_each(|_| judge.took(Some(9_999.0)));
+        (0..late).for_each(|_| judge.took(Some(10_001.0)));
+        (0..never).for_each(|_| judge.took(None));
+        judge.hold()
+    };
+    assert!(hold(0, 0) && hold(2, 0) && hold(0, 2) && hold(1, 1));
+    assert!(!hold(3, 0) && !hold(0, 3) && !hold(2, 1));
+    assert!(!Starts::default().hold(), "nothing was started");
+}
+
+#[test]
+fn newcomers_that_get_no_answer_and_a_watch_that_comes_late_or_never_are_seen() {
+    let judge = |unanswered: usize, watched: Option<f64>| {
+        let mut judge = Filled::default();
+        (0..20).for_each(|i| judge.newcomer(i >= unanswered));
+        judge.back(1000.0);
+        watched.into_iter().for_each(|at| judge.watched(at));
+        judge.holds()
+    };
+    assert!(judge(0, Some(1001.0)) && judge(2, Some(4000.0)));
+    assert!(!judge(3, Some(1001.0)), "three of twenty got no answer");
+    assert!(!judge(0, Some(4001.0)) && !judge(0, None));
+    assert!(!Filled::default().holds(), "nobody came");
+}
