Half an answer is shared by nobody; a copy holds only where a cache has named it

Three faults found by reading, each with a test on real connections that was seen to fail on the build before:

- Where attempts share connections (three quarters of the links in use, or eight on their way up to one member) link_for took the connection with least out, and that was the resting one behind half of an answer, which the path without sharing leaves out: the next ask was answered behind that half, or never.
- An attempt given up in the middle of its answer left its connection in use for others (Link::withdraw looked only at whether anything had come since it was written): what was asked there next waited behind the rest that never comes.
- Router::reply took any 304 to a client with a copy for word that this copy holds, also one that names another copy, or none.

--- a/crates/deckproxy/src/program/members.rs
+++ b/crates/deckproxy/src/program/members.rs
@@ -103,8 +103,13 @@
         // Descriptors are short, or the member takes no more connections for now: attempts share connections, the one with least out first.
         let pool = self.pools.get(&member).into_iter().flatten();
         let shared = pool.filter_map(|id| self.links.get(id).map(|h| (h.link.load(), *id, &h.link)));
+        // What rests behind half of an answer that nobody waits for is no connection to share either.
+        let reads = |load: usize, link: &Link| load > 0 || link.stream.input.is_empty();
         let shared = shared.filter(|(load, _, link)| {
-            *load < streams && link.stream.queued() < limits::MEMBER_OUTGOING && link.takes(name)
+            *load < streams
+                && reads(*load, link)
+                && link.stream.queued() < limits::MEMBER_OUTGOING
+                && link.takes(name)
         });
         let least = shared.map(|(load, id, _)| (load, id)).min();
         least.map(|(_, id)| id).or_else(|| self.connect(now, member, place))
--- a/crates/deckproxy/src/routing/router.rs
+++ b/crates/deckproxy/src/routing/router.rs
@@ -393,15 +393,17 @@
         if let Some(member) = self.probes.remove(&at) {
             return self.probed(now, member, reply.word == Word::Alive(true), load);
         }
-        let tagged = self.open.get(&((at / ATTEMPTS) as RequestId)).is_some_and(|o| o.call.have.is_some());
         let copy = reply.copy;
+        // That a copy holds is believed only of the one that the client named.
+        let held = self.open.get(&((at / ATTEMPTS) as RequestId)).and_then(|o| o.call.have.as_ref());
+        let named = held.is_some() && held == copy.as_ref().map(|c| &c.tag);
         let (ending, answer) = match reply.word {
             Word::Ok => (Ending::Ok, Some(Answer::Served(reply.body))),
-            Word::Unchanged if tagged => (Ending::Ok, Some(Answer::Unchanged)),
+            Word::Unchanged if named => (Ending::Ok, Some(Answer::Unchanged)),
             Word::Miss => (Ending::Miss, None),
             Word::Full => (Ending::Full, None),
             Word::Over => (Ending::Moot, None),
-            // A probe's word under an attempt's id, and that a copy holds that nobody named, prove nothing.
+            // A probe's word under an attempt's id, and that another copy holds than the client's, prove nothing.
             Word::Error | Word::Alive(_) | Word::Unchanged => (Ending::Error, None),
         };
         self.end(now, at, ending, answer.map(|answer| (answer, copy)), load);
--- a/crates/deckproxy/src/transport/member.rs
+++ b/crates/deckproxy/src/transport/member.rs
@@ -136,7 +136,8 @@
     }
 
     /// Gives an attempt up; none if it is not here. Tells how much of it was written. A connection on which
-    /// nothing came for `patience` ms since it was written whole may be dead without a word: it is retired.
+    /// nothing came for `patience` ms since it was written whole may be dead without a word, and one on which half of an
+    /// answer has stood for so long will hardly bring the rest: it is retired.
     pub fn withdraw(&mut self, key: u64, now: f64, patience: f64) -> Option<Withdrawn> {
         let ask = self.asks.remove(&key)?;
         self.names.remove(&ask.name);
@@ -150,7 +151,9 @@
         }
         self.given_up.insert(ask.name);
         let silent = ask.written.is_some_and(|at| self.heard < at && now - at > patience);
-        self.retired |= silent || self.given_up.len() > GIVEN_UP;
+        // An answer that broke off in its middle: whatever is asked here would be answered behind it, or never.
+        let amid = !self.stream.input.is_empty() && now - self.heard > patience;
+        self.retired |= silent || amid || self.given_up.len() > GIVEN_UP;
         Some(if cut { Withdrawn::Cut } else { Withdrawn::Sent })
     }
 
--- a/crates/deckproxy/tests/closing.rs
+++ b/crates/deckproxy/tests/closing.rs
@@ -5,6 +5,7 @@
 use deckproxy::protocol::{front, limits};
 use deckproxy::transport::client as transport;
 use deckproxy::transport::stream::Stream;
+use deckproxy_standins::wait::until_in;
 use std::io::Write;
 use std::rc::Rc;
 use std::thread;
@@ -61,6 +62,29 @@
     assert_eq!(gateway.ended(), Some(0));
 }
 
+/// Housekeeping has its turn while more wait to be read than one turn serves.
+#[test]
+fn what_comes_in_the_moment_of_the_idle_time_out_is_answered() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let start = Instant::now();
+    let mut resting: Vec<Client> = (0..150).map(|_| proven(&gateway)).collect();
+    let all_rest = Instant::now();
+    until_in(Duration::from_secs(12), "they have rested for nearly so long", || {
+        start.elapsed() > Duration::from_millis(9600)
+    });
+    gateway.freeze();
+    assert!(start.elapsed() < Duration::from_millis(10_000), "none was closed yet");
+    let pings: Vec<u64> = resting.iter_mut().map(Client::ping).collect();
+    until_in(Duration::from_secs(12), "the time-out of all has passed", || {
+        all_rest.elapsed() > Duration::from_millis(10_100)
+    });
+    gateway.thaw();
+    for (client, id) in resting.iter_mut().zip(pings) {
+        assert_eq!(client.answer(), (id, Answer::Ready(true)));
+    }
+}
+
 #[test]
 fn half_a_request_read_before_the_end_is_answered_once_the_rest_comes() {
     let world = World::start();
--- /dev/null
+++ b/crates/deckproxy/tests/cold.rs
@@ -0,0 +1,206 @@
+//! Cold members under all processes of a fleet together: 24 of them, of unequal traffic, that hear of the start at
+//! different moments, some just restarted. The judge counts at the members, fills by way of a parent among them.
+
+mod common;
+use common::*;
+use deckproxy_standins::bounds::{ColdCalls, ColdMember};
+use serde_json::{Value, json};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+const PROCESSES: usize = 24;
+/// Sending time of each request, ms: 100 KB at 1,000 KB a second. So all are of mean work.
+const WORK: f64 = 100.0;
+/// Requests of one process in a surge: at least one of them has the cold member as its home.
+const SURGE: usize = 8;
+
+/// Asks for objects: when each came, the member, and the source of its fill.
+type Came = Arc<Mutex<Vec<(f64, String, Option<String>)>>>;
+
+/// A member that misses look-ups, serves all else, and notes what comes.
+struct Busy {
+    address: std::net::SocketAddr,
+    id: String,
+    running: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Busy {
+    fn start(id: &str, came: &Came) -> Self {
+        let member = Member::start(id);
+        let (address, running, came) = (member.address, Arc::new(AtomicBool::new(true)), came.clone());
+        let on = running.clone();
+        let thread = thread::spawn(move || {
+            while on.load(Ordering::SeqCst) {
+                let Some(ask) = member.maybe_ask() else { continue };
+                let source = ask.field("miss").map(str::to_string);
+                came.lock().unwrap().push((unix_ms() as f64, member.id.clone(), source.clone()));
+                let misses = source.is_none() && member.id.starts_with("s-c");
+                member.try_answer(&ask, if misses { "404" } else { "200" }, b"body");
+            }
+        });
+        Busy { address, id: id.to_string(), running, thread: Some(thread) }
+    }
+
+    fn entry(&self, zone: &str, kind: &str, size: f64, since: u64) -> Value {
+        let mut entry = entry(&self.id, self.address, zone, kind, "Ready");
+        (entry["size"], entry["up_since_ms"]) = (json!(size), json!(since));
+        entry
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.running.store(false, Ordering::SeqCst);
+        self.thread.take().into_iter().for_each(|thread| thread.join().unwrap());
+    }
+}
+
+/// One process, a client of it, and what was asked.
+struct Process {
+    gateway: Gateway,
+    client: Client,
+    ids: Vec<u64>,
+    objects: u64,
+}
+
+impl Process {
+    fn new(gateway: Gateway, number: usize) -> Self {
+        let client = gateway.client();
+        Process { gateway, client, ids: Vec::new(), objects: (number as u64 + 1) << 32 }
+    }
+
+    fn ask(&mut self) {
+        self.objects += 0x9e37_79b9;
+        let fields = [("lookup", &*format!("{:016x}", self.objects)), ("room", "100"), ("allow", "1000")];
+        let id = self.client.call("page", &fields, &[]);
+        self.ids.push(id);
+    }
+
+    /// Waits for the final answers to all that was asked.
+    fn settle(&mut self) {
+        for _ in self.ids.drain(..) {
+            self.client.answer();
+        }
+    }
+}
+
+/// A fleet of which all know the warm members. Two at a time: each is 24 processes.
+struct Fleet {
+    settings: Value,
+    known: Vec<Value>,
+    feed: Feed,
+    lines: Vec<TcpStream>,
+    all: Vec<Process>,
+}
+
+impl Fleet {
+    fn start(settings: Value, known: &[Value]) -> Self {
+        let (feed, known) = (Feed::start(), known.to_vec());
+        let mut fleet = Fleet { settings, known, feed, lines: Vec::new(), all: Vec::new() };
+        for i in 0..PROCESSES {
+            let gateway = fleet.setup(i, &[]).start();
+            fleet.all.push(Process::new(gateway, i));
+            fleet.lines.push(fleet.feed.sub().1);
+        }
+        fleet
+    }
+
+    fn setup(&self, position: usize, more: &[Value]) -> Setup {
+        let mut setup = Setup::knowing(&[&self.known, more].concat());
+        setup.settings = self.settings.clone();
+        setup.settings["position"] = json!(position);
+        setup.feed = self.feed.address;
+        setup
+    }
+
+    fn restart(&mut self, i: usize, cold: &Value) {
+        self.all[i].gateway.child.kill().unwrap();
+        let setup = self.setup(i, std::slice::from_ref(cold));
+        let mut process = Process::new(setup.start(), i);
+        process.objects = self.all[i].objects;
+        self.all[i] = process;
+    }
+}
+
+/// A member starts cold while the fleet serves; the fleet hears of it bit by bit. What comes to it is judged in each
+/// window, in all of these: unequal traffic, a lull in which each could save up, a surge of all, a restart of some.
+fn plays(cold_is_a_parent: bool) {
+    let came = Came::default();
+    let cold = Busy::start(if cold_is_a_parent { "s-p0000001" } else { "s-c0000001" }, &came);
+    let other = Busy::start(if cold_is_a_parent { "s-p0000002" } else { "s-c0000002" }, &came);
+    let third = Busy::start(if cold_is_a_parent { "s-c0000003" } else { "s-p0000003" }, &came);
+    let origin = Busy::start("s-f0000004", &came);
+    let (zone, kind, size) = if cold_is_a_parent { ("hub", "parent", 9.0) } else { ("edge", "box", 3.0) };
+    let known = [
+        other.entry(zone, kind, size, 0),
+        match cold_is_a_parent {
+            true => third.entry("edge", "box", 1000.0, 0),
+            false => third.entry("hub", "parent", 1000.0, 0),
+        },
+        origin.entry("hub", "origin", 1000.0, 0),
+    ];
+    let mut settings = settings();
+    for class in 0..3 {
+        settings["services"][class]["deadlineMs"] = json!(1000.0);
+    }
+    settings["groupSize"] = json!(PROCESSES);
+    settings["familyInfo"]["zoneBalancers"] = json!([0, PROCESSES]);
+    // Warm after five minutes: what it bears is the same all along, a handful in a window.
+    settings["rules"]["rampTimeMs"] = json!(300_000.0);
+    settings["familyInfo"]["upperColdMs"] = json!(300_000.0);
+    settings["rules"]["fallMs"] = json!(500.0);
+    let mut fleet = Fleet::start(settings, &known);
+
+    let since = unix_ms();
+    let entry = cold.entry(zone, kind, size, since);
+    let event = json!({"n": 2, "members": {"revision": 2, "complete": false, "members": [entry]}});
+    let start = Instant::now();
+    for step in 0..100_u32 {
+        let at = Duration::from_millis(10) * step;
+        thread::sleep(at.saturating_sub(start.elapsed()));
+        for (i, process) in fleet.all.iter_mut().enumerate() {
+            if step == 10 * (i as u32 % 5) {
+                tell(&fleet.lines[i], &event);
+            }
+            // The busiest has some ten times the traffic of the quietest.
+            if step % (5 + 2 * i as u32) == 0 {
+                process.ask();
+            }
+        }
+    }
+    fleet.all.iter_mut().for_each(Process::settle);
+    // Its turns come each 2.9 s (cold cache) or 2.9 s (cold parent): a lull in which each would save one up.
+    thread::sleep(Duration::from_millis(3300));
+    (0..SURGE).for_each(|_| fleet.all.iter_mut().for_each(Process::ask));
+    fleet.all.iter_mut().for_each(Process::settle);
+    // What was sent just before is not known to those that start again.
+    (0..PROCESSES).step_by(4).for_each(|i| fleet.restart(i, &entry));
+    (0..SURGE).for_each(|_| fleet.all.iter_mut().for_each(Process::ask));
+    fleet.all.iter_mut().for_each(Process::settle);
+
+    let mut judge = ColdCalls::default();
+    for (at, member, source) in came.lock().unwrap().iter() {
+        if *member == cold.id || source.as_ref() == Some(&cold.id) {
+            judge.came(*at, WORK);
+        }
+    }
+    let (from, multiple) = if cold_is_a_parent { (0.1, 2.0) } else { (0.2, 3.0) };
+    let (started, ramp, window) = (since as f64, 300_000.0, 500.0);
+    let bears = ColdMember { started, weight: size, from, ramp, multiple, window };
+    assert_eq!(judge.fall(bears), None, "{} calls came", judge.work() / WORK);
+    assert!(judge.work() >= 3.0 * WORK, "it is used: {} calls", judge.work() / WORK);
+}
+
+#[test]
+fn a_cold_cache_bears_what_24_processes_send_it_together() {
+    plays(false);
+}
+
+#[test]
+fn a_cold_parent_bears_the_fills_of_24_processes_together() {
+    plays(true);
+}
--- /dev/null
+++ b/crates/deckproxy/tests/drains.rs
@@ -0,0 +1,120 @@
+//! A drain told in the middle of something: while an attempt waits for its connection, while a fill by way of the member
+//! that drains is out, and while the lead of a fill passes on. Nothing new goes to a drained member after its time.
+
+mod common;
+use common::*;
+use serde_json::{Value, json};
+use std::io::Read;
+use std::time::{Duration, Instant};
+
+const OBJECT: &str = "7f3a9c21e0b4d655";
+/// Longer than the settings allow after word of a drain.
+const GRACE: Duration = Duration::from_millis(560);
+
+fn news(number: u64, entry: &Value) -> Value {
+    json!({"n": number, "members": {"revision": number, "complete": false, "members": [entry]}})
+}
+
+/// Waits until a purge told behind it binds: by then the gateway has heard all that was told before.
+fn heard(world: &World, client: &mut Client, line: &std::net::TcpStream, number: u64) {
+    let group = 200 + number;
+    tell(line, &json!({"n": number, "purge": {"group": group, "at": unix_ms()}}));
+    until("what was told before is known", || {
+        let fields = [("lookup", "0000000000000001"), ("bucket", &*group.to_string())];
+        let id = client.call("page", &fields, &[]);
+        let (cache, ask) = world.ask();
+        cache.answer(&ask, "200", b"x");
+        client.served(id, b"x");
+        ask.field("within").is_some()
+    });
+}
+
+#[test]
+fn an_attempt_whose_connection_comes_up_after_the_members_drain_is_not_written() {
+    let world = World::start();
+    let mut late = Late::start();
+    let feed = Feed::start();
+    let mut setup = world.setup();
+    let slow = entry("s-00000009", late.address, "hub", "origin", "Ready");
+    let parent = world.parent.entry("hub", "parent", "Ready");
+    let caches =
+        [world.caches[0].entry("edge", "box", "Ready"), world.caches[1].entry("edge", "box", "Ready")];
+    let entries = [&caches[..], &[parent, slow]].concat();
+    setup.events = vec![json!({"n": 1, "members": {"revision": 1, "complete": true, "members": entries}})];
+    // The handshake has the time that the kernel takes for its second try, and so has what waits for it.
+    setup.settings["limits"]["connectTimeoutMs"] = json!(8000.0);
+    setup.settings["services"][2]["deadlineMs"] = json!(3000.0);
+    setup.feed = feed.address;
+    let gateway = setup.start();
+    let (_, line) = feed.sub();
+    let mut client = gateway.client();
+    let id = client.call("once", &[("lookup", OBJECT), ("allow", "3000")], b"waits");
+    // Once this is answered the handshake has begun.
+    let ping = client.ping();
+    assert_eq!(client.answer(), (ping, Answer::Ready(true)));
+    let drain = entry("s-00000009", late.address, "hub", "origin", "Terminating");
+    tell(&line, &news(2, &drain));
+    let told = Instant::now();
+    let mut up = late.come_up();
+    assert!(told.elapsed() > GRACE, "it came up after the drain's time: {:?}", told.elapsed());
+    up.set_read_timeout(Some(Duration::from_millis(500))).unwrap();
+    let got = up.read(&mut [0; 64]);
+    assert!(!matches!(got, Ok(1..)), "written after the drain: {got:?}");
+    // It never ran: so a new try does no harm, or another way was found.
+    let answered = client.answer();
+    assert!(
+        answered.0 == id && matches!(&answered.1, Answer::Error(word, _) if word == "Shed"),
+        "{answered:?}"
+    );
+}
+
+#[test]
+fn a_fill_that_goes_again_does_not_name_the_parent_that_drains_meanwhile() {
+    let world = World::start();
+    let Fed { gateway: _gateway, mut client, line, .. } = world.fed();
+    let id = client.get(OBJECT);
+    let (cache, ask) = world.ask();
+    cache.answer(&ask, "404", &[]);
+    let fill = cache.ask();
+    assert_eq!(fill.field("miss"), Some(&*world.parent.id));
+    tell(&line, &news(2, &world.parent.entry("hub", "parent", "Terminating")));
+    let told = Instant::now();
+    let mut other = Client::connect(client.handle().peer_addr().unwrap());
+    heard(&world, &mut other, &line, 3);
+    until("the drain's time is over", || told.elapsed() > GRACE);
+    cache.answer(&fill, "500", &[]);
+    // It goes again at the cache, whose source is taken to have failed, and by way of the origin.
+    let next = cache.ask();
+    assert_eq!((next.id.as_str(), next.field("miss")), (fill.id.as_str(), Some(&*world.origin.id)));
+    cache.answer(&next, "200", b"filled");
+    client.served(id, b"filled");
+    assert!(world.parent.maybe_ask().is_none(), "the parent that drains was asked");
+}
+
+#[test]
+fn the_lead_passed_on_goes_to_no_cache_that_drains_meanwhile() {
+    let world = World::start();
+    let Fed { gateway, client: mut leader, line, .. } = world.fed();
+    leader.get(OBJECT);
+    let (cache, ask) = world.ask();
+    cache.answer(&ask, "404", &[]);
+    let fill = cache.ask();
+    let mut waiter = gateway.client();
+    let id = waiter.get(OBJECT);
+    let look_up = cache.ask();
+    cache.answer(&look_up, "404", &[]);
+    until("it waits", || cache.maybe_ask().is_none());
+    tell(&line, &news(2, &cache.entry("edge", "box", "Terminating")));
+    let told = Instant::now();
+    let mut other = gateway.client();
+    heard(&world, &mut other, &line, 3);
+    until("the drain's time is over", || told.elapsed() > GRACE);
+    drop(leader);
+    cache.quit(&fill.id);
+    // The waiter leads, at the other cache, from wherever that fills by now.
+    let next = world.other(cache).ask();
+    assert!(next.id == look_up.id && next.field("miss").is_some(), "{next:?}");
+    world.other(cache).answer(&next, "200", b"filled");
+    waiter.served(id, b"filled");
+    assert!(cache.maybe_ask().is_none(), "the cache that drains was asked");
+}
--- a/crates/deckproxy/tests/feed.rs
+++ b/crates/deckproxy/tests/feed.rs
@@ -2,8 +2,11 @@
 
 mod common;
 use common::*;
+use deckproxy_standins::bounds::Filled;
 use serde_json::json;
 use std::io::{Read, Write};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 use std::time::{Duration, Instant};
 
 const OBJECT: &str = "7f3a9c21e0b4d655";
@@ -140,6 +143,8 @@
     assert!(matches!(&got, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock), "given up: {got:?}");
 }
 
+/// Idle clients take each descriptor that comes free, and honest newcomers come one after another, while discovery is
+/// down and when it is back.
 #[test]
 fn idle_clients_that_hold_all_descriptors_leave_one_for_the_watch_and_for_newcomers() {
     let world = World::start();
@@ -155,17 +160,61 @@
         idle.push(client);
         gateway.usage().1 == 32
     });
-    // Discovery comes back.
-    let listener = std::net::TcpListener::bind(at).unwrap();
-    listener.set_nonblocking(true).unwrap();
-    let start = Instant::now();
-    let mut line = None;
-    until("it subscribes", || {
-        line = line.take().or_else(|| listener.accept().ok());
-        line.is_some()
+    let mut judge = Filled::default();
+    let (filling, caches) = (AtomicBool::new(true), AtomicBool::new(true));
+    thread::scope(|scope| {
+        // As many again come whenever one was closed.
+        scope.spawn(|| {
+            let mut more = Vec::new();
+            while filling.load(Ordering::SeqCst) {
+                if let Ok(stream) = std::net::TcpStream::connect(gateway.address) {
+                    more.push(stream);
+                }
+                if more.len() > 64 {
+                    more.drain(..32);
+                }
+                thread::sleep(Duration::from_millis(2));
+            }
+        });
+        let caches = &caches;
+        scope.spawn(move || {
+            while caches.load(Ordering::SeqCst) {
+                let asked = world.maybe_ask();
+                asked.into_iter().for_each(|(cache, ask)| cache.try_answer(&ask, "200", b"there"));
+            }
+        });
+        let mut discovery: Option<std::net::TcpListener> = None;
+        let mut line = None;
+        for n in 0..60 {
+            if n == 20 {
+                discovery = Some(std::net::TcpListener::bind(at).unwrap());
+                discovery.iter().for_each(|l| l.set_nonblocking(true).unwrap());
+                judge.back(unix_ms() as f64);
+            }
+            judge.newcomer(asks_in_time(&gateway));
+            if let Some(got) = discovery.as_ref().filter(|_| line.is_none()).and_then(|l| l.accept().ok()) {
+                judge.watched(unix_ms() as f64);
+                line = Some(got);
+            }
+        }
+        let end = Instant::now() + PATIENCE;
+        while line.is_none() && Instant::now() < end {
+            line = discovery.as_ref().and_then(|l| l.accept().ok());
+            line.iter().for_each(|_| judge.watched(unix_ms() as f64));
+            thread::sleep(Duration::from_millis(2));
+        }
+        filling.store(false, Ordering::SeqCst);
+        caches.store(false, Ordering::SeqCst);
     });
-    // Sooner than idle clients are closed for being idle.
-    assert!(start.elapsed() < Duration::from_millis(3000), "{:?}", start.elapsed());
+    assert!(judge.holds(), "{judge:?}");
+}
+
+/// An honest newcomer: whether it is served before its time is over.
+fn asks_in_time(gateway: &Gateway) -> bool {
     let mut client = gateway.client();
-    assert!(!is_bound(&world, &mut client, 1), "a newcomer is served, and by a connection to a cache");
+    let (_, bytes) = client.encode("page", &[("lookup", OBJECT)], &[]);
+    let mut handle = client.handle();
+    handle.set_read_timeout(Some(Duration::from_millis(1200))).unwrap();
+    let sent = handle.write_all(&bytes);
+    sent.is_ok() && matches!(handle.read(&mut [0; 256]), Ok(1..))
 }
--- a/crates/deckproxy/tests/members.rs
+++ b/crates/deckproxy/tests/members.rs
@@ -343,6 +343,50 @@
     client.served(id, b"whole");
 }
 
+/// Where attempts share connections it was the one with least out, and taken before all others.
+#[test]
+fn half_of_an_answer_on_a_resting_connection_is_shared_by_nobody_where_descriptors_are_short() {
+    let world = World::start();
+    let mut setup = world.setup();
+    // Five connections to members, of which the last is kept free: attempts share the four.
+    setup.sockets = 12;
+    let gateway = setup.start();
+    let mut client = gateway.client();
+    let all = asked(&world, &mut client, 4);
+    let (id, rests) = &all[0];
+    world.origin.answer(rests, "200", b"done");
+    client.served(*id, b"done");
+    world.origin.send(rests.conn, b"*4\r\n$16\r\n0123");
+    let id = client.call("once", &[("lookup", OBJECT)], b"y");
+    let next = world.origin.ask();
+    assert_ne!(next.conn, rests.conn);
+    world.origin.answer(&next, "200", b"whole");
+    client.served(id, b"whole");
+}
+
+/// Its attempt is given up in the end, and the connection looked like any other that has one out.
+#[test]
+fn behind_an_answer_that_broke_off_in_its_middle_nothing_more_is_asked() {
+    let world = World::start();
+    let mut setup = world.setup();
+    setup.sockets = 12;
+    let gateway = setup.start();
+    let mut client = gateway.client();
+    let broken = client.call("once", &[("lookup", OBJECT), ("allow", "700")], b"x");
+    let first = world.origin.ask();
+    let all = asked(&world, &mut client, 4);
+    assert_eq!(all[3].1.conn, first.conn, "the fifth shares");
+    let whole = Member::encode(&first.id, "200", "-", &[7; 5000]);
+    world.origin.send(first.conn, &whole[..3000]);
+    // Its time is over, longer than a connection may take to come up after the last byte.
+    client.error(broken, "Fault");
+    let id = client.call("once", &[("lookup", OBJECT)], b"y");
+    let next = world.origin.ask();
+    assert_ne!(next.conn, first.conn);
+    world.origin.answer(&next, "200", b"whole");
+    client.served(id, b"whole");
+}
+
 /// Decided in time for a repeat, it waited for its connection until long after.
 #[test]
 fn a_keyed_write_is_not_written_after_its_time_for_repeats() {
--- /dev/null
+++ b/crates/deckproxy/tests/restart.rs
@@ -0,0 +1,84 @@
+//! A whole fleet that starts again at once, while discovery is away.
+
+mod common;
+use common::*;
+use deckproxy_standins::bounds::Starts;
+use std::io::Read;
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const OBJECT: &str = "7f3a9c21e0b4d655";
+const PROCESSES: usize = 24;
+
+/// How long a process takes until it says that it is ready, ms: as the front asks, again and again.
+fn ready(start: Instant, at: SocketAddr) -> Option<f64> {
+    while start.elapsed() < Duration::from_secs(15) {
+        if let Ok(stream) = TcpStream::connect(at) {
+            drop(stream);
+            let mut client = Client::connect(at);
+            let ping = client.ping();
+            if client.answer() == (ping, Answer::Ready(true)) {
+                return Some(start.elapsed().as_secs_f64() * 1000.0);
+            }
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    None
+}
+
+/// Discovery refuses, takes connections and says nothing, or lets none come up: three of a kind in turn.
+#[test]
+fn nine_in_ten_of_a_fleet_are_ready_in_time_while_discovery_is_away() {
+    let world = World::start();
+    let silent = Feed::start();
+    let never = Late::start();
+    let setups: Vec<Setup> = (0..PROCESSES)
+        .map(|i| {
+            let mut setup = world.setup();
+            setup.feed = [free_address(), silent.address, never.address][i % 3];
+            setup
+        })
+        .collect();
+    // They serve, with clients that stay connected; then all are killed and started again at their addresses.
+    let first: Vec<Gateway> = thread::scope(|scope| {
+        let all: Vec<_> = setups.iter().map(|setup| scope.spawn(|| setup.start())).collect();
+        all.into_iter().map(|one| one.join().unwrap()).collect()
+    });
+    let mut clients: Vec<Client> = first.iter().map(Gateway::client).collect();
+    for client in &mut clients {
+        client.ping();
+    }
+    drop(first);
+    let start = Instant::now();
+    let next: Vec<Gateway> =
+        setups.iter().map(|setup| Gateway::spawn(&setup.config().to_string(), setup.listen)).collect();
+    let mut judge = Starts::default();
+    thread::scope(|scope| {
+        let all: Vec<_> = next.iter().map(|one| scope.spawn(|| ready(start, one.address))).collect();
+        all.into_iter().for_each(|one| judge.took(one.join().unwrap()));
+    });
+    assert!(judge.hold(), "{judge:?}");
+    // And each serves, from the list in its configuration.
+    for gateway in &next {
+        let mut client = gateway.client();
+        let id = client.get(OBJECT);
+        let (cache, ask) = world.ask();
+        cache.answer(&ask, "200", b"there");
+        client.served(id, b"there");
+    }
+    // Those of before hear that their connections are gone.
+    for client in &clients {
+        let mut handle = client.handle();
+        handle.set_read_timeout(Some(PATIENCE)).unwrap();
+        // The pong, perhaps, and then the end, by a close or a reset.
+        let silent = loop {
+            match handle.read(&mut [0; 64]) {
+                Ok(1..) => {}
+                Ok(0) => break false,
+                Err(e) => break e.kind() == std::io::ErrorKind::WouldBlock,
+            }
+        };
+        assert!(!silent, "its connection neither closed nor broke");
+    }
+}
--- a/crates/deckproxy/tests/serving.rs
+++ b/crates/deckproxy/tests/serving.rs
@@ -64,12 +64,29 @@
     let id = client.call("page", &[("lookup", OBJECT), ("etag", "4be0c1927d55a6f3")], &[]);
     let (cache, ask) = world.ask();
     assert_eq!(ask.field("mine"), Some("4be0c1927d55a6f3"));
-    cache.answer(&ask, "304", &[]);
+    cache.send(ask.conn, &Member::encode(&ask.id, "304", "entity=4be0c1927d55a6f3,issued=1", &[]));
     let (got, answer) = client.answer();
     let notmod = [("notmod".to_string(), "1".to_string())].into();
     assert_eq!((got, answer), (id, Answer::Served(Vec::new(), notmod)));
 }
 
+/// Told to the client, it would take its own copy for the one that was meant.
+#[test]
+fn a_copy_that_holds_proves_nothing_to_a_client_with_another_one() {
+    for fields in ["entity=4be0c1927d55a6f4,issued=1", "entity=,issued=1", "issued=1", "-"] {
+        let world = World::start();
+        let gateway = world.setup().start();
+        let mut client = gateway.client();
+        let id = client.call("page", &[("lookup", OBJECT), ("etag", "4be0c1927d55a6f3")], &[]);
+        let (cache, ask) = world.ask();
+        cache.send(ask.conn, &Member::encode(&ask.id, "304", fields, &[]));
+        let other = world.other(cache);
+        let again = other.ask();
+        other.answer(&again, "200", b"bytes");
+        client.served(id, b"bytes");
+    }
+}
+
 #[test]
 fn a_copy_that_holds_proves_nothing_to_a_client_without_one() {
     let world = World::start();
