--- a/crates/deckproxy-fleet/src/overload/cut.rs
+++ b/crates/deckproxy-fleet/src/overload/cut.rs
@@ -214,7 +214,9 @@
         let away = (rates.come() - room).max(0.0);
         // While it goes badly nobody knows what will be free.
         let good = (limits.bad + limits.good) / 2.0;
-        let well = rates.share() >= good && rates.soon() >= good;
+        // Nor while more is let in than was ever served: a step that turns out too long breaks what it promised.
+        let borne = cap <= self.peak * STEP;
+        let well = borne && rates.share() >= good && rates.soon() >= good;
         let promise = match () {
             () if !well => 0.0,
             () if away > 0.0 => (returns / away).min(1.0),
--- a/crates/deckproxy-fleet/src/overload/mod.rs
+++ b/crates/deckproxy-fleet/src/overload/mod.rs
@@ -243,8 +243,8 @@
         match ended {
             Ended::Served => {
                 self.wishes.served(wish);
-                // What was let in in vain earns no repeats.
-                if !again {
+                // What was let in in vain earns no repeats, and what is cut earns them by its line: none does so twice.
+                if !again && self.force.things[*thing as usize].is_none() {
                     self.budget.earn();
                 }
                 if !effect {
--- a/crates/deckproxy-fleet/src/overload/tests.rs
+++ b/crates/deckproxy-fleet/src/overload/tests.rs
@@ -118,6 +118,22 @@
     assert!((38..=42).contains(&passed), "{passed} of 200 at 0.2 for each first try");
 }
 
+/// First tries on the cut way to the sources earned what their line lends for them, and the same again for hits.
+#[test]
+fn what_is_cut_earns_its_repeats_by_its_line_and_not_once_more() {
+    let mut one = led(&line(0, 0, 0.0));
+    let mut passed = 0;
+    for i in 1..=200 {
+        let Verdict::Pass(ticket) = one.request(100.0, asked(i, 0, i)) else { panic!("a first try") };
+        assert_eq!(ticket.thing, Thing::Sources);
+        one.ended(100.0, &ticket, Ended::Served, 0.0);
+        // A hit by now, asked for again by another.
+        let again = Asked { again: true, ..asked(1000 + i, 0, 1) };
+        passed += usize::from(back(one.request(200.0, again)).is_none());
+    }
+    assert!(passed <= 1, "{passed} repeats of a hit passed, one of them saved from the start");
+}
+
 #[test]
 fn who_slept_goes_on_with_the_cut_that_it_knew() {
     let cut = line(40_000, 0, 0.0);
