A second answer ends no later attempt of its name; who still sends has its answer first

- Link::takes let a name go out again on the connection on which it was answered, and a look-up's fill nearly always did (the connection used last goes first).
A second answer, some milliseconds late, was then taken for the end of the fill, or of the repeat of a keyed write, and the next attempt went out beside the one that runs: one attempt at a time was broken.
Names answered lately on a connection (as many as are remembered of those given up) are asked on another.
- Gateway::lingered closed 300 ms after the half-close in any case: over what a client still sends that is a reset, which takes back what the kernel holds of its last answer for a slow reader.
It stays while something comes, for at most as long as one may leave its answers unread (nginx calls that a lingering close); at a planned end LastCall bounds it as before.

--- a/crates/deckproxy/src/program/clients.rs
+++ b/crates/deckproxy/src/program/clients.rs
@@ -321,7 +321,7 @@
         let broken = client.flush(now, whole).is_err();
         if broken {
             self.end_client(now, id);
-        } else if client.shut() {
+        } else if client.shut(now) {
             // From here on the client has a while to close its side.
             self.chores.set(now + limits::LINGER, Chore::Linger(id));
         }
@@ -334,6 +334,9 @@
             Some(client) if !client.is_shut() && self.router.owes_to(id) => {
                 self.chores.set(now + limits::CLOSING, Chore::Linger(id));
             }
+            Some(client) if client.still_comes(now) => {
+                self.chores.set(now + limits::LINGER, Chore::Linger(id));
+            }
             Some(client) if client.is_shut() => self.end_client(now, id),
             _ => self.cut_client(now, id),
         }
--- a/crates/deckproxy/src/transport/client.rs
+++ b/crates/deckproxy/src/transport/client.rs
@@ -36,7 +36,8 @@
     refusals: usize,
     /// Nothing that comes is looked at; it closes once what waits is written.
     closing: bool,
-    shut: bool,
+    /// When the other side was told that nothing more comes.
+    shut: Option<f64>,
     written: Vec<Written>,
 }
 
@@ -58,7 +59,7 @@
             taken_back: 0,
             refusals: 0,
             closing: false,
-            shut: false,
+            shut: None,
             written,
         }
     }
@@ -198,18 +199,24 @@
 
     /// Whether the other side was told that nothing more comes.
     pub fn is_shut(&self) -> bool {
-        self.shut
+        self.shut.is_some()
     }
 
-    /// Where it is closing, nothing is owed on it and all is written, tells the other side that nothing more comes. Tells whether it
-    /// did so now.
-    pub fn shut(&mut self) -> bool {
-        let now = self.closing && self.is_idle() && !self.shut;
-        if now {
-            self.shut = true;
+    /// Whether something still comes on a connection that was shut, though not for ever: closed over what comes it would
+    /// be reset, and what the other side has not read yet taken back (lingering close).
+    pub fn still_comes(&self, now: f64) -> bool {
+        self.shut.is_some_and(|since| now - since < limits::CLIENT_STALL && now - self.moved < limits::LINGER)
+    }
+
+    /// Where it is closing, nothing is owed on it and all is written, tells the other side that nothing more comes. Tells
+    /// whether it did so now.
+    pub fn shut(&mut self, now: f64) -> bool {
+        let due = self.closing && self.is_idle() && self.shut.is_none();
+        if due {
+            self.shut = Some(now);
             self.stream.shut();
         }
-        now
+        due
     }
 
     /// Writes what the kernel takes, and tells of each message that it took whole, in order.
--- a/crates/deckproxy/src/transport/member.rs
+++ b/crates/deckproxy/src/transport/member.rs
@@ -4,7 +4,7 @@
 use crate::transport::outbox::{Outgoing, Written};
 use crate::transport::stream::{Progress, Stream};
 use bytes::Bytes;
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::io;
 
 /// Key of what goes out and is no attempt.
@@ -27,6 +27,8 @@
     names: HashMap<Box<str>, u64>,
     /// Names given up here: an answer to one may still be on its way.
     given_up: HashSet<Box<str>>,
+    /// Names answered here lately: a second answer to one may come late, behind the next ask under that name.
+    answered: VecDeque<Box<str>>,
     /// When something last came, and when it last had something to do.
     heard: f64,
     used: f64,
@@ -61,8 +63,8 @@
     Sent,
 }
 
-/// Names given up on one connection, from which it is retired.
-const GIVEN_UP: usize = 32;
+/// Names given up on one connection, from which it is retired; and names answered there that are remembered.
+const NAMES: usize = 32;
 
 impl Link {
     /// A connection that is being made.
@@ -73,6 +75,7 @@
             asks: HashMap::new(),
             names: HashMap::new(),
             given_up: HashSet::new(),
+            answered: VecDeque::new(),
             heard: now,
             used: now,
             taken: false,
@@ -93,7 +96,8 @@
 
     /// Whether an attempt of that name can go out here: an answer under it must have but one meaning.
     pub fn takes(&self, name: &str) -> bool {
-        !self.retired && !self.names.contains_key(name) && !self.given_up.contains(name)
+        let used = self.names.contains_key(name) || self.given_up.contains(name);
+        !self.retired && !used && !self.answered.iter().any(|other| **other == *name)
     }
 
     /// Appends an attempt.
@@ -153,7 +157,7 @@
         let silent = ask.written.is_some_and(|at| self.heard < at && now - at > patience);
         // An answer that broke off in its middle: whatever is asked here would be answered behind it, or never.
         let amid = !self.stream.input.is_empty() && now - self.heard > patience;
-        self.retired |= silent || amid || self.given_up.len() > GIVEN_UP;
+        self.retired |= silent || amid || self.given_up.len() > NAMES;
         Some(if cut { Withdrawn::Cut } else { Withdrawn::Sent })
     }
 
@@ -187,6 +191,10 @@
         if let Some(ask) = key.and_then(|key| self.asks.remove(&key)) {
             self.names.remove(&ask.name);
             self.used = now;
+            if ask.quits {
+                self.answered.truncate(NAMES - 1);
+                self.answered.push_front(ask.name);
+            }
         } else {
             self.given_up.remove(&reply.id);
         }
--- a/crates/deckproxy/tests/closing.rs
+++ b/crates/deckproxy/tests/closing.rs
@@ -158,6 +158,30 @@
     client.closed_cleanly();
 }
 
+/// All is written and the connection shut, but most of the answer waits in the gateway's kernel for its slow reader.
+#[test]
+fn who_goes_on_sending_and_reads_slowly_has_its_answer_before_the_close() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let mut client = gateway.client();
+    socket2::SockRef::from(&client.handle()).set_recv_buffer_size(8 * 1024).unwrap();
+    let id = client.get(OBJECT);
+    let (cache, ask) = world.ask();
+    client.send(b"\xc1");
+    until("the rest is of no use", || gateway.log().contains("a client's connection closes"));
+    cache.answer(&ask, "200", &vec![3; 200_000]);
+    let mut handle = client.handle();
+    handle.peek(&mut [0]).unwrap();
+    // Three times as long as a quiet one has to close its side.
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_millis(900) {
+        handle.write_all(&[0; 1024]).expect("it is taken off and not answered with a reset");
+        thread::sleep(Duration::from_millis(10));
+    }
+    client.served(id, &vec![3; 200_000]);
+    client.closed_cleanly();
+}
+
 #[test]
 fn what_was_asked_before_a_message_that_stays_half_is_answered() {
     let world = World::start();
--- a/crates/deckproxy/tests/members.rs
+++ b/crates/deckproxy/tests/members.rs
@@ -387,6 +387,39 @@
     client.served(id, b"whole");
 }
 
+/// It came behind the fill under the same name, and was taken for its end: the next attempt went out beside it.
+#[test]
+fn a_second_answer_to_a_look_up_ends_no_fill() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let mut client = gateway.client();
+    let id = client.get(OBJECT);
+    let (cache, ask) = world.ask();
+    cache.answer(&ask, "404", &[]);
+    let fill = cache.ask();
+    assert_eq!(fill.id, ask.id);
+    cache.answer(&ask, "404", &[]);
+    assert!(world.maybe_ask().is_none(), "sent again while the fill is out");
+    cache.answer(&fill, "200", b"filled");
+    client.served(id, b"filled");
+}
+
+#[test]
+fn a_second_answer_to_a_write_ends_no_repeat_of_it() {
+    let world = World::start();
+    let gateway = world.setup().start();
+    let mut client = gateway.client();
+    let id = client.call("post", &[("lookup", OBJECT), ("replay", "5c0f6e1a2b3d4c59")], b"write");
+    let ask = world.origin.ask();
+    world.origin.answer(&ask, "500", &[]);
+    let again = world.origin.ask();
+    assert_eq!(again.id, ask.id);
+    world.origin.answer(&ask, "500", &[]);
+    assert!(world.origin.maybe_ask().is_none(), "sent again while the repeat is out");
+    world.origin.answer(&again, "200", b"done");
+    client.served(id, b"done");
+}
+
 /// Decided in time for a repeat, it waited for its connection until long after.
 #[test]
 fn a_keyed_write_is_not_written_after_its_time_for_repeats() {
