--- a/crates/deckproxy/src/transport/client.rs
+++ b/crates/deckproxy/src/transport/client.rs
@@ -205,7 +205,7 @@
     /// Whether something still comes on a connection that was shut, though not for ever: closed over what comes it would
     /// be reset, and what the other side has not read yet taken back (lingering close).
     pub fn still_comes(&self, now: f64) -> bool {
-        self.shut.is_some_and(|since| now - since < limits::CLIENT_STALL && now - self.moved < limits::LINGER)
+        self.shut.is_some_and(|since| now - since < limits::CLOSING && now - self.moved < limits::LINGER)
     }
 
     /// Where it is closing, nothing is owed on it and all is written, tells the other side that nothing more comes. Tells
