A stand-in's configuration goes with its gateway, not with the end of its log

The thread that reads the log of the life before removed the file when that log ended, by then the next life's under the same name. It goes as the gateway is dropped, before the next one is written. The test fails without the mend.

--- a/crates/deckproxy-standins/src/gateway.rs
+++ b/crates/deckproxy-standins/src/gateway.rs
@@ -181,13 +181,12 @@
         let log: Arc<Mutex<String>> = Arc::default();
         let unheard = Arc::new(AtomicBool::new(false));
         let path = path.to_path_buf();
-        let (copy, stop, file) = (log.clone(), unheard.clone(), path.clone());
+        let (copy, stop) = (log.clone(), unheard.clone());
         thread::spawn(move || {
             let mut chunk = [0; 4096];
             while let (false, Ok(n @ 1..)) = (stop.load(Ordering::SeqCst), stderr.read(&mut chunk)) {
                 copy.lock().unwrap().push_str(&String::from_utf8_lossy(&chunk[..n]));
             }
-            let _ = std::fs::remove_file(file);
         });
         Gateway { child, address, path, operator: None, log, unheard }
     }
@@ -265,6 +264,8 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        // Here and not where its log ends: by then a next life may have its own under the same name.
+        let _ = std::fs::remove_file(&self.path);
         if let Some(file) = &self.operator {
             let _ = std::fs::remove_file(file);
         }
--- a/crates/deckproxy/tests/lifecycle.rs
+++ b/crates/deckproxy/tests/lifecycle.rs
@@ -210,3 +210,17 @@
     assert!(start.elapsed() < Duration::from_millis(3000), "{:?}", start.elapsed());
     assert!(gateway.log().contains("told to end"), "{}", gateway.log());
 }
+
+/// The stand-in removed it when the log ended, which may be after a next life has its own under the same name.
+#[test]
+fn a_configuration_is_there_until_its_gateway_is_dropped() {
+    let world = World::start();
+    let mut gateway = world.setup().start();
+    gateway.signal("TERM");
+    assert_eq!(gateway.ended(), Some(0));
+    std::thread::sleep(QUIET);
+    let path = gateway.path.clone();
+    assert!(path.exists(), "it went with the end of the log");
+    drop(gateway);
+    assert!(!path.exists());
+}
