--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -73,7 +73,7 @@
 /// Times what it should take after which an attempt is late; the slowdown that a late or failed one shows.
 const LATE: f64 = 2.0;
 const LATE_DRAG: f64 = 8.0;
-/// Share of its aim that a refused client is asked to stay away; requests that wait for one fill, at most (later
+/// Share of its aim that a refused client is to stay away; requests that wait for one fill, at most (later
 /// ones go alone), and log lines of one router.
 const COME_BACK: f64 = 0.2;
 const WAITERS_MOST: usize = 512;
@@ -415,7 +415,7 @@
                 Some(p) if m.lifecycle == Lifecycle::Gone => p.m.lifecycle = Lifecycle::Gone,
                 None if m.lifecycle == Lifecycle::Gone => {}
                 Some(p) if p.m.started == m.started => p.m = m,
-                // A new process starts anew. One that a starting router knows may have been sent to just before.
+                // A new process starts anew. One that a starting router knows may have been sent to before.
                 _ => {
                     let known = kind == ListKind::Cached && self.is_cold(&m);
                     let from = if known { self.now + self.s.cold_cache.window } else { f64::MIN };
