The gateway's own needs find a descriptor also where all clients came a moment ago

The log held 48 lines "no descriptor is left for a client" in 0.12 s and none of the watch's later tries: one line a newcomer used up what may be said in 10 s.

Cause: Gateway::dispensable gave nobody while all clients were unproven and younger than CLIENT_YOUNG (50 ms). Newcomers that come every 2.5 ms replace all 24 of them in about that time, so each try of the watch (connect_feed: EMFILE, make_room false, lose_feed) fails in about every other moment, and the next is a second later. Five in a row are a few in a hundred. Ruled out: descriptors not given back by end_client (the second connect in the same turn succeeds), the listener in front of the watch (one thread, the connect follows at once).

Mend: for what the gateway itself needs (the watch, a member, a link, its configuration) the oldest that has said nothing goes whatever its age, once nobody else can. "No descriptor is left" is told once until accepting is tried again.

Setup::start_under kept no limit where there is an operator file.

--- a/crates/deckproxy-lab/src/drills/flows.rs
+++ b/crates/deckproxy-lab/src/drills/flows.rs
@@ -68,7 +68,7 @@
     let (first, second) = (Collector::tcp(), Collector::tcp());
     let at = free_address();
     let mut gateway =
-        Gateway::spawn_operated(&site.config("n1", at).to_string(), at, &operator(&[&flaky, &first]));
+        Gateway::spawn_operated(&site.config("n1", at).to_string(), at, "true", &operator(&[&flaky, &first]));
     until("the gateway serves", || std::net::TcpStream::connect(at).is_ok());
     let draw = traffic::draw(0, 1, 400, 0.0, 0.1);
     let steady = Load { from: Some(STEADY), ..Load::new(0, at, 10, RATE, options.seed, &draw) };
--- a/crates/deckproxy-standins/src/gateway.rs
+++ b/crates/deckproxy-standins/src/gateway.rs
@@ -79,7 +79,7 @@
     pub fn start_under(&self, limit: &str) -> Gateway {
         let gateway = match &self.operator {
             None => Gateway::spawn_under(&self.config().to_string(), self.listen, limit),
-            Some(text) => Gateway::spawn_operated(&self.config().to_string(), self.listen, text),
+            Some(text) => Gateway::spawn_operated(&self.config().to_string(), self.listen, limit, text),
         };
         until("the gateway is ready", || TcpStream::connect(self.listen).is_ok());
         let mut client = Client::connect(self.listen);
@@ -128,15 +128,15 @@
         Self::spawn_with(&path, address, limit, &[])
     }
 
-    /// Starts it with an operator file, which `Gateway::operate` changes.
-    pub fn spawn_operated(config: &str, address: SocketAddr, operator: &str) -> Self {
+    /// The same with an operator file, which `Gateway::operate` changes.
+    pub fn spawn_operated(config: &str, address: SocketAddr, limit: &str, operator: &str) -> Self {
         let name = format!("deckproxy-test-{}-{}", std::process::id(), next_number());
         let path = std::env::temp_dir().join(format!("{name}.json"));
         let file = std::env::temp_dir().join(format!("{name}.textproto"));
         std::fs::write(&path, config).unwrap();
         std::fs::write(&file, operator).unwrap();
         let words = ["run".to_string(), "--operator".to_string(), file.display().to_string()];
-        let mut gateway = Self::spawn_with(&path, address, "true", &words);
+        let mut gateway = Self::spawn_with(&path, address, limit, &words);
         gateway.operator = Some(file);
         gateway
     }
--- a/crates/deckproxy-standins/src/late.rs
+++ b/crates/deckproxy-standins/src/late.rs
@@ -60,6 +60,16 @@
         self.signal("CONT");
     }
 
+    /// Silent clients that come in one breath, until they hold all of its descriptors, which are so many. For the moment
+    /// that each of them has to send its first message, none makes room.
+    pub fn fill(&self, descriptors: usize) -> Vec<TcpStream> {
+        self.freeze();
+        let silent = (0..descriptors).map(|_| TcpStream::connect(self.address).unwrap()).collect();
+        self.thaw();
+        until("none is left", || self.usage().1 >= descriptors);
+        silent
+    }
+
     fn state(&self) -> char {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
         stat.rsplit(") ").next().and_then(|rest| rest.chars().next()).unwrap()
--- a/crates/deckproxy/src/program/clients.rs
+++ b/crates/deckproxy/src/program/clients.rs
@@ -11,6 +11,15 @@
 use crate::transport::stream::{Progress, Stream};
 use calloop::Readiness;
 
+/// For whom a client's connection makes room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Need {
+    /// Another client.
+    Newcomer,
+    /// The gateway itself: the watch, a member, a link, its configuration.
+    Own,
+}
+
 impl Gateway {
     pub(super) fn accept(&mut self, now: f64) {
         self.accepting = false;
@@ -24,7 +33,7 @@
     }
 
     /// Has accepting tried again in a while, once however often it was in vain: each newcomer at the bound tries.
-    fn accept_again(&mut self, now: f64) -> bool {
+    pub(super) fn accept_again(&mut self, now: f64) -> bool {
         if !std::mem::replace(&mut self.accept_due, true) {
             self.chores.set(now + ACCEPT_AGAIN, Chore::Accept);
         }
@@ -34,7 +43,7 @@
     /// Accepts some that wait. Tells whether nobody waits any more.
     fn accept_from(&mut self, now: f64, listener: &Listener) -> bool {
         for _ in 0..ACCEPTS {
-            if self.clients.len() >= self.bounds.clients && !self.make_room(now) {
+            if self.clients.len() >= self.bounds.clients && !self.make_room(now, Need::Newcomer) {
                 // Those that wait stay in the kernel's queue until a place is free.
                 return self.accept_again(now);
             }
@@ -42,8 +51,11 @@
                 Accepted::One(socket) => socket,
                 Accepted::None => return true,
                 Accepted::Exhausted => {
-                    self.line("no descriptor is left for a client");
-                    self.make_room(now);
+                    // Told once until accepting is tried again: at each newcomer it would crowd out all other lines.
+                    if !self.accept_due {
+                        self.line("no descriptor is left for a client");
+                    }
+                    self.make_room(now, Need::Newcomer);
                     return self.accept_again(now);
                 }
             };
@@ -65,13 +77,14 @@
         false
     }
 
-    /// Makes room for a new client. Who was answered for good and only has to close goes first, then who had the
-    /// time to send something that can be used and did not, the oldest, then the one idle for longest. Those that
-    /// have said nothing take the place of no idle one once they hold half of all: then the next one waits until
-    /// they had their time. One with an open request never goes, nor one on which something came in the moment before.
-    pub(super) fn make_room(&mut self, now: f64) -> bool {
+    /// Makes room. Who was answered for good and only has to close goes first, then who had the time to send something
+    /// that can be used and did not, the oldest, then the one idle for longest. Those that have said nothing take the
+    /// place of no idle one once they hold half of all: then the next one waits until they had their time. What the
+    /// gateway itself needs waits for none of them. One with an open request never goes, nor one on which something
+    /// came in the moment before.
+    pub(super) fn make_room(&mut self, now: f64, need: Need) -> bool {
         for _ in 0..ACCEPTS {
-            let Some(id) = self.dispensable(now) else { return false };
+            let Some(id) = self.dispensable(now, need) else { return false };
             let idle_since = self.clients.get(&id).map(Client::idle_since);
             self.hear_anew(now, id);
             let Some(client) = self.clients.get(&id) else { return true };
@@ -83,16 +96,18 @@
         false
     }
 
-    fn dispensable(&self, now: f64) -> Option<ClientId> {
+    fn dispensable(&self, now: f64, need: Need) -> Option<ClientId> {
         // They are numbered as they came.
         let mut unproven = self.clients.iter().filter(|(_, c)| !c.is_proven() && !c.is_closing()).peekable();
-        let oldest =
-            unproven.peek().filter(|(_, c)| now - c.opened() > limits::CLIENT_YOUNG).map(|(id, _)| **id);
+        let first = unproven.peek().map(|(id, c)| (**id, now - c.opened()));
+        let oldest = first.filter(|(_, age)| *age > limits::CLIENT_YOUNG).map(|(id, _)| id);
+        // Where all came a moment ago, the watch would find none at each of its tries.
+        let young = first.filter(|_| need == Need::Own).map(|(id, _)| id);
         let many = unproven.count() >= self.bounds.clients / 2;
         let idle = self.clients.iter().filter(|(_, c)| !many && c.is_idle() && c.is_proven());
         let idle = idle.min_by(|a, b| a.1.idle_since().total_cmp(&b.1.idle_since())).map(|(id, _)| *id);
         let over = self.clients.iter().find(|(_, c)| c.is_shut()).map(|(id, _)| *id);
-        over.or(oldest).or(idle)
+        over.or(oldest).or(idle).or(young)
     }
 
     pub(super) fn client_news(&mut self, id: ClientId, news: Readiness) {
--- a/crates/deckproxy/src/program/feed.rs
+++ b/crates/deckproxy/src/program/feed.rs
@@ -1,5 +1,6 @@
 //! The control feed: connecting, reading, and connecting anew.
 
+use crate::program::clients::Need;
 use crate::program::gateway::{Chore, Gateway, Peer};
 use crate::protocol::feed::Line;
 use crate::protocol::limits;
@@ -15,7 +16,7 @@
             Stream::connect(&gateway.handle, &gateway.from_feed, at, ready)
         };
         let mut made = connect(self);
-        if made.as_ref().is_err_and(is_exhausted) && self.make_room(now) {
+        if made.as_ref().is_err_and(is_exhausted) && self.make_room(now, Need::Own) {
             // The lack is ours; an idle client's descriptor is worth less than the list of members.
             made = connect(self);
         }
--- a/crates/deckproxy/src/program/files.rs
+++ b/crates/deckproxy/src/program/files.rs
@@ -2,8 +2,10 @@
 
 use crate::program::cli::Run;
 use crate::protocol::config;
+use crate::transport::stream::is_exhausted;
 use deckproxy_operator::Operator;
 use std::path::Path;
+use std::{fmt, io};
 
 /// All that is read at the start, and again on SIGHUP.
 #[derive(Debug)]
@@ -14,24 +16,57 @@
     pub operator: Operator,
 }
 
+/// Why they could not be read; the text has a line for each fault.
+#[derive(Debug)]
+pub enum Unread {
+    /// The process has no descriptor left for a file, which says nothing of it.
+    Exhausted(String),
+    /// A file can't be read or used.
+    Unusable(String),
+}
+
+impl Unread {
+    fn of(e: &io::Error, what: String) -> Self {
+        if is_exhausted(e) { Unread::Exhausted(what) } else { Unread::Unusable(what) }
+    }
+}
+
+impl From<String> for Unread {
+    fn from(what: String) -> Self {
+        Unread::Unusable(what)
+    }
+}
+
+impl fmt::Display for Unread {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Unread::Exhausted(what) | Unread::Unusable(what) => f.write_str(what),
+        }
+    }
+}
+
 impl Files {
-    /// Reads what the command line and the environment name. The error tells what can't be read, a line for each fault.
-    pub fn read(run: &Run) -> Result<Self, String> {
+    /// Reads what the command line and the environment name.
+    pub fn read(run: &Run) -> Result<Self, Unread> {
         let operator = match &run.operator {
             None => Operator::default(),
-            Some(path) => operator(path).map_err(|faults| faults.join("\n"))?,
+            Some(path) => {
+                let bytes = bytes(path).map_err(|e| Unread::of(&e, unreadable(path, &e)))?;
+                usable(path, &bytes).map_err(|faults| faults.join("\n"))?
+            }
         };
         Ok(Files { config: configuration(run)?, operator })
     }
 }
 
-fn configuration(run: &Run) -> Result<config::Config, String> {
+fn configuration(run: &Run) -> Result<config::Config, Unread> {
     let path = match &run.config {
         Some(path) => path.clone().into_os_string(),
-        None => std::env::var_os("GW_CONFIG").ok_or("GW_CONFIG is not set")?,
+        None => std::env::var_os("GW_CONFIG").ok_or("GW_CONFIG is not set".to_string())?,
     };
     let shown = Path::new(&path).display().to_string();
-    let text = std::fs::read(&path).map_err(|e| format!("cannot read the configuration {shown}: {e}"))?;
+    let told = |e: io::Error| Unread::of(&e, format!("cannot read the configuration {shown}: {e}"));
+    let text = std::fs::read(&path).map_err(told)?;
     let mut config = config::read(&text)?;
     if let Ok(listen) = std::env::var("GW_LISTEN") {
         config.listen = listen.parse().map_err(|_| format!("GW_LISTEN: {listen:?} is no address"))?;
@@ -44,16 +79,25 @@
 
 /// Reads an operator file; the error has a line for each fault.
 pub fn operator(path: &Path) -> Result<Operator, Vec<String>> {
+    let bytes = bytes(path).map_err(|e| vec![unreadable(path, &e)])?;
+    usable(path, &bytes)
+}
+
+fn unreadable(path: &Path, e: &io::Error) -> String {
+    format!("{}: cannot be read: {e}", path.display())
+}
+
+fn usable(path: &Path, bytes: &[u8]) -> Result<Operator, Vec<String>> {
     let shown = path.display();
-    let read = || {
-        let length = std::fs::metadata(path)?.len();
-        // What is over the limit is not read, only told.
-        let most = deckproxy_operator::LARGEST as u64 + 1;
-        let mut bytes = Vec::with_capacity(length.min(most) as usize);
-        std::io::Read::read_to_end(&mut std::io::Read::take(std::fs::File::open(path)?, most), &mut bytes)?;
-        Ok::<_, std::io::Error>(bytes)
-    };
-    let bytes = read().map_err(|e| vec![format!("{shown}: cannot be read: {e}")])?;
-    deckproxy_operator::read(&bytes)
+    deckproxy_operator::read(bytes)
         .map_err(|faults| faults.iter().map(|fault| format!("{shown}:{fault}")).collect())
 }
+
+/// What an operator file holds. What is over the limit is not read, only told.
+fn bytes(path: &Path) -> io::Result<Vec<u8>> {
+    let length = std::fs::metadata(path)?.len();
+    let most = deckproxy_operator::LARGEST as u64 + 1;
+    let mut bytes = Vec::with_capacity(length.min(most) as usize);
+    io::Read::read_to_end(&mut io::Read::take(std::fs::File::open(path)?, most), &mut bytes)?;
+    Ok(bytes)
+}
--- a/crates/deckproxy/src/program/gateway.rs
+++ b/crates/deckproxy/src/program/gateway.rs
@@ -1,6 +1,7 @@
 //! One gateway: its connections, the router between them, and the chores of keeping them.
 
-use crate::program::files::Files;
+use crate::program::clients::Need;
+use crate::program::files::{Files, Unread};
 use crate::program::parts::Parts;
 use crate::program::subsystem::{Context, Effect as PartEffect, Event, FAR, LineId, micros};
 use crate::program::usage::Usage;
@@ -261,10 +262,15 @@
     /// Takes from a new configuration what may change while serving: where the feed is, which is asked there at
     /// once for what follows the last event, and the limits. All else needs a restart, and a configuration that
     /// can't be used changes nothing: what serves goes on. No connection of a client or member is touched.
-    pub fn reload(&mut self, now: f64, read: Result<Files, String>) {
-        let Files { config, operator } = match read {
+    pub fn reload(&mut self, now: f64, read: impl Fn() -> Result<Files, Unread>) {
+        let mut files = read();
+        if matches!(files, Err(Unread::Exhausted(_))) && self.make_room(now, Need::Own) {
+            // The lack is ours: nobody tells it again, and the feed may have moved.
+            files = read();
+        }
+        let Files { config, operator } = match files {
             Ok(files) => files,
-            Err(why) => return warn!(self.log, "reload: the configuration in force stays"; "why" => why),
+            Err(why) => return warn!(self.log, "reload: the configuration in force stays"; "why" => %why),
         };
         info!(self.log, "reload: the feed is asked anew"; "feed" => ?config.feed, "event" => self.router.last_event());
         if config.listen != self.listen {
@@ -391,7 +397,10 @@
                 Chore::Connect(_) | Chore::Turn => {}
                 Chore::LineUp(id) => self.line_not_up(now, id),
                 Chore::Feed => self.connect_feed(now),
-                Chore::Accept => (self.accept_due, self.accepting) = (false, true),
+                Chore::Accept => {
+                    (self.accept_due, self.accepting) = (false, true);
+                    self.lines.iter_mut().for_each(|lines| lines.accepting = true);
+                }
                 // What still waits in the kernel's queue is accepted and told, then nobody listens any more.
                 Chore::Stragglers => (self.last_accepts, self.accepting) = (true, true),
                 Chore::Unsent(key) => self.take_back(now, key),
--- a/crates/deckproxy/src/program/lines.rs
+++ b/crates/deckproxy/src/program/lines.rs
@@ -1,5 +1,6 @@
 //! Connections of links to gateways of other sites: accepting, connecting, frames, pieces of bodies, their end.
 
+use crate::program::clients::Need;
 use crate::program::gateway::{Chore, Gateway, Peer, context};
 use crate::program::subsystem::{Event, LineId};
 use crate::protocol::limits;
@@ -21,7 +22,14 @@
             let Some(listener) = &lines.listener else { return };
             match listener.accept() {
                 Accepted::None => return,
-                Accepted::Exhausted => return self.line("no descriptor is left for a link"),
+                Accepted::Exhausted => {
+                    if !self.make_room(now, Need::Own) {
+                        // Nothing else tells of those that wait until another one comes.
+                        self.line("no descriptor is left for a link");
+                        self.accept_again(now);
+                        return;
+                    }
+                }
                 Accepted::One(socket) => {
                     if lines.held.len() >= lines.most {
                         self.line("a link is turned away: too many connections");
--- a/crates/deckproxy/src/program/members.rs
+++ b/crates/deckproxy/src/program/members.rs
@@ -1,5 +1,6 @@
 //! Members: the pool of connections by member id, attempts on them, and what a broken connection means for those.
 
+use crate::program::clients::Need;
 use crate::program::gateway::{Chore, Gateway, Held, LinkId, Peer, context};
 use crate::program::subsystem::Event;
 use crate::protocol::limits;
@@ -126,7 +127,7 @@
         let id = self.next;
         let ready = move |g: &mut Gateway, news| g.link_news(id, news);
         let mut made = Stream::connect(&self.handle, &self.from_members, place.address, ready);
-        if made.as_ref().is_err_and(is_exhausted) && self.make_room(now) {
+        if made.as_ref().is_err_and(is_exhausted) && self.make_room(now, Need::Own) {
             // The lack is ours; an idle client's descriptor is worth less than a request.
             made = Stream::connect(&self.handle, &self.from_members, place.address, ready);
         }
--- a/crates/deckproxy/src/program/mod.rs
+++ b/crates/deckproxy/src/program/mod.rs
@@ -53,7 +53,7 @@
     // descriptor. One thread that does not block them would let the first signal end the process.
     let signals =
         Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(|e| e.to_string())?;
-    let files = Files::read(run)?;
+    let files = Files::read(run).map_err(|e| e.to_string())?;
     let (log, _guard) = logging::start(log);
     serve(&log, signals, files, run.clone())
 }
@@ -92,7 +92,7 @@
     let handle = events.handle();
     handle
         .insert_source(signals, move |event, _, gateway: &mut Gateway| match event.signal() {
-            Signal::SIGHUP => gateway.reload(clock::now(), Files::read(&run)),
+            Signal::SIGHUP => gateway.reload(clock::now(), || Files::read(&run)),
             _ => gateway.terminate(clock::now()),
         })
         .map_err(|e| failed(e.error))?;
--- a/crates/deckproxy/tests/reload.rs
+++ b/crates/deckproxy/tests/reload.rs
@@ -86,6 +86,22 @@
     drop(all);
 }
 
+/// The file could not be opened: the configuration in force stayed, and the gateway went on asking where no feed is.
+#[test]
+fn a_reload_finds_a_descriptor_where_clients_hold_all() {
+    let world = World::start();
+    let (old, new) = (Feed::start(), Feed::start());
+    let mut setup = world.setup();
+    setup.feed = old.address;
+    let gateway = setup.start_under("ulimit -n 32");
+    let (_, _line) = old.sub();
+    setup.feed = new.address;
+    std::fs::write(&gateway.path, setup.config().to_string()).unwrap();
+    let _silent = gateway.fill(32);
+    gateway.signal("HUP");
+    assert_eq!(new.sub().0, 1, "{}", gateway.log());
+}
+
 #[test]
 fn a_reload_while_ending_is_harmless() {
     let world = World::start();
--- a/crates/deckproxy/tests/sites.rs
+++ b/crates/deckproxy/tests/sites.rs
@@ -485,6 +485,21 @@
     }
 }
 
+/// Accepting stopped until another link came.
+#[test]
+fn a_link_finds_a_descriptor_where_clients_hold_all() {
+    let world = World::start();
+    let mut setup = world.setup();
+    let at = free_address();
+    setup.operator = Some(file("south", at, &[("north", free_address())], &[("a", "north", "")]));
+    let gateway = setup.start_under("ulimit -n 32");
+    let _silent = gateway.fill(32);
+    let mut stream = TcpStream::connect(at).unwrap();
+    stream.write_all(&link::frame(&hello("east", 1))).unwrap();
+    let told = heard(&stream);
+    assert!(told.iter().any(|f| matches!(&f.say, Some(Say::Bye(_)))), "{told:?}");
+}
+
 #[test]
 fn hostile_bytes_end_their_connection_and_no_other() {
     let mut two = Two::start();
