Tests of late connections wait until the handshake has begun, not for a pong behind it

Cause: the test took the pong behind the request for proof that the handshake had begun, but Gateway::take_messages carries out the ping (and writes the pong) while the attempt still waits for the pump that follows. The test then emptied the queue first, and the connection came up at once. The gateway is not at fault: the ping owes nothing to the request in front of it.

Late::awaited waits for a connection to it in SYN_SENT.

--- a/crates/deckproxy-standins/src/late.rs
+++ b/crates/deckproxy-standins/src/late.rs
@@ -37,6 +37,20 @@
         }
     }
 
+    /// Waits until somebody's handshake with it has begun. What that one says elsewhere proves nothing of it: an answer
+    /// may be written before what was asked in front of it is carried out.
+    pub fn awaited(&self) {
+        let SocketAddr::V4(at) = self.address else { unreachable!("it listens on 127.0.0.1") };
+        let to = format!("{:08X}:{:04X}", u32::from_le_bytes(at.ip().octets()), at.port());
+        until("a handshake has begun", || {
+            // proc(5): the fields are number, local address, remote address, state; 02 is SYN_SENT.
+            let all = std::fs::read_to_string("/proc/net/tcp").unwrap();
+            all.lines()
+                .map(|line| line.split_whitespace().skip(2))
+                .any(|mut f| f.next() == Some(&*to) && f.next() == Some("02"))
+        });
+    }
+
     /// Lets the next connection come up, the kernel's next try of its handshake. Gives it once it is.
     pub fn come_up(&mut self) -> TcpStream {
         for _ in self.plugs.drain(..) {
--- a/crates/deckproxy/tests/drains.rs
+++ b/crates/deckproxy/tests/drains.rs
@@ -49,9 +49,7 @@
     let (_, line) = feed.sub();
     let mut client = gateway.client();
     let id = client.call("once", &[("lookup", OBJECT), ("allow", "3000")], b"waits");
-    // Once this is answered the handshake has begun.
-    let ping = client.ping();
-    assert_eq!(client.answer(), (ping, Answer::Ready(true)));
+    late.awaited();
     let drain = entry("s-00000009", late.address, "hub", "origin", "Terminating");
     tell(&line, &news(2, &drain));
     let told = Instant::now();
--- a/crates/deckproxy/tests/leaving.rs
+++ b/crates/deckproxy/tests/leaving.rs
@@ -176,6 +176,7 @@
     let mut other = gateway.client();
     let ping = other.ping();
     assert_eq!(other.answer(), (ping, Answer::Ready(true)));
+    late.awaited();
     gateway.freeze();
     let mut origin = late.come_up();
     drop(client);
@@ -213,9 +214,7 @@
     world.parent.answer(&ask, "200", b"warm");
     client.served(id, b"warm");
     client.get(OBJECT);
-    // Behind it, so that the request is on its way.
-    let ping = client.ping();
-    assert_eq!(client.answer(), (ping, Answer::Ready(true)));
+    late.awaited();
     gateway.freeze();
     drop(client);
     // The connect time-out of 400 ms passes meanwhile.
