--- a/crates/deckproxy/src/program/clients.rs
+++ b/crates/deckproxy/src/program/clients.rs
@@ -51,8 +51,8 @@
                 Accepted::One(socket) => socket,
                 Accepted::None => return true,
                 Accepted::Exhausted => {
-                    // Told once until accepting is tried again: at each newcomer it would crowd out all other lines.
-                    if !self.accept_due {
+                    // At each newcomer, or each time that accepting is tried again, it would crowd out all other lines.
+                    if !std::mem::replace(&mut self.lack_told, true) {
                         self.line("no descriptor is left for a client");
                     }
                     self.make_room(now, Need::Newcomer);
--- a/crates/deckproxy/src/program/gateway.rs
+++ b/crates/deckproxy/src/program/gateway.rs
@@ -162,6 +162,8 @@
     pub(super) terminating: Option<f64>,
     pub(super) done: bool,
     pub(super) peer_lines: u32,
+    /// That no descriptor is left for clients was told in this interval of the summary.
+    pub(super) lack_told: bool,
     pub(super) most_sockets: usize,
     pub(super) longest_turn: f64,
 }
@@ -222,6 +224,7 @@
             terminating: None,
             done: false,
             peer_lines: 0,
+            lack_told: false,
             most_sockets: 0,
             longest_turn: 0.0,
         };
@@ -370,7 +373,7 @@
                 }
                 task if task == self.summing => {
                     self.summary("summary");
-                    self.peer_lines = 0;
+                    (self.peer_lines, self.lack_told) = (0, false);
                     self.background.wake_at(task, micros(began + SUMMARY));
                     false
                 }
--- a/crates/deckproxy/tests/feed.rs
+++ b/crates/deckproxy/tests/feed.rs
@@ -207,6 +207,9 @@
         caches.store(false, Ordering::SeqCst);
     });
     assert!(judge.holds(), "{judge:?}");
+    // Told once in an interval of the summary: at each newcomer it used up all that may be said of peers.
+    let lacks = gateway.log().matches("no descriptor is left").count();
+    assert!((1..=2).contains(&lacks), "{lacks} lines");
 }
 
 /// Clients that came a moment ago hold all descriptors when the watch's try is due: none had the time yet to send its
