A planned end closes the listener with its last call, however many clients still come

Found by reading the shutdown against floods: Gateway::turn begins to finish only once the listener is closed, and accept() closes it only when nobody waits. While idle clients come without end and hold all places (those accepted came a moment ago, so none makes room for 50 ms) somebody always waits: the process never ended and would have been killed 3.7 s after SIGTERM. Chore::LastCall, 400 ms before the kill, closes it now; who waits then is reset, as the kill would have done.

--- a/crates/deckproxy/src/program/clients.rs
+++ b/crates/deckproxy/src/program/clients.rs
@@ -1,6 +1,6 @@
 //! Clients: accepting them, their messages, their answers, their end.
 
-use crate::program::gateway::{ACCEPT_AGAIN, ACCEPTS, Chore, Gateway, Peer, context};
+use crate::program::gateway::{ACCEPT_AGAIN, ACCEPTS, Chore, Gateway, Need, Peer, context};
 use crate::program::subsystem::{Event, Verdict};
 use crate::protocol::front::{self, Answer, Message};
 use crate::protocol::limits;
@@ -11,15 +11,6 @@
 use crate::transport::stream::{Progress, Stream};
 use calloop::Readiness;
 
-/// For whom a client's connection makes room.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Need {
-    /// Another client.
-    Newcomer,
-    /// The gateway itself: the watch, a member, a link, its configuration.
-    Own,
-}
-
 impl Gateway {
     pub(super) fn accept(&mut self, now: f64) {
         self.accepting = false;
--- a/crates/deckproxy/src/program/feed.rs
+++ b/crates/deckproxy/src/program/feed.rs
@@ -1,7 +1,6 @@
 //! The control feed: connecting, reading, and connecting anew.
 
-use crate::program::clients::Need;
-use crate::program::gateway::{Chore, Gateway, Peer};
+use crate::program::gateway::{Chore, Gateway, Need, Peer};
 use crate::protocol::feed::Line;
 use crate::protocol::limits;
 use crate::transport::feed::Feed;
--- a/crates/deckproxy/src/program/gateway.rs
+++ b/crates/deckproxy/src/program/gateway.rs
@@ -1,6 +1,5 @@
 //! One gateway: its connections, the router between them, and the chores of keeping them.
 
-use crate::program::clients::Need;
 use crate::program::files::{Files, Unread};
 use crate::program::parts::Parts;
 use crate::program::subsystem::{Context, Effect as PartEffect, Event, FAR, LineId, micros};
@@ -79,6 +78,15 @@
     Turn,
 }
 
+/// For whom a client's connection makes room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Need {
+    /// Another client.
+    Newcomer,
+    /// The gateway itself: the watch, a member, a link, its configuration.
+    Own,
+}
+
 pub(super) struct Held {
     pub(super) link: Link,
     pub(super) member: MemberId,
@@ -410,6 +418,10 @@
                 Chore::Linger(id) => self.lingered(now, id),
                 Chore::Close(id) => self.end_client(now, id),
                 Chore::LastCall => {
+                    // Clients that come without end must not put off the end itself: who waits now is not accepted.
+                    if let Some(listener) = self.listener.take() {
+                        listener.close(&self.handle);
+                    }
                     self.router.end_all(now);
                     self.parts.end_all(&context(now, &self.router));
                     self.carry_out(now);
--- a/crates/deckproxy/src/program/lines.rs
+++ b/crates/deckproxy/src/program/lines.rs
@@ -1,7 +1,6 @@
 //! Connections of links to gateways of other sites: accepting, connecting, frames, pieces of bodies, their end.
 
-use crate::program::clients::Need;
-use crate::program::gateway::{Chore, Gateway, Peer, context};
+use crate::program::gateway::{Chore, Gateway, Need, Peer, context};
 use crate::program::subsystem::{Event, LineId};
 use crate::protocol::limits;
 use crate::transport::line::{Held, Line};
--- a/crates/deckproxy/src/program/members.rs
+++ b/crates/deckproxy/src/program/members.rs
@@ -1,7 +1,6 @@
 //! Members: the pool of connections by member id, attempts on them, and what a broken connection means for those.
 
-use crate::program::clients::Need;
-use crate::program::gateway::{Chore, Gateway, Held, LinkId, Peer, context};
+use crate::program::gateway::{Chore, Gateway, Held, LinkId, Need, Peer, context};
 use crate::program::subsystem::Event;
 use crate::protocol::limits;
 use crate::routing::members::Place;
--- a/crates/deckproxy/tests/closing.rs
+++ b/crates/deckproxy/tests/closing.rs
@@ -8,6 +8,7 @@
 use deckproxy_standins::wait::until_in;
 use std::io::Write;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -117,6 +118,52 @@
     client.closed_cleanly();
 }
 
+/// Somebody always waits to be accepted, and those who were accepted came a moment ago.
+#[test]
+fn told_to_end_while_idle_clients_come_without_end_it_ends_in_time() {
+    let world = World::start();
+    let mut setup = world.setup();
+    // Ten places for clients.
+    setup.sockets = 30;
+    let mut gateway = setup.start();
+    let (address, filling) = (gateway.address, AtomicBool::new(true));
+    let (code, took) = thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| {
+                let mut idle = std::collections::VecDeque::new();
+                while filling.load(Ordering::SeqCst) {
+                    if let Ok(stream) =
+                        std::net::TcpStream::connect_timeout(&address, Duration::from_millis(100))
+                    {
+                        idle.push_back(stream);
+                    }
+                    if idle.len() > 64 {
+                        idle.pop_front();
+                    }
+                }
+            });
+        }
+        let end = Instant::now() + Duration::from_secs(5);
+        let is_full = |gateway: &Gateway| gateway.usage().1 >= 15;
+        while !is_full(&gateway) && Instant::now() < end {
+            thread::sleep(Duration::from_millis(2));
+        }
+        let start = Instant::now();
+        gateway.signal("TERM");
+        let mut code = None;
+        while code.is_none() && start.elapsed() < Duration::from_secs(5) {
+            thread::sleep(Duration::from_millis(2));
+            code = gateway.child.try_wait().unwrap().and_then(|c| c.code());
+        }
+        // Whatever came of it: the others wait for this.
+        filling.store(false, Ordering::SeqCst);
+        (code, start.elapsed())
+    });
+    assert_eq!(code, Some(0));
+    // SIGKILL would come 3.7 s after SIGTERM.
+    assert!(took < Duration::from_millis(3500), "{took:?}");
+}
+
 #[test]
 fn told_twice_to_end_and_to_read_its_configuration_it_ends_as_told_once() {
     let world = World::start();
