Review case 3: a purge over a link is dropped after a quiet time

Cause: the side that accepted a link forgets the other side's purge log after two copy lifetimes without a purge, although heartbeats arrive, and then drops every purge that is relayed to it.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -10,6 +10,7 @@
 mod member;
 mod purge_link;
 mod purge_pause;
+mod purge_quiet;
 mod run;
 
 use run::{Config, Gateway, Record, entry};
@@ -68,6 +69,7 @@
         "drain" => drain_slow_feed::run(&case),
         "pause" => purge_pause::run(&case),
         "link" => purge_link::run(&case),
+        "quiet" => purge_quiet::run(&case),
         "lost" => lost_slow_writer::run(&case),
         _ => Err(format!("no case is named {name}")),
     };
--- a/review/standins/src/purge_link.rs
+++ b/review/standins/src/purge_link.rs
@@ -1,4 +1,5 @@
-//! The rule on purges between sites: a purge is reported on one side only while the link is cut.
+//! The rule on purges between sites: a purge is reported on one side only, while the link is cut, or (`quiet`) after a
+//! time without purges while the link is up.
 
 use crate::cache::{Cache, Origin, serve_current};
 use crate::client::{Answer, Client, fresh_ref};
@@ -13,17 +14,17 @@
 /// "no stale answers more than 1 s after the purge" (GROWTH.md), and the 50 ms by which limits are longer on sockets.
 const GRACE: f64 = 1050.0;
 /// An object whose home is the south.
-const OBJECT: &str = "f03a9c21e0b4d655";
+pub const OBJECT: &str = "f03a9c21e0b4d655";
 
 /// A site: its origin is shared with the other one, its caches, feed and gateway are its own.
-struct Site {
-    gateway: Gateway,
-    listen: SocketAddr,
-    feed: Feed,
-    cache: Member,
+pub struct Site {
+    pub gateway: Gateway,
+    pub listen: SocketAddr,
+    pub feed: Feed,
+    pub cache: Member,
 }
 
-fn site(case: &Case, name: &str, origin: &Origin, operator: String) -> Result<Site, String> {
+pub fn site(case: &Case, name: &str, origin: &Origin, operator: String) -> Result<Site, String> {
     let record = &case.record;
     let copies = Cache::new(origin);
     copies.warm(OBJECT);
