Fail a keyed request that may have run instead of rejecting it

Cause: Control::final_answer counted a keyed request of group `all` as safe to reject at any time. A rejection says that trying again is harmless and sets no time for it, while members drop repeats for dedupWindowMs only. may_run_again, which decides on the gateway's own retries, does look at the window.

Change: a request is rejected only if it is idempotent or no attempt may have run; otherwise it is failed at once. The class's group no longer matters there. A limit by the time left of the window was not chosen: the client decides when it returns. Clients that know the window repeat a failed keyed request inside it by themselves (WIRE, Client retries).

Tests: a_keyed_request_that_may_have_run_is_failed_not_rejected_at_any_time and ..._is_failed_after_a_later_rejection failed before the fix. Two tests asserted the faulty answer after the window and now assert the failure: a_keyed_request_is_retried_only_within_its_window_from_the_first_send ("rejecting is safe: every member discards duplicates", which is false by then) and, on sockets, idempotent_write_is_not_sent_after_its_retry_window. The property test of all rules allowed every rejection of a keyed request; it now allows none that may have run.

--- a/crates/deckproxy-control/src/control/dispatch.rs
+++ b/crates/deckproxy-control/src/control/dispatch.rs
@@ -7,7 +7,7 @@
 use super::tuning::{
     DEMAND_TIME_CONSTANT, OBJECTS_MAX, RETRY_AFTER_SHARE, SLOW_SOURCE_RETRY_DELAY, SLOW_SOURCE_RETRY_SHARE,
 };
-use crate::interface::{Action, Group, Idempotency, MemberId, Millis, Request, RequestId};
+use crate::interface::{Action, Idempotency, MemberId, Millis, Request, RequestId};
 
 impl Control {
     /// Accepts a client's request.
@@ -128,8 +128,8 @@
         self.now - state.last_used_at > interval
     }
 
-    /// Ends a request that cannot be served: rejects it if the client can safely send it again, else
-    /// fails it.
+    /// Ends a request that cannot be served: rejects it if the client can safely send it again at any time,
+    /// else fails it.
     pub(super) fn give_up(&mut self, id: RequestId) {
         let Some(pending) = self.pending.get_mut(&id) else { return };
         if !pending.has_ended {
@@ -143,13 +143,11 @@
     fn final_answer(&self, id: RequestId) -> Option<Action> {
         let pending = self.pending.get(&id)?;
         let class = self.class_of(pending);
-        let never_ran = pending.possible_run.is_none();
-        let is_repeatable = match class.idempotency {
-            Idempotency::Idempotent => true,
-            Idempotency::Keyed => never_ran || class.group == Group::All,
-            Idempotency::NotIdempotent => never_ran,
-        };
-        if !is_repeatable {
+        // A rejection declares a retry harmless whenever the client sends it. Members discard duplicates of a
+        // key for the deduplication window only, so a key does not make a rejection safe.
+        let is_retry_harmless =
+            class.idempotency == Idempotency::Idempotent || pending.possible_run.is_none();
+        if !is_retry_harmless {
             return Some(Action::Fail { request: id });
         }
         let advised = self.settings.max_retry_after.min(RETRY_AFTER_SHARE * class.latency_objective);
--- a/crates/deckproxy-control/tests/attempt_limits.rs
+++ b/crates/deckproxy-control/tests/attempt_limits.rs
@@ -104,8 +104,44 @@
         harness.now += at;
         harness.end(id, 0, ORIGIN_ID, AttemptEnding::Timeout);
         assert_eq!(!harness.sends().is_empty(), again, "{at}");
-        // Rejecting is safe: every member discards duplicates.
-        assert_eq!(is_rejected(&harness.actions, id), !again);
+        assert_eq!(is_failed(&harness.actions, id), !again, "{at}");
+    }
+}
+
+/// Guards against a client that obeys a rejection after the members have forgotten the key: its retry ran a
+/// second time.
+#[test]
+fn a_keyed_request_that_may_have_run_is_failed_not_rejected_at_any_time() {
+    for at in [10.0, 1990.0, 2000.0, 4990.0] {
+        for maybe in [AttemptEnding::Error, AttemptEnding::Timeout, AttemptEnding::Reset] {
+            let mut harness = Harness::with(Settings { max_attempts: 1, ..settings() }, all_members());
+            let id = harness.request(KEYED, 5, 0);
+            harness.now += at;
+            harness.end(id, 0, ORIGIN_ID, maybe);
+            assert!(harness.sends().is_empty(), "{at} {maybe:?}");
+            assert!(is_failed(&harness.actions, id) && !is_rejected(&harness.actions, id), "{at} {maybe:?}");
+        }
+    }
+}
+
+/// A rejection by a later member proves nothing about the earlier attempt.
+#[test]
+fn a_keyed_request_that_may_have_run_is_failed_after_a_later_rejection() {
+    let mut harness = Harness::with(Settings { max_attempts: 2, ..settings() }, all_members());
+    let id = harness.request(KEYED, 5, 0);
+    harness.end(id, 0, ORIGIN_ID, AttemptEnding::Reset);
+    let retry = harness.sends()[0];
+    harness.end(id, 1, retry.member, AttemptEnding::Rejected);
+    assert!(is_failed(&harness.actions, id) && !is_rejected(&harness.actions, id));
+}
+
+#[test]
+fn a_keyed_request_that_never_ran_is_rejected() {
+    for never in [AttemptEnding::Rejected, AttemptEnding::ConnectFailed, AttemptEnding::NotSent] {
+        let mut harness = Harness::with(Settings { max_attempts: 1, ..settings() }, all_members());
+        let id = harness.request(KEYED, 5, 0);
+        harness.end(id, 0, ORIGIN_ID, never);
+        assert!(is_rejected(&harness.actions, id), "{never:?}");
     }
 }
 
--- a/crates/deckproxy-control/tests/properties.rs
+++ b/crates/deckproxy-control/tests/properties.rs
@@ -117,7 +117,7 @@
                         self.pending.remove(&request).expect("rejected a request that is not pending");
                     let class = &settings().classes[pending.request.class];
                     let is_safe =
-                        class.idempotency != Idempotency::NotIdempotent || pending.possible_run.is_none();
+                        class.idempotency == Idempotency::Idempotent || pending.possible_run.is_none();
                     assert!(
                         is_safe && pending.in_flight.is_none(),
                         "rejected a request that may have been executed"
--- a/crates/deckproxy/tests/unsent_requests.rs
+++ b/crates/deckproxy/tests/unsent_requests.rs
@@ -100,10 +100,11 @@
     origin.fill_queue();
     socket2::SockRef::from(&first).set_linger(Some(Duration::ZERO)).unwrap();
     drop(first);
-    client.expect_error(id, "Shed");
+    // The origin has forgotten the key by the time at which a client that was told to retry would be back.
+    client.expect_error(id, "Fault");
     assert!(
         start.elapsed() < Duration::from_millis(900),
-        "rejected after the end of the window: {:?}",
+        "failed after the end of the window: {:?}",
         start.elapsed()
     );
     let mut second = origin.accept();
