Reject requests on a closing client connection instead of dropping them

What callers saw: a client with an open read wrote a request of 40 KB over 2.5 s on the same connection.

Cause, two: is_read_timed_out counted 2 s from a message's first byte, however well the rest arrived; and begin_close put the connection into the state that drops all input, meant for the time after the half-close, while the half-close still waited for open requests. Excluded: that the decoder loses its place (the same bytes written at once are served), and that only the time-out is to blame: requests after 129 cancellations beside an open one were dropped the same way.

Change: transport/client_input.rs holds the input of a connection with an explicit mode: accept, reject, discard. A draining connection decodes and rejects; input is dropped only after the half-close, undecodable bytes or 64 KB of unread rejections. The half-close waits until all that was read is handled. A request of which only a part came is rejected by its id first. A message after the first may take 10 s with pauses under 2 s; the first one still has 2 s. The connection is read once more before a time-out counts.

--- a/crates/deckproxy/src/program/client_messages.rs
+++ b/crates/deckproxy/src/program/client_messages.rs
@@ -5,6 +5,7 @@
 use crate::protocol::downstream::{self, Answer, Call, Message, ProtocolError, RequestError};
 use crate::routing::ClientId;
 use crate::transport::client::ClientConnection;
+use crate::transport::client_input::InputMode;
 use crate::transport::clock;
 
 /// Whether the answered request was admitted, so that it counts as open on its client's connection.
@@ -31,9 +32,14 @@
                 Err(error) => self.handle_protocol_error(now, id, &error, bytes),
             }
             if self.clients.get(&id).is_some_and(ClientConnection::is_over_write_limit) {
-                self.drain_client(now, id, "it does not read its rejections");
+                // More rejections would have to be buffered without a bound.
+                self.drain_client(now, id, "it does not read its rejections", InputMode::Discard);
             }
         }
+        // A closing connection is half-closed only once all received messages are handled.
+        if self.clients.get(&id).is_some_and(ClientConnection::is_closing) {
+            self.flush_client(now, id);
+        }
     }
 
     /// Handles bytes that can't be decoded: sends an answer if they contain a request id, and drains the connection.
@@ -46,7 +52,7 @@
         if let Some(request) = fault.request_id {
             self.enqueue_answer(now, (id, request), &Answer::Invalid(fault.error), Admitted::No);
         }
-        self.drain_client(now, id, fault.error.as_str());
+        self.drain_client(now, id, fault.error.as_str(), InputMode::Discard);
     }
 
     /// Handles a client's message; `bytes` is its size.
@@ -87,11 +93,11 @@
             // The protocol requires ids that start at 1 and increase by 1.
             let error = RequestError::IdOutOfSequence;
             self.enqueue_answer(now, key, &Answer::Invalid(error), Admitted::No);
-            return self.drain_client(now, id, error.as_str());
+            return self.drain_client(now, id, error.as_str(), InputMode::Reject);
         }
-        // During a shutdown, a request that is rejected at once can be retried at another gateway sooner. The bound on
-        // all buffered bytes is checked before the client's own limit on open requests.
-        let rejecting = self.is_rejecting();
+        // During a shutdown or on a closing connection, a request that is rejected at once can be retried sooner. The
+        // bound on all buffered bytes is checked before the client's own limit on open requests.
+        let rejecting = client.is_closing() || self.is_rejecting();
         let admitted = self.clients.get_mut(&id).is_some_and(|client| !rejecting && !full && client.admit());
         if !admitted {
             self.router.counters.rejected += 1;
@@ -132,7 +138,7 @@
             self.notify(now, &Event::RequestCancelled { client: id, id: request });
             self.router.cancel(now, id, request);
             if too_many {
-                return self.drain_client(now, id, "it cancels too many requests in a row");
+                self.drain_client(now, id, "it cancels too many requests in a row", InputMode::Reject);
             }
         }
     }
@@ -145,6 +151,26 @@
         self.flush_client(now, id);
     }
 
+    /// Rejects the request of which only a part has been received, if its id is known: it gets a final answer even if its
+    /// connection closes before the rest arrives. Returns whether there was one.
+    pub(super) fn reject_partial_request(&mut self, now: f64, id: ClientId) -> bool {
+        let partial = self.clients.get(&id).and_then(ClientConnection::unanswered_partial_request);
+        let Some(request) = partial.filter(|request| !self.is_request_open((id, *request))) else {
+            return false;
+        };
+        let Some(client) = self.clients.get_mut(&id) else { return false };
+        let answer = if client.accept_id(request) {
+            self.router.counters.rejected += 1;
+            Answer::Rejected(0.0)
+        } else {
+            Answer::Invalid(RequestError::IdOutOfSequence)
+        };
+        client.answer_partial_request(request, &answer);
+        self.notify(now, &Event::RequestReceived { client: id, id: request, class: "", bytes: 0 });
+        self.notify(now, &Event::AnswerQueued { client: id, id: request, answer: &answer });
+        true
+    }
+
     fn is_request_open(&self, (client, id): RequestKey) -> bool {
         self.router.is_open(client, id) || self.subsystems.has_request(client, id)
     }
--- a/crates/deckproxy/src/program/clients.rs
+++ b/crates/deckproxy/src/program/clients.rs
@@ -7,6 +7,7 @@
 use crate::protocol::limits;
 use crate::routing::ClientId;
 use crate::transport::client::ClientConnection;
+use crate::transport::client_input::InputMode;
 use crate::transport::clock;
 use crate::transport::stream::Progress;
 use calloop::Readiness;
@@ -44,8 +45,8 @@
                 Progress::Drained => return self.decode_messages(now, id),
                 Progress::More => self.decode_messages(now, id),
             }
-            // Data on a closing connection is dropped, and a flood of small messages must not delay other connections.
-            if self.clients.get(&id).is_none_or(ClientConnection::is_closing)
+            // Data on a half-closed connection is dropped, and a flood of small messages must not delay other connections.
+            if self.clients.get(&id).is_none_or(ClientConnection::is_discarding)
                 || clock::now() - began > limits::CLIENT_READ_AGE
             {
                 break;
@@ -81,22 +82,32 @@
         let Some(client) = self.clients.get_mut(&id).filter(|client| !client.is_closing()) else { return };
         let was_active = Some(client.idle_since()) != idle_since && !shutting_down;
         if client.is_idle() && !client.is_mid_message() && !was_active {
-            client.begin_close();
+            client.begin_close(InputMode::Reject);
             self.flush_client(now, id);
         }
     }
 
-    /// Closes a client's connection, with the reason for the log, once its open requests are answered. Data received
-    /// on it from now on is not handled.
-    pub(super) fn drain_client(&mut self, now: f64, id: ClientId, why: &str) {
+    /// Closes a client's connection, with the reason for the log, once its open requests are answered. `mode` says what
+    /// happens to the requests received until then.
+    pub(super) fn drain_client(&mut self, now: f64, id: ClientId, why: &str, mode: InputMode) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        client.begin_close();
-        self.router.counters.invalid += 1;
-        self.log_peer(&format!("a client's connection closes: {why}"));
-        self.timers.schedule(now + limits::CLOSING_INTERVAL, TimerTask::LingerExpired(id));
+        if client.begin_close(mode) {
+            self.router.counters.invalid += 1;
+            self.log_peer(&format!("a client's connection closes: {why}"));
+            self.timers.schedule(now + limits::CLOSING_INTERVAL, TimerTask::LingerExpired(id));
+        }
         self.flush_client(now, id);
     }
 
+    /// Drains a connection whose client delays the rest of a message, after a last read: the process may have paused.
+    pub(super) fn drain_delaying_client(&mut self, now: f64, id: ClientId) {
+        self.recheck_client(now, id);
+        if self.clients.get(&id).is_some_and(|client| client.is_read_timed_out(now)) {
+            self.reject_partial_request(now, id);
+            self.drain_client(now, id, "it keeps a message waiting", InputMode::Reject);
+        }
+    }
+
     /// Writes a client's write buffer, and half-closes a closing connection once all is written.
     pub(super) fn flush_client(&mut self, now: f64, id: ClientId) {
         let Some(client) = self.clients.get_mut(&id) else { return };
@@ -104,12 +115,23 @@
         let sent = |bytes| subsystems.notify(&cx, &Event::ClientBytesSent { client: id, bytes });
         if client.flush(now, sent).is_err() {
             self.close_client(now, id);
-        } else if client.half_close_if_done(now) {
-            // Lingering close: the client now has some time to close its side.
-            self.timers.schedule(now + limits::LINGER, TimerTask::LingerExpired(id));
+        } else if client.is_ready_to_half_close() {
+            self.half_close_client(now, id);
         }
     }
 
+    /// Half-closes a closing connection. A request that has been received only in part is rejected first, as its client
+    /// can't be answered later.
+    fn half_close_client(&mut self, now: f64, id: ClientId) {
+        if self.reject_partial_request(now, id) {
+            return self.flush_client(now, id);
+        }
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.half_close(now);
+        // Lingering close: the client now has some time to close its side.
+        self.timers.schedule(now + limits::LINGER, TimerTask::LingerExpired(id));
+    }
+
     /// Handles the end of a closing connection's linger time. The connection stays open while a request on it is
     /// unanswered, which the request's deadline limits, and for some time while the client still sends.
     pub(super) fn linger_expired(&mut self, now: f64, id: ClientId) {
--- a/crates/deckproxy/src/program/housekeeping.rs
+++ b/crates/deckproxy/src/program/housekeeping.rs
@@ -50,8 +50,7 @@
             debug!(self.log, "closing a client's connection that reads no answers"; "client" => id);
             self.reset_client(now, id);
         } else if client.is_read_timed_out(now) {
-            // Its open requests are still answered.
-            self.drain_client(now, id, "it keeps a message waiting");
+            self.drain_delaying_client(now, id);
         } else if client.is_idle() && idle > limits::CLIENT_IDLE_TIMEOUT {
             self.close_idle_client(now, id);
         }
--- a/crates/deckproxy/src/protocol/downstream/decode.rs
+++ b/crates/deckproxy/src/protocol/downstream/decode.rs
@@ -37,6 +37,11 @@
         }
     }
 
+    /// The id of the request at the start of the buffer, if it has been received; the rest may be missing.
+    pub fn partial_request(&self, buffer: &[u8]) -> Option<u32> {
+        request_head(buffer).map(|(id, _)| id)
+    }
+
     /// Minimum number of bytes that are still missing after `have` bytes were received.
     pub fn missing(&self, have: usize) -> usize {
         self.scanner.missing(have)
--- a/crates/deckproxy/src/protocol/limits.rs
+++ b/crates/deckproxy/src/protocol/limits.rs
@@ -72,8 +72,10 @@
 pub const CLIENT_WRITE_TIMEOUT: f64 = 10_000.0;
 /// Time that a client's connection may be idle, well over the four seconds after which clients close.
 pub const CLIENT_IDLE_TIMEOUT: f64 = 10_000.0;
-/// Time in which the first message on a new connection must be received, and any message after its first byte.
+/// Time in which the first message on a new connection must be received, and the longest pause within a later one.
 pub const CLIENT_READ_TIMEOUT: f64 = 2000.0;
+/// Time in which any message after the first must be received, from its first byte.
+pub const CLIENT_MESSAGE_TIMEOUT: f64 = 10_000.0;
 /// Age below which a new connection is not evicted for another client, as its first message may be in transit. The
 /// gateway's own connections may still evict it.
 pub const CLIENT_MIN_AGE: f64 = 50.0;
--- a/crates/deckproxy/src/transport/client.rs
+++ b/crates/deckproxy/src/transport/client.rs
@@ -1,7 +1,8 @@
 //! A connection from a client.
 
-use crate::protocol::downstream::{Answer, Decoder, Message, ProtocolError, encode_answer};
+use crate::protocol::downstream::{Answer, Message, ProtocolError, encode_answer};
 use crate::protocol::limits;
+use crate::transport::client_input::{ClientInput, InputMode};
 use crate::transport::stream::{Progress, Stream};
 use crate::transport::write_buffer::{OutgoingMessage, WrittenMessage};
 use bytes::Bytes;
@@ -11,36 +12,24 @@
 const ANSWER: u64 = 1;
 /// Key of all other messages.
 const OTHER: u64 = 0;
-/// The id of a connection's first request.
-const FIRST_ID: u32 = 1;
 
 /// A client's connection with its requests.
 pub struct ClientConnection {
     /// The socket and its buffers.
     pub stream: Stream,
-    decoder: Decoder,
+    input: ClientInput,
     /// Requests whose answer the kernel has not accepted completely yet.
     open_requests: usize,
-    /// When the connection was accepted, Unix ms.
-    accepted_at: f64,
     /// When bytes were last read or written, Unix ms.
     active_at: f64,
     /// When a read last found no more bytes available, Unix ms.
     drained_at: f64,
     /// Since when no byte of a non-empty write buffer was written, Unix ms.
     stalled_since: Option<f64>,
-    /// Since when the rest of a message is awaited, Unix ms.
-    partial_since: Option<f64>,
-    /// Whether a message was decoded since the input buffer was last trimmed.
-    consumed: bool,
-    /// The id that the next request must have.
-    next_id: u32,
     /// Requests cancelled since the last answer to an open request was written.
     cancelled: usize,
     /// Bytes waiting to be written that answer no open request.
     other_bytes: usize,
-    /// Received messages are dropped; the connection closes once no request is open and the write buffer is empty.
-    closing: bool,
     /// When the connection was half-closed, Unix ms.
     half_closed_at: Option<f64>,
     /// Messages that the current flush has written completely; a field to reuse its memory.
@@ -52,18 +41,13 @@
     pub fn new(stream: Stream, now: f64) -> Self {
         ClientConnection {
             stream,
-            decoder: Decoder::default(),
+            input: ClientInput::new(now),
             open_requests: 0,
-            accepted_at: now,
             active_at: now,
             drained_at: now,
             stalled_since: None,
-            partial_since: None,
-            consumed: false,
-            next_id: FIRST_ID,
             cancelled: 0,
             other_bytes: 0,
-            closing: false,
             half_closed_at: None,
             written: Vec::new(),
         }
@@ -75,6 +59,7 @@
         let progress = self.stream.read();
         if self.stream.input.len() > before {
             self.active_at = now;
+            self.input.received(now);
         }
         if progress == Progress::Drained {
             self.drained_at = now;
@@ -89,45 +74,61 @@
 
     /// Whether more bytes of rejections and pongs are waiting to be written than the limit allows.
     pub fn is_over_write_limit(&self) -> bool {
-        !self.closing && self.other_bytes > limits::CLIENT_REJECTIONS
+        self.input.mode() != InputMode::Discard && self.other_bytes > limits::CLIENT_REJECTIONS
     }
 
     /// Whether a message has been received only in part.
     pub fn is_mid_message(&self) -> bool {
-        self.partial_since.is_some()
+        self.input.is_mid_message()
     }
 
     /// Whether the client has sent a complete message with an id, even if its request is invalid.
     pub fn is_proven(&self) -> bool {
-        self.next_id > FIRST_ID
+        self.input.is_proven()
     }
 
     /// When the connection was accepted, Unix ms.
     pub fn accepted_at(&self) -> f64 {
-        self.accepted_at
+        self.input.accepted_at()
     }
 
-    /// Whether the first message, or the rest of a partial one, did not arrive within the read timeout.
+    /// Whether the first message, or the rest of a partial one, is overdue.
     pub fn is_read_timed_out(&self, now: f64) -> bool {
-        let waiting = if self.is_proven() { self.partial_since } else { Some(self.accepted_at) };
-        !self.closing && waiting.is_some_and(|since| now - since > limits::CLIENT_READ_TIMEOUT)
+        self.input.is_timed_out(now)
     }
 
     /// Records the id of a message. Returns whether it is the expected next id.
     pub fn accept_id(&mut self, id: u32) -> bool {
-        let follows = id == self.next_id;
-        self.next_id = id.saturating_add(1).max(FIRST_ID + 1);
-        follows
+        self.input.accept_id(id)
     }
 
-    /// Starts to close: received messages are dropped, open requests are still answered.
-    pub fn begin_close(&mut self) {
-        self.closing = true;
+    /// Starts to close: open requests are still answered, and received messages are handled as `mode` says. Returns
+    /// whether the connection was open until now.
+    pub fn begin_close(&mut self, mode: InputMode) -> bool {
+        let was_open = !self.is_closing();
+        self.input.restrict(mode);
+        was_open
     }
 
-    /// Whether the connection is closing.
+    /// Whether the connection is closing: new requests on it are rejected or dropped.
     pub fn is_closing(&self) -> bool {
-        self.closing
+        self.input.mode() != InputMode::Accept
+    }
+
+    /// Whether received data is dropped.
+    pub fn is_discarding(&self) -> bool {
+        self.input.mode() == InputMode::Discard
+    }
+
+    /// The id of the request that has been received in part and has no answer yet, if its id has been received.
+    pub fn unanswered_partial_request(&self) -> Option<u32> {
+        self.input.unanswered_partial_request(&self.stream)
+    }
+
+    /// Appends the final answer to the request received in part; its message is dropped once it is complete.
+    pub fn answer_partial_request(&mut self, id: u32, answer: &Answer) {
+        self.input.partial_request_answered();
+        self.answer(id, answer, false);
     }
 
     /// Removes the next complete message from the input buffer and returns it.
@@ -135,22 +136,7 @@
     /// # Errors
     /// [`ProtocolError`] if the buffered bytes are not a valid message.
     pub fn take_message(&mut self) -> Result<Option<Message>, ProtocolError> {
-        if self.closing {
-            self.partial_since = None;
-            self.stream.input.clear();
-            self.stream.trim(true);
-            return Ok(None);
-        }
-        let message = self.decoder.next(&mut self.stream.input);
-        if message == Ok(None) {
-            let is_partial = !self.stream.input.is_empty();
-            self.partial_since = is_partial.then(|| self.partial_since.unwrap_or(self.active_at));
-            self.stream.missing = self.decoder.missing(self.stream.input.len());
-            self.stream.trim(std::mem::take(&mut self.consumed));
-        } else {
-            (self.partial_since, self.consumed) = (None, true);
-        }
-        message
+        self.input.take_message(&mut self.stream)
     }
 
     /// Counts a request as open if the limit on open requests allows it. Returns whether it was admitted.
@@ -219,14 +205,19 @@
         self.half_closed_at.is_some_and(lingers)
     }
 
-    /// Half-closes a closing connection once no request is open and the write buffer is empty. Returns whether it did.
-    pub fn half_close_if_done(&mut self, now: f64) -> bool {
-        let is_due = self.closing && self.is_idle() && self.half_closed_at.is_none();
-        if is_due {
-            self.half_closed_at = Some(now);
-            self.stream.half_close();
-        }
-        is_due
+    /// Whether the connection is closing, and all that was received is handled, answered and written.
+    pub fn is_ready_to_half_close(&self) -> bool {
+        self.is_closing()
+            && self.is_idle()
+            && !self.is_half_closed()
+            && !self.input.has_unhandled_messages(&self.stream)
+    }
+
+    /// Half-closes the connection; data received from now on is dropped.
+    pub fn half_close(&mut self, now: f64) {
+        self.half_closed_at = Some(now);
+        self.input.restrict(InputMode::Discard);
+        self.stream.half_close();
     }
 
     /// Writes as much as the kernel accepts, and calls `complete` with the length of each completely written message,
--- a/crates/deckproxy/src/transport/mod.rs
+++ b/crates/deckproxy/src/transport/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod buffer_usage;
 pub mod client;
+pub mod client_input;
 pub mod clock;
 pub mod collector;
 pub mod datagram_socket;
