Keep a peer's purge log while it is connected, however quiet the link is

Cause: PurgeLog::tick forgot a peer after two copy lifetimes without a hello, purge or heartbeat response, and purge_received ignores purges of unknown peers. A side that accepts a link sends no heartbeats and gets no responses; the other side's heartbeats kept the connection alive, not the peer.

Evidence: the south's summary has purges[last:0], the north's [last:1], the link is up throughout. Excluded: a gap in the numbers (gaps:0) and a lost frame: without the quiet time the same frame is applied.

Change: a peer's log is kept while a connection to its process is established and for two copy lifetimes after; a role knows the epoch of the process at its other end. Why it works: forgetting no longer depends on which messages come, and a connection that is up has had its hello, so a purge on it has a known sender.

--- a/crates/deckproxy-sites/src/purges/mod.rs
+++ b/crates/deckproxy-sites/src/purges/mod.rs
@@ -149,8 +149,15 @@
         }
     }
 
-    /// Drops purges after which all older copies have expired, and peers whose last hello, purge or heartbeat response
-    /// was received more than two copy lifetimes ago.
+    /// Records that a connection to the process with the given epoch is established.
+    pub fn mark_connected(&mut self, now: Millis, epoch: u64) {
+        if let Some(peer) = self.peers.get_mut(&epoch) {
+            peer.connected_at = now;
+        }
+    }
+
+    /// Drops purges after which all older copies have expired, and peers to which no connection was established for two
+    /// copy lifetimes. A connected peer must be known however quiet it is: purges from unknown peers are ignored.
     pub fn tick(&mut self, now: Millis) {
         let copy_lifetime = self.limits.copy_lifetime;
         let expired =
@@ -158,7 +165,7 @@
         while self.entries.front().is_some_and(expired) {
             self.drop_oldest();
         }
-        self.peers.retain(|_, peer| now - peer.last_received <= 2.0 * copy_lifetime);
+        self.peers.retain(|_, peer| now - peer.connected_at <= 2.0 * copy_lifetime);
     }
 
     /// Processes a purge that the peer with the given epoch sent. Returns the notice for this site and the number of
@@ -170,7 +177,6 @@
         purge: Purge,
     ) -> Option<(PurgeNotice, u64)> {
         let peer = self.peers.get_mut(&from_epoch)?;
-        peer.last_received = now;
         if purge.number <= peer.last_purge {
             return None;
         }
@@ -230,7 +236,7 @@
             let unknown = (copy_lifetime - hello.purge_history.max(0.0)).max(0.0);
             PeerLog::new(hello.site.clone(), now + unknown)
         });
-        peer.last_received = now;
+        peer.connected_at = now;
         let acknowledged = if hello.purges_epoch == self.epoch { hello.purges_received } else { 0 };
         acknowledged.min(self.last_number())
     }
--- a/crates/deckproxy-sites/src/purges/peer.rs
+++ b/crates/deckproxy-sites/src/purges/peer.rs
@@ -21,8 +21,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct PeerLog {
     pub(super) site: String,
-    /// When the last hello, purge or heartbeat response was received from the peer.
-    pub(super) last_received: Millis,
+    /// The last time at which a connection to the peer was known to be established.
+    pub(super) connected_at: Millis,
     /// Number of the last entry that was received from the log.
     pub(super) last_purge: u64,
     /// The last time, on this side's clock, at which this side is known to have had all entries of the peer's log.
@@ -38,7 +38,7 @@
     pub(super) fn new(site: String, distrusted_until: Millis) -> Self {
         PeerLog {
             site,
-            last_received: 0.0,
+            connected_at: 0.0,
             last_purge: 0,
             confirmed_at: None,
             distrusted_until,
@@ -54,7 +54,6 @@
         sent_at: Millis,
         heartbeat: &Heartbeat,
     ) {
-        self.last_received = now;
         let skew = heartbeat.unix_time - (unix_time - (now - sent_at) / 2.0);
         self.clock_skew = Some(self.clock_skew.map_or(skew, |old| old + SKEW_WEIGHT * (skew - old)));
         if self.last_purge >= heartbeat.last_purge {
--- a/crates/deckproxy-sites/src/site/connections.rs
+++ b/crates/deckproxy-sites/src/site/connections.rs
@@ -16,8 +16,8 @@
     Requester {
         peer: usize,
         endpoint: usize,
-        /// Whether the peer's hello was accepted.
-        is_up: bool,
+        /// The epoch of the process at the other end; `None` until its hello was accepted.
+        epoch: Option<u64>,
     },
     /// The other side opened it, and has not sent its hello yet.
     AwaitingHello { since: Millis },
@@ -26,14 +26,19 @@
 }
 
 impl Role {
-    /// Whether the handshake is complete.
-    fn is_up(&self) -> bool {
+    /// The epoch of the process at the other end; `None` until the handshake is complete.
+    pub(super) fn epoch(&self) -> Option<u64> {
         match self {
-            Role::Requester { is_up, .. } => *is_up,
-            Role::AwaitingHello { .. } => false,
-            Role::Responder { .. } => true,
+            Role::Requester { epoch, .. } => *epoch,
+            Role::AwaitingHello { .. } => None,
+            Role::Responder { epoch, .. } => Some(*epoch),
         }
     }
+
+    /// Whether the handshake is complete.
+    fn is_up(&self) -> bool {
+        self.epoch().is_some()
+    }
 }
 
 impl SiteGateway {
@@ -50,7 +55,7 @@
     pub fn connected(&mut self, now: Millis, peer: usize, endpoint: usize, connection: ConnectionId) {
         let Some(Peer { site, requester, .. }) = self.peers.get_mut(peer) else { return };
         requester.connected(now, endpoint, connection);
-        self.roles.insert(connection, Role::Requester { peer, endpoint, is_up: false });
+        self.roles.insert(connection, Role::Requester { peer, endpoint, epoch: None });
         let hello = Hello {
             version: VERSION,
             site: self.own_site.clone(),
@@ -79,12 +84,12 @@
     /// Records the end of a connection. `unsent`: attempts of which no byte was written to it.
     pub fn disconnected(&mut self, now: Millis, connection: ConnectionId, unsent: &[u64]) {
         match self.roles.remove(&connection) {
-            Some(Role::Requester { peer, endpoint, is_up }) => {
+            Some(Role::Requester { peer, endpoint, epoch }) => {
                 let requester = &mut self.peers[peer].requester;
                 let before = requester.endpoints_up();
                 requester.disconnected(now, connection, unsent);
                 let endpoints = requester.endpoints_up();
-                if is_up && endpoints.up < before.up {
+                if epoch.is_some() && endpoints.up < before.up {
                     let site = self.peers[peer].site.clone();
                     self.log(LogEvent::EndpointDown { site, endpoint, endpoints });
                 }
@@ -102,7 +107,7 @@
     /// body can take longer than the silence timeout.
     pub fn mark_alive(&mut self, now: Millis, connection: ConnectionId) {
         match self.roles.get(&connection) {
-            Some(Role::Requester { peer, is_up: true, .. }) => {
+            Some(Role::Requester { peer, epoch: Some(_), .. }) => {
                 self.peers[*peer].requester.mark_alive(now, connection);
             }
             Some(Role::Responder { .. }) => self.responder.mark_alive(now, connection),
@@ -144,7 +149,7 @@
             return self.reject_hello(now, connection, error);
         }
         let acknowledged = self.purges.hello_received(now, hello);
-        self.roles.insert(connection, Role::Requester { peer, endpoint, is_up: true });
+        self.roles.insert(connection, Role::Requester { peer, endpoint, epoch: Some(hello.epoch) });
         // Purges are sent first, so that the other side receives them before any request on this connection.
         self.send_purges_after(now, connection, acknowledged);
         let requester = &mut self.peers[peer].requester;
@@ -207,6 +212,13 @@
         }
     }
 
+    /// Records in the purge log which processes are connected.
+    pub(super) fn mark_connected_peers(&mut self, now: Millis) {
+        for epoch in self.roles.values().filter_map(Role::epoch) {
+            self.purges.mark_connected(now, epoch);
+        }
+    }
+
     fn reject_hello(&mut self, now: Millis, connection: ConnectionId, error: HelloError) {
         let goodbye = Goodbye { reason: error.to_string() };
         self.log(LogEvent::HelloRejected(error.clone()));
--- a/crates/deckproxy-sites/src/site/messages.rs
+++ b/crates/deckproxy-sites/src/site/messages.rs
@@ -24,7 +24,7 @@
             return self.close(now, connection, CloseReason::Goodbye);
         }
         match role {
-            Role::Requester { peer, endpoint, is_up: false } => match payload {
+            Role::Requester { peer, endpoint, epoch: None } => match payload {
                 Payload::Hello(hello) => {
                     self.receive_hello_as_requester(now, connection, peer, endpoint, &hello);
                 }
@@ -34,7 +34,7 @@
                 Payload::Hello(hello) => self.receive_hello_as_responder(now, connection, &hello),
                 _ => self.close(now, connection, CloseReason::HelloMissing),
             },
-            Role::Requester { peer, endpoint, is_up: true } => {
+            Role::Requester { peer, endpoint, epoch: Some(_) } => {
                 self.receive_as_requester(now, unix_time, connection, peer, endpoint, payload);
             }
             Role::Responder { epoch, site } => {
--- a/crates/deckproxy-sites/src/site/mod.rs
+++ b/crates/deckproxy-sites/src/site/mod.rs
@@ -155,6 +155,7 @@
 
     /// Processes expired timers. `unix_time`: the current Unix time.
     pub fn tick(&mut self, now: Millis, unix_time: Millis) {
+        self.mark_connected_peers(now);
         self.purges.tick(now);
         for index in 0..self.peers.len() {
             self.peers[index].requester.tick(now, unix_time, &self.purges);
--- a/crates/deckproxy-sites/tests/common/mod.rs
+++ b/crates/deckproxy-sites/tests/common/mod.rs
@@ -29,6 +29,7 @@
 };
 
 /// A hello from site b to site a.
+#[allow(dead_code, reason = "the tests of quiet links exchange the sites' own")]
 pub fn hello(epoch: u64) -> Hello {
     Hello {
         version: 1,
--- a/crates/deckproxy/tests/sites/purges.rs
+++ b/crates/deckproxy/tests/sites/purges.rs
@@ -1,6 +1,6 @@
 //! Purges across sites, and the age of copies while a peer is unreachable.
 
-use crate::{SOUTHERN, SitePair};
+use crate::{LinkedSite, SOUTHERN, SitePair, operator_text, wait_for_link};
 use deckproxy_standins::link_relay::LinkState;
 use deckproxy_standins::*;
 use std::time::Duration;
@@ -32,6 +32,28 @@
     pair.client.expect_served(id, b"new");
 }
 
+/// Guards against purges that are ignored after two copy lifetimes in which only heartbeats of the other side came.
+#[test]
+fn purge_after_a_quiet_time_applies_on_the_site_that_only_accepts() {
+    let south_at = free_address();
+    let with_short_life = |text: String| text.replace("trust {", "trust { copy_life_ms: 500");
+    let south = LinkedSite::start(with_short_life(operator_text("south", south_at, &[], &[])));
+    let routes = [("b", "south", "")];
+    let north = operator_text("north", free_address(), &[("south", south_at)], &routes);
+    let north = LinkedSite::start(with_short_life(north));
+    wait_for_link(&north, "south");
+    std::thread::sleep(Duration::from_millis(1600));
+    let purge = serde_json::json!({"n": 2, "purge": {"key": SOUTHERN, "at": unix_ms()}});
+    send_line(&north.feed_connection, &purge);
+    let mut own = south.gateway.client();
+    until("the purge applies in the south", || {
+        let (_, request) = south.members.serve_object(&mut own, SOUTHERN, b"new");
+        request.field("within").is_some()
+    });
+    let link_ups = north.gateway.log().matches("link to south (0): up; 1 of 1 endpoints").count();
+    assert_eq!(link_ups, 1, "the link was up throughout");
+}
+
 #[test]
 fn own_copies_are_limited_in_age_while_the_peer_is_unreachable() {
     let pair = SitePair::start();
