Attribute relayed purges to the process at the other end of their connection

What callers would see: while a peer is restarted at its address, purges of its new process are ignored, and its copies are trusted because of a heartbeat response of the old one.

Cause: receive_as_requester and pong_received took the epoch of the endpoint's last hello for that of every connection to it. Each process numbers its own log, so entries of the old process made the first ones of the new one count as known.

Change: a connection knows the epoch of its process; purges, heartbeat responses and acknowledgements go by that. The serving side always did, as its role holds the epoch.

--- a/crates/deckproxy-sites/src/requester/connections.rs
+++ b/crates/deckproxy-sites/src/requester/connections.rs
@@ -38,7 +38,7 @@
         let endpoint = &mut self.endpoints[index];
         let was_down = !endpoint.is_up();
         if let Some(connection) = endpoint.connections.get_mut(&connection_id) {
-            connection.is_up = true;
+            connection.epoch = Some(hello.epoch);
             connection.last_received = now;
             connection.next_heartbeat_at = now;
         }
@@ -74,7 +74,7 @@
     pub fn disconnected(&mut self, now: Millis, connection_id: ConnectionId, unsent: &[u64]) {
         let Some(index) = self.endpoint_of(connection_id) else { return };
         let endpoint = &mut self.endpoints[index];
-        let was_up = endpoint.connections.remove(&connection_id).is_some_and(|connection| connection.is_up);
+        let was_up = endpoint.connections.remove(&connection_id).is_some_and(|connection| connection.is_up());
         self.counters.connections_lost += u64::from(was_up);
         endpoint.back_off(now);
         if was_up && !endpoint.is_up() {
@@ -97,7 +97,7 @@
         let Some(index) = self.endpoint_of(connection_id) else { return false };
         let endpoint = &mut self.endpoints[index];
         let connection = endpoint.connections.get_mut(&connection_id);
-        let Some(connection) = connection.filter(|connection| connection.is_up) else { return false };
+        let Some(connection) = connection.filter(|connection| connection.is_up()) else { return false };
         connection.last_received = now;
         match payload {
             Payload::Pong(heartbeat) => {
@@ -135,8 +135,9 @@
     while let Some(pending) = connection.pending_heartbeats.pop_front() {
         if pending.sequence == heartbeat.sequence {
             endpoint.estimate.record_round_trip(now - pending.sent_at);
-            let epoch = endpoint.epoch.unwrap_or(0);
-            purges.pong_received(now, unix_time, epoch, pending.sent_at, heartbeat);
+            if let Some(epoch) = connection.epoch {
+                purges.pong_received(now, unix_time, epoch, pending.sent_at, heartbeat);
+            }
         }
         if pending.sequence >= heartbeat.sequence {
             break;
--- a/crates/deckproxy-sites/src/requester/endpoint.rs
+++ b/crates/deckproxy-sites/src/requester/endpoint.rs
@@ -28,8 +28,8 @@
 /// A connection to an endpoint.
 #[derive(Debug, Default)]
 pub(super) struct Connection {
-    /// Whether the other side's hello was received.
-    pub(super) is_up: bool,
+    /// The epoch of the process at the other end; `None` until its hello was received.
+    pub(super) epoch: Option<u64>,
     pub(super) last_received: Millis,
     /// Sequence number of the last heartbeat.
     pub(super) last_heartbeat: u64,
@@ -44,6 +44,11 @@
     pub(super) fn opened(now: Millis) -> Self {
         Connection { last_received: now, next_heartbeat_at: now, ..Connection::default() }
     }
+
+    /// Whether the handshake is complete.
+    pub(super) fn is_up(&self) -> bool {
+        self.epoch.is_some()
+    }
 }
 
 /// A gateway of the other site.
@@ -56,7 +61,7 @@
     pub(super) connecting: usize,
     pub(super) session: u64,
     pub(super) next_attempt: u64,
-    /// Epoch in the last hello from the other end.
+    /// Epoch in the last hello from the other end; a connection that is older may reach another process.
     pub(super) epoch: Option<u64>,
     /// How long both ends keep the session without a connection, ms.
     pub(super) resume_timeout: Millis,
@@ -99,7 +104,7 @@
 
     /// Whether any connection completed its handshake.
     pub(super) fn is_up(&self) -> bool {
-        self.connections.values().any(|connection| connection.is_up)
+        self.connections.values().any(Connection::is_up)
     }
 
     /// Whether it is up and accepts attempts.
@@ -114,7 +119,7 @@
 
     /// The established connection with the fewest attempts.
     pub(super) fn least_loaded_connection(&self) -> Option<ConnectionId> {
-        let up = self.connections.iter().filter(|(_, connection)| connection.is_up);
+        let up = self.connections.iter().filter(|(_, connection)| connection.is_up());
         up.min_by_key(|(id, connection)| (connection.attempts, **id)).map(|(id, _)| *id)
     }
 
--- a/crates/deckproxy-sites/src/requester/timers.rs
+++ b/crates/deckproxy-sites/src/requester/timers.rs
@@ -49,27 +49,29 @@
             sequence: 0,
             unix_time,
             last_purge: purges.last_number(),
-            purges_received: endpoint.epoch.map_or(0, |epoch| purges.last_received_from(epoch)),
+            purges_received: 0,
             lowest_open_attempt: endpoint.lowest_open_attempt(),
         };
-        self.send_heartbeats(now, index, &heartbeat);
+        self.send_heartbeats(now, index, &heartbeat, purges);
         self.open_missing_connections(now, index);
         self.close_idle_connections(now, index);
         timed_out.into_keys().collect()
     }
 
-    /// Sends the heartbeats that are due, except on silent connections.
-    fn send_heartbeats(&mut self, now: Millis, index: usize, heartbeat: &Heartbeat) {
+    /// Sends the heartbeats that are due, except on silent connections. Each also acknowledges the purges of the process
+    /// at the other end of its connection.
+    fn send_heartbeats(&mut self, now: Millis, index: usize, heartbeat: &Heartbeat, purges: &PurgeLog) {
         for (id, connection) in &mut self.endpoints[index].connections {
             let is_silent = now - connection.last_received > self.limits.silence_timeout;
-            if is_silent || !connection.is_up || now < connection.next_heartbeat_at {
+            if is_silent || !connection.is_up() || now < connection.next_heartbeat_at {
                 continue;
             }
             connection.next_heartbeat_at = now + self.limits.heartbeat_interval;
             connection.last_heartbeat += 1;
             let sequence = connection.last_heartbeat;
             connection.pending_heartbeats.push_back(PendingHeartbeat { sequence, sent_at: now });
-            let heartbeat = Heartbeat { sequence, ..*heartbeat };
+            let purges_received = connection.epoch.map_or(0, |epoch| purges.last_received_from(epoch));
+            let heartbeat = Heartbeat { sequence, purges_received, ..*heartbeat };
             self.effects.push_back(Effect::Send(*id, Payload::Ping(heartbeat)));
         }
     }
@@ -117,7 +119,7 @@
         let down_since = endpoint.down_since.filter(|_| !endpoint.unresolved.is_empty());
         let resume_timeout = down_since.map(|since| since + endpoint.resume_timeout + TIMEOUT_MARGIN);
         let connections = endpoint.connections.values().flat_map(|connection| {
-            let heartbeat = connection.is_up.then_some(connection.next_heartbeat_at);
+            let heartbeat = connection.is_up().then_some(connection.next_heartbeat_at);
             let silence = connection.last_received + self.limits.silence_timeout + TIMEOUT_MARGIN;
             heartbeat.into_iter().chain([silence])
         });
--- a/crates/deckproxy-sites/src/site/messages.rs
+++ b/crates/deckproxy-sites/src/site/messages.rs
@@ -34,8 +34,8 @@
                 Payload::Hello(hello) => self.receive_hello_as_responder(now, connection, &hello),
                 _ => self.close(now, connection, CloseReason::HelloMissing),
             },
-            Role::Requester { peer, endpoint, epoch: Some(_) } => {
-                self.receive_as_requester(now, unix_time, connection, peer, endpoint, payload);
+            Role::Requester { peer, epoch: Some(epoch), .. } => {
+                self.receive_as_requester(now, unix_time, connection, peer, epoch, payload);
             }
             Role::Responder { epoch, site } => {
                 self.receive_as_responder(now, unix_time, connection, epoch, &site, payload);
@@ -49,12 +49,11 @@
         unix_time: Millis,
         connection: ConnectionId,
         peer: usize,
-        endpoint: usize,
+        epoch: u64,
         payload: Payload,
     ) {
         let requester = &mut self.peers[peer].requester;
         if let Payload::Purge(purge) = payload {
-            let epoch = requester.epoch(endpoint).unwrap_or(0);
             requester.mark_alive(now, connection);
             return self.purge_received(now, epoch, purge);
         }
