--- a/crates/deckproxy-control/tests/attempt_limits.rs
+++ b/crates/deckproxy-control/tests/attempt_limits.rs
@@ -105,6 +105,7 @@
         harness.end(id, 0, ORIGIN_ID, AttemptEnding::Timeout);
         assert_eq!(!harness.sends().is_empty(), again, "{at}");
         assert_eq!(is_failed(&harness.actions, id), !again, "{at}");
+        assert!(!is_rejected(&harness.actions, id), "{at}");
     }
 }
 
--- a/crates/deckproxy/tests/slow_writers.rs
+++ b/crates/deckproxy/tests/slow_writers.rs
@@ -32,6 +32,14 @@
     (id, cache, request)
 }
 
+/// Sends three requests and expects that each is rejected.
+fn expect_rejections(client: &mut Client) {
+    for _ in 0..3 {
+        let id = client.request_object(OBJECT);
+        client.expect_error(id, "Shed");
+    }
+}
+
 /// Guards against the loss of a request that is written over more than two seconds beside an open one, and of all
 /// requests after it.
 #[test]
@@ -62,10 +70,7 @@
     until("the connection starts to close", || gateway.log().contains("keeps a message waiting"));
     client.expect_error(stalled, "Shed");
     client.send(&bytes[30_000..]);
-    for _ in 0..3 {
-        let id = client.request_object(OBJECT);
-        client.expect_error(id, "Shed");
-    }
+    expect_rejections(&mut client);
     cache.answer(&request, "200", b"open");
     client.expect_served(open, b"open");
     client.expect_clean_close();
@@ -82,10 +87,7 @@
         client.cancel(id);
     }
     until("the connection starts to close", || gateway.log().contains("cancels too many requests"));
-    for _ in 0..3 {
-        let id = client.request_object(OBJECT);
-        client.expect_error(id, "Shed");
-    }
+    expect_rejections(&mut client);
     cache.answer(&request, "200", b"open");
     client.expect_served(open, b"open");
     client.expect_clean_close();
