--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds every stand-in that a case of the second review starts, after the build of the deploy file. It needs no network.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cargo build --release --locked --offline --manifest-path review/standins-2/Cargo.toml --target-dir target/review-2
--- /dev/null
+++ b/review/standins-2/src/members.rs
@@ -0,0 +1,343 @@
+//! Caches, parents and the origin: RESP servers on loopback addresses.
+
+use crate::record::Record;
+use crate::world::{Role, World};
+use crate::{lock, now_ms, sleep_ms};
+use std::collections::{HashMap, HashSet};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// An attempt as it came to a member.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Unix ms.
+    pub at: f64,
+    pub member: String,
+    pub role: Role,
+    pub connection: u64,
+    pub id: String,
+    pub body: Vec<u8>,
+    pub fields: HashMap<String, String>,
+}
+
+impl Ask {
+    /// A field; empty if absent.
+    pub fn field(&self, name: &str) -> &str {
+        self.fields.get(name).map_or("", String::as_str)
+    }
+}
+
+/// What a member does with an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fate {
+    /// Serves it after its time.
+    Serve,
+    /// Serves it so many ms later.
+    Late(f64),
+    /// Never answers.
+    Hang,
+    /// Answers with a word and no bytes after so many ms.
+    Answer(&'static str, f64),
+    /// Runs it, and resets its connection after so many ms.
+    Reset(f64),
+}
+
+type Choose = dyn Fn(&Ask) -> Fate + Send + Sync;
+
+/// The servers of one site.
+pub struct Members {
+    pub world: Mutex<World>,
+    /// All attempts, in the order in which they came.
+    pub asks: Mutex<Vec<Ask>>,
+    /// Attempts given up by `QUIT`: Unix ms, member and id.
+    pub quits: Mutex<Vec<(f64, String, String)>>,
+    /// Health checks: Unix ms, member and connection.
+    pub probes: Mutex<Vec<(f64, String, u64)>>,
+    /// When an attempt's answer was written: Unix ms, member, id and word.
+    pub ends: Mutex<Vec<(f64, String, String, String)>>,
+    /// Writes that ran at the origin: Unix ms, id and idempotency key.
+    pub runs: Mutex<Vec<(f64, String, String)>>,
+    pub hit_ms: f64,
+    pub fill_ms: f64,
+    pub write_classes: HashSet<String>,
+    pub body_bytes: usize,
+    choose: Mutex<Arc<Choose>>,
+    roles: Mutex<HashMap<String, Role>>,
+    connections: AtomicU64,
+    record: Record,
+}
+
+/// A member that listens.
+#[derive(Clone, Debug)]
+pub struct Member {
+    pub id: String,
+    pub address: SocketAddr,
+    pub zone: &'static str,
+    pub kind: &'static str,
+    pub size: f64,
+}
+
+fn bulk(out: &mut Vec<u8>, bytes: &[u8]) {
+    out.extend(format!("${}\r\n", bytes.len()).as_bytes());
+    out.extend(bytes);
+    out.extend(b"\r\n");
+}
+
+fn number_line(reader: &mut impl BufRead, kind: u8) -> Option<usize> {
+    let mut line = String::new();
+    reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
+    let text = line.trim_end();
+    (text.as_bytes().first() == Some(&kind)).then(|| text[1..].parse().ok())?
+}
+
+fn read_command(reader: &mut impl BufRead) -> Option<Vec<Vec<u8>>> {
+    let count = number_line(reader, b'*')?;
+    let mut strings = Vec::new();
+    for _ in 0..count {
+        let length = number_line(reader, b'$')?;
+        let mut bytes = vec![0; length + 2];
+        reader.read_exact(&mut bytes).ok()?;
+        bytes.truncate(length);
+        strings.push(bytes);
+    }
+    Some(strings)
+}
+
+/// One connection of a gateway.
+struct Connection {
+    stream: Mutex<TcpStream>,
+    given_up: Mutex<HashSet<String>>,
+    is_open: AtomicBool,
+}
+
+unsafe extern "C" {
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const [i32; 2], length: u32) -> i32;
+}
+
+/// Makes the close of a socket a reset.
+pub fn reset_on_close(stream: &TcpStream) {
+    use std::os::fd::AsRawFd;
+    const SOL_SOCKET: i32 = 1;
+    const SO_LINGER: i32 = 13;
+    let linger = [1, 0];
+    // SAFETY: the pointer is to a `struct linger` (two C ints) that lives through the call.
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &linger, 8) };
+}
+
+impl Members {
+    /// Servers without members.
+    pub fn new(record: &Record, write_classes: &[&str], fresh_ms: &[(&str, f64)]) -> Arc<Members> {
+        let fresh_ms = fresh_ms.iter().map(|(class, ms)| ((*class).to_string(), *ms)).collect();
+        Arc::new(Members {
+            world: Mutex::new(World::new(fresh_ms)),
+            asks: Mutex::default(),
+            quits: Mutex::default(),
+            probes: Mutex::default(),
+            ends: Mutex::default(),
+            runs: Mutex::default(),
+            hit_ms: 5.0,
+            fill_ms: 30.0,
+            write_classes: write_classes.iter().map(|class| (*class).to_string()).collect(),
+            body_bytes: 2000,
+            choose: Mutex::new(Arc::new(|_: &Ask| Fate::Serve)),
+            roles: Mutex::default(),
+            connections: AtomicU64::new(0),
+            record: record.clone(),
+        })
+    }
+
+    /// Sets what the members do with attempts.
+    pub fn choose(&self, choose: impl Fn(&Ask) -> Fate + Send + Sync + 'static) {
+        *lock(&self.choose) = Arc::new(choose);
+    }
+
+    /// Starts a member on a free port.
+    pub fn start(
+        self: &Arc<Self>,
+        id: &str,
+        role: Role,
+        zone: &'static str,
+        kind: &'static str,
+        size: f64,
+    ) -> std::io::Result<Member> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        lock(&self.roles).insert(id.to_string(), role);
+        let (all, name) = (Arc::clone(self), id.to_string());
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (all, name) = (Arc::clone(&all), name.clone());
+                std::thread::spawn(move || all.serve(&name, role, stream));
+            }
+        });
+        Ok(Member { id: id.to_string(), address, zone, kind, size })
+    }
+
+    fn serve(self: Arc<Self>, member: &str, role: Role, stream: TcpStream) {
+        let number = self.connections.fetch_add(1, Ordering::Relaxed);
+        let _ = stream.set_nodelay(true);
+        let Ok(writer) = stream.try_clone() else { return };
+        let connection = Arc::new(Connection {
+            stream: Mutex::new(writer),
+            given_up: Mutex::default(),
+            is_open: AtomicBool::new(true),
+        });
+        let mut reader = BufReader::new(stream);
+        while let Some(command) = read_command(&mut reader) {
+            let text = |at: usize| {
+                command.get(at).map(|bytes| String::from_utf8_lossy(bytes).into_owned()).unwrap_or_default()
+            };
+            match (text(0).as_str(), command.len()) {
+                ("ASK", 4) => {
+                    let fields = text(2);
+                    let fields = fields.split(',').filter_map(|field| field.split_once('='));
+                    let fields = fields.map(|(name, value)| (name.to_string(), value.to_string())).collect();
+                    let ask = Ask {
+                        at: now_ms(),
+                        member: member.to_string(),
+                        role,
+                        connection: number,
+                        id: text(1),
+                        body: command[3].clone(),
+                        fields,
+                    };
+                    self.record.line(&format!("{member} ASK {} {}", ask.id, text(2)));
+                    lock(&connection.given_up).remove(&ask.id);
+                    lock(&self.asks).push(ask.clone());
+                    let (all, connection) = (Arc::clone(&self), Arc::clone(&connection));
+                    std::thread::spawn(move || all.run(&ask, &connection));
+                }
+                ("QUIT", 2) => {
+                    self.record.line(&format!("{member} QUIT {}", text(1)));
+                    lock(&connection.given_up).insert(text(1));
+                    lock(&self.quits).push((now_ms(), member.to_string(), text(1)));
+                }
+                ("NOOP" | "INFO", 2) => {
+                    lock(&self.probes).push((now_ms(), member.to_string(), number));
+                    let mut out = b"*4\r\n".to_vec();
+                    for part in [text(1).as_str(), "alive", "rep=inflight:1;x1:0.1", ""] {
+                        bulk(&mut out, part.as_bytes());
+                    }
+                    let _ = lock(&connection.stream).write_all(&out);
+                }
+                _ => break,
+            }
+        }
+        connection.is_open.store(false, Ordering::Relaxed);
+        let _ = lock(&connection.stream).shutdown(Shutdown::Both);
+    }
+
+    fn run(&self, ask: &Ask, connection: &Connection) {
+        let choose = Arc::clone(&*lock(&self.choose));
+        let later = match choose(ask) {
+            Fate::Serve => 0.0,
+            Fate::Late(ms) => ms,
+            Fate::Hang => return,
+            Fate::Answer(word, ms) => {
+                sleep_ms(ms);
+                return self.answer(ask, connection, word, "-", b"");
+            }
+            Fate::Reset(ms) => {
+                self.note_run(ask);
+                sleep_ms(ms);
+                self.note_end(ask, "reset");
+                let stream = lock(&connection.stream);
+                reset_on_close(&stream);
+                let _ = stream.shutdown(Shutdown::Both);
+                return;
+            }
+        };
+        sleep_ms(later);
+        if self.write_classes.contains(ask.field("lane")) {
+            let source = ask.field("miss");
+            let reaches_origin = ask.role == Role::Origin || !source.is_empty();
+            if !reaches_origin {
+                return self.answer(ask, connection, "404", "-", b"");
+            }
+            sleep_ms(self.fill_ms);
+            self.note_run(ask);
+            return self.answer(ask, connection, "200", &format!("entity=w,issued={:.0}", now_ms()), b"done");
+        }
+        match self.read(ask) {
+            Some(issued) => {
+                let (object, part) = (ask.field("name"), ask.field("piece"));
+                let unit = format!("{object}/{part}@{issued:.0};");
+                let body = unit.repeat(self.body_bytes / unit.len() + 1);
+                let fields = format!("entity=t{issued:.0},issued={issued:.0}");
+                self.answer(ask, connection, "200", &fields, body.as_bytes());
+            }
+            None => self.answer(ask, connection, "404", "-", b""),
+        }
+    }
+
+    /// Serves a read: returns when the origin gave out the copy.
+    fn read(&self, ask: &Ask) -> Option<f64> {
+        let (class, object, part) = (ask.field("lane"), ask.field("name"), ask.field("piece"));
+        let within: f64 = ask.field("within").parse().unwrap_or(0.0);
+        let local = ask.field("f").split('+').any(|word| word == "local");
+        let own = lock(&self.world).held(&ask.member, class, object, part, now_ms(), within);
+        sleep_ms(self.hit_ms);
+        if own.is_some() || ask.role == Role::Origin {
+            return own.or_else(|| Some(now_ms().floor()));
+        }
+        let source = ask.field("miss");
+        let role = lock(&self.roles).get(source).copied()?;
+        sleep_ms(self.fill_ms);
+        let mut world = lock(&self.world);
+        let upper =
+            if role == Role::Origin { None } else { world.held(source, class, object, part, now_ms(), within) };
+        if upper.is_none() && local {
+            return None;
+        }
+        let issued = upper.unwrap_or_else(|| now_ms().floor());
+        if role != Role::Origin {
+            world.store(source, object, part, issued);
+        }
+        if !ask.field("prio").is_empty() || ask.role == Role::Parent {
+            world.store(&ask.member, object, part, issued);
+        }
+        Some(issued)
+    }
+
+    fn note_run(&self, ask: &Ask) {
+        if self.write_classes.contains(ask.field("lane")) {
+            self.record.line(&format!("{} RUN {} {}", ask.member, ask.id, ask.field("dedupe")));
+            lock(&self.runs).push((now_ms(), ask.id.clone(), ask.field("dedupe").to_string()));
+        }
+    }
+
+    fn note_end(&self, ask: &Ask, word: &str) {
+        lock(&self.ends).push((now_ms(), ask.member.clone(), ask.id.clone(), word.to_string()));
+        self.record.line(&format!("{} END {} {word}", ask.member, ask.id));
+    }
+
+    fn answer(&self, ask: &Ask, connection: &Connection, word: &str, fields: &str, body: &[u8]) {
+        if lock(&connection.given_up).remove(&ask.id) || !connection.is_open.load(Ordering::Relaxed) {
+            return;
+        }
+        let mut out = b"*4\r\n".to_vec();
+        for part in [ask.id.as_bytes(), word.as_bytes(), fields.as_bytes(), body] {
+            bulk(&mut out, part);
+        }
+        let _ = lock(&connection.stream).write_all(&out);
+        self.note_end(ask, word);
+    }
+}
+
+/// When the origin gave out the copy that a body comes from, Unix ms.
+pub fn issued_of(body: &[u8]) -> Option<f64> {
+    let text = std::str::from_utf8(body).ok()?;
+    text.split_once('@')?.1.split_once(';')?.0.parse().ok()
+}
+
+/// Whether a body is whole and belongs to an object.
+pub fn is_body_of(body: &[u8], object: u64) -> bool {
+    let Ok(text) = std::str::from_utf8(body) else { return false };
+    let Some((unit, _)) = text.split_once(';') else { return false };
+    let unit = format!("{unit};");
+    unit.starts_with(&format!("{object:016x}/"))
+        && text.len() % unit.len() == 0
+        && unit.repeat(text.len() / unit.len()) == text
+}
