Review case: two attempts of one request at once after a cut link

Cause: requesting and serving side let a session between sites expire on their own clocks; the serving side is later.

--- a/review/standins-2/src/bin/slow_feed.rs
+++ b/review/standins-2/src/bin/slow_feed.rs
@@ -3,11 +3,9 @@
 
 use review_standins_2::case::{self, Case, Verdict};
 use review_standins_2::client::{Client, Request};
-use review_standins_2::feed::{Feed, Pace, entry};
-use review_standins_2::members::Members;
-use review_standins_2::platform::{Setup, free_address};
-use review_standins_2::settings::{Figures, settings};
-use review_standins_2::world::Role;
+use review_standins_2::feed::{Pace, entry};
+use review_standins_2::settings::Figures;
+use review_standins_2::site::Site;
 use review_standins_2::{lock, now_ms, sleep_ms};
 use std::process::ExitCode;
 
@@ -20,25 +18,9 @@
 
 fn run(case: &Case) -> std::io::Result<Verdict> {
     let figures = Figures::default();
-    let members = Members::new(&case.record, &["booking"], &[("small", 12_000.0)]);
-    let mut all = Vec::new();
-    for number in 1..=4 {
-        all.push(members.start(&format!("s-c{number}"), Role::Cache, "edge-1", "box-a", 40.0)?);
-    }
-    all.push(members.start("s-p1", Role::Parent, "west", "parent", 80.0)?);
-    all.push(members.start("s-p2", Role::Parent, "east", "parent", 80.0)?);
-    all.push(members.start("s-o1", Role::Origin, "west", "origin", 1.0)?);
-    let (feed, address) = Feed::start(&all, &case.record)?;
-    let setup = Setup {
-        root: case.root.clone(),
-        folder: case.folder.path().to_path_buf(),
-        name: "n1".into(),
-        listen: free_address()?,
-        feed: address,
-        settings: settings(&figures, 0, 1),
-        known: feed.known(),
-        operator: None,
-    };
+    let site = Site::start("s", 4, &case.record)?;
+    let Site { members, list: all, feed, .. } = &site;
+    let setup = site.setup(&case.root, case.folder.path(), "n1", &figures, None)?;
     let mut gateway = setup.start(&case.record)?;
     gateway.wait_ready()?;
     let begin = now_ms();
--- a/review/standins-2/src/case.rs
+++ b/review/standins-2/src/case.rs
@@ -58,7 +58,8 @@
 
 fn prepare() -> std::io::Result<Case> {
     let root = std::env::current_dir()?;
-    let folder = std::env::args().nth(1).ok_or_else(|| std::io::Error::other("the folder of the case is missing"))?;
+    let folder =
+        std::env::args().nth(1).ok_or_else(|| std::io::Error::other("the folder of the case is missing"))?;
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::create(&root.join(folder).join("record.txt"))?;
     record.line(&format!("disruption: {trouble}"));
--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -81,6 +81,31 @@
     format!("{:016x}", (number ^ (now_ms() as u64) << 20).wrapping_mul(0x9e37_79b9_7f4a_7c15))
 }
 
+/// The bytes of a request under a message id, and its new name.
+pub fn encode(id: u32, request: &Request) -> (Vec<u8>, String) {
+    let name = new_name();
+    let mut fields: Vec<(&str, String)> = vec![
+        ("ref", name.clone()),
+        ("allow", request.allow_ms.to_string()),
+        ("lookup", format!("{:016x}", request.object)),
+        ("bucket", (request.object % 256).to_string()),
+        ("room", format!("{:.1}", request.size_kb)),
+    ];
+    if let Some(part) = request.part {
+        fields.push(("seg", part.to_string()));
+    }
+    if let Some(key) = &request.key {
+        fields.push(("replay", key.clone()));
+    }
+    let mut bytes = vec![0x94, 0x00];
+    put_int(&mut bytes, id);
+    put_text(&mut bytes, request.class);
+    bytes.push(0x92);
+    put_fields(&mut bytes, &fields);
+    put_bin(&mut bytes, &request.body);
+    (bytes, name)
+}
+
 fn kind(error: &Value, result: &Value) -> Result<Kind, String> {
     let word = |value: &Value| match value {
         Value::Text(text) => text.clone(),
@@ -182,26 +207,7 @@
     /// Sends a request; `None` if the connection has ended.
     pub fn send(&mut self, request: &Request) -> Option<Sent> {
         let id = self.next_id;
-        let name = new_name();
-        let mut fields: Vec<(&str, String)> = vec![
-            ("ref", name.clone()),
-            ("allow", request.allow_ms.to_string()),
-            ("lookup", format!("{:016x}", request.object)),
-            ("bucket", (request.object % 256).to_string()),
-            ("room", format!("{:.1}", request.size_kb)),
-        ];
-        if let Some(part) = request.part {
-            fields.push(("seg", part.to_string()));
-        }
-        if let Some(key) = &request.key {
-            fields.push(("replay", key.clone()));
-        }
-        let mut bytes = vec![0x94, 0x00];
-        put_int(&mut bytes, id);
-        put_text(&mut bytes, request.class);
-        bytes.push(0x92);
-        put_fields(&mut bytes, &fields);
-        put_bin(&mut bytes, &request.body);
+        let (bytes, name) = encode(id, request);
         if lock(&self.state).ended_at.is_some() {
             return None;
         }
--- a/review/standins-2/src/feed.rs
+++ b/review/standins-2/src/feed.rs
@@ -33,7 +33,8 @@
 impl Feed {
     /// A feed whose first event is the whole list; returns it with its address.
     pub fn start(members: &[Member], record: &Record) -> std::io::Result<(Arc<Feed>, SocketAddr)> {
-        let feed = Arc::new(Feed { events: Mutex::default(), pace: Mutex::default(), record: record.clone() });
+        let feed =
+            Arc::new(Feed { events: Mutex::default(), pace: Mutex::default(), record: record.clone() });
         let entries: Vec<String> = members.iter().map(|member| entry(member, "Ready", 0.0)).collect();
         feed.tell(&format!(
             "\"members\":{{\"revision\":1,\"complete\":true,\"members\":[{}]}}",
@@ -93,7 +94,8 @@
             return;
         }
         self.record.line(&format!("feed got {}", line.trim_end()));
-        let Some(mut last) = line.trim_end().strip_prefix("SUB ").and_then(|n| n.parse::<usize>().ok()) else {
+        let Some(mut last) = line.trim_end().strip_prefix("SUB ").and_then(|n| n.parse::<usize>().ok())
+        else {
             return;
         };
         let mut next_beat = now_ms() + 1000.0;
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod relay;
 pub mod settings;
 pub mod site;
+mod sys;
 pub mod world;
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
--- a/review/standins-2/src/members.rs
+++ b/review/standins-2/src/members.rs
@@ -1,6 +1,7 @@
 //! Caches, parents and the origin: RESP servers on loopback addresses.
 
 use crate::record::Record;
+use crate::sys::reset_on_close;
 use crate::world::{Role, World};
 use crate::{lock, now_ms, sleep_ms};
 use std::collections::{HashMap, HashSet};
@@ -36,6 +37,8 @@
     Serve,
     /// Serves it so many ms later.
     Late(f64),
+    /// Serves it, and takes so many ms to send the bytes.
+    Send(f64),
     /// Never answers.
     Hang,
     /// Answers with a word and no bytes after so many ms.
@@ -57,6 +60,8 @@
     pub probes: Mutex<Vec<(f64, String, u64)>>,
     /// When an attempt's answer was written: Unix ms, member, id and word.
     pub ends: Mutex<Vec<(f64, String, String, String)>>,
+    /// When a gateway's connection ended: Unix ms and its number.
+    pub closes: Mutex<Vec<(f64, u64)>>,
     /// Writes that ran at the origin: Unix ms, id and idempotency key.
     pub runs: Mutex<Vec<(f64, String, String)>>,
     pub hit_ms: f64,
@@ -112,23 +117,14 @@
     is_open: AtomicBool,
 }
 
-unsafe extern "C" {
-    fn setsockopt(socket: i32, level: i32, name: i32, value: *const [i32; 2], length: u32) -> i32;
-}
-
-/// Makes the close of a socket a reset.
-pub fn reset_on_close(stream: &TcpStream) {
-    use std::os::fd::AsRawFd;
-    const SOL_SOCKET: i32 = 1;
-    const SO_LINGER: i32 = 13;
-    let linger = [1, 0];
-    // SAFETY: the pointer is to a `struct linger` (two C ints) that lives through the call.
-    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &linger, 8) };
-}
-
 impl Members {
     /// Servers without members.
-    pub fn new(record: &Record, write_classes: &[&str], fresh_ms: &[(&str, f64)]) -> Arc<Members> {
+    pub fn new(
+        record: &Record,
+        write_classes: &[&str],
+        fresh_ms: &[(&str, f64)],
+        body_bytes: usize,
+    ) -> Arc<Members> {
         let fresh_ms = fresh_ms.iter().map(|(class, ms)| ((*class).to_string(), *ms)).collect();
         Arc::new(Members {
             world: Mutex::new(World::new(fresh_ms)),
@@ -136,11 +132,12 @@
             quits: Mutex::default(),
             probes: Mutex::default(),
             ends: Mutex::default(),
+            closes: Mutex::default(),
             runs: Mutex::default(),
             hit_ms: 5.0,
             fill_ms: 30.0,
             write_classes: write_classes.iter().map(|class| (*class).to_string()).collect(),
-            body_bytes: 2000,
+            body_bytes,
             choose: Mutex::new(Arc::new(|_: &Ask| Fate::Serve)),
             roles: Mutex::default(),
             connections: AtomicU64::new(0),
@@ -226,14 +223,18 @@
             }
         }
         connection.is_open.store(false, Ordering::Relaxed);
+        lock(&self.closes).push((now_ms(), number));
         let _ = lock(&connection.stream).shutdown(Shutdown::Both);
     }
 
     fn run(&self, ask: &Ask, connection: &Connection) {
         let choose = Arc::clone(&*lock(&self.choose));
-        let later = match choose(ask) {
+        let fate = choose(ask);
+        let sending = if let Fate::Send(ms) = fate { ms } else { 0.0 };
+        let later = match fate {
             Fate::Serve => 0.0,
             Fate::Late(ms) => ms,
+            Fate::Send(_) => 0.0,
             Fate::Hang => return,
             Fate::Answer(word, ms) => {
                 sleep_ms(ms);
@@ -244,7 +245,7 @@
                 sleep_ms(ms);
                 self.note_end(ask, "reset");
                 let stream = lock(&connection.stream);
-                reset_on_close(&stream);
+                reset_on_close(&*stream);
                 let _ = stream.shutdown(Shutdown::Both);
                 return;
             }
@@ -262,9 +263,10 @@
         }
         match self.read(ask) {
             Some(issued) => {
+                sleep_ms(sending);
                 let (object, part) = (ask.field("name"), ask.field("piece"));
                 let unit = format!("{object}/{part}@{issued:.0};");
-                let body = unit.repeat(self.body_bytes / unit.len() + 1);
+                let body = unit.repeat(self.body_bytes / unit.len());
                 let fields = format!("entity=t{issued:.0},issued={issued:.0}");
                 self.answer(ask, connection, "200", &fields, body.as_bytes());
             }
@@ -286,8 +288,11 @@
         let role = lock(&self.roles).get(source).copied()?;
         sleep_ms(self.fill_ms);
         let mut world = lock(&self.world);
-        let upper =
-            if role == Role::Origin { None } else { world.held(source, class, object, part, now_ms(), within) };
+        let upper = if role == Role::Origin {
+            None
+        } else {
+            world.held(source, class, object, part, now_ms(), within)
+        };
         if upper.is_none() && local {
             return None;
         }
--- a/review/standins-2/src/platform.rs
+++ b/review/standins-2/src/platform.rs
@@ -2,6 +2,7 @@
 
 use crate::client::Client;
 use crate::record::Record;
+use crate::sys::send_signal;
 use crate::{lock, now_ms, sleep_ms};
 use std::fs::{self, File};
 use std::io;
@@ -10,10 +11,6 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
 
-unsafe extern "C" {
-    fn kill(process: i32, signal: i32) -> i32;
-}
-
 /// A signal.
 #[derive(Clone, Copy, Debug)]
 pub enum Signal {
@@ -26,8 +23,7 @@
 
 /// Sends a signal to a child of this process.
 pub fn signal(child: &Child, signal: Signal) {
-    // SAFETY: a call without pointers; the process is a child that was not waited for.
-    unsafe { kill(child.id() as i32, signal as i32) };
+    send_signal(child.id(), signal as i32);
 }
 
 /// The processes that were started and not waited for.
@@ -36,8 +32,7 @@
 /// Kills all processes that were started.
 pub fn kill_all() {
     for process in lock(&STARTED).drain(..) {
-        // SAFETY: a call without pointers; the process is a child that was not waited for.
-        unsafe { kill(process as i32, Signal::Kill as i32) };
+        send_signal(process, Signal::Kill as i32);
     }
 }
 
@@ -66,7 +61,8 @@
 impl Folder {
     /// Creates the folder.
     pub fn create() -> io::Result<Folder> {
-        let path = std::env::temp_dir().join(format!("deckproxy-review-{}-{:.0}", std::process::id(), now_ms()));
+        let path =
+            std::env::temp_dir().join(format!("deckproxy-review-{}-{:.0}", std::process::id(), now_ms()));
         fs::create_dir_all(&path)?;
         Ok(Folder(path))
     }
@@ -210,6 +206,11 @@
         Err(io::Error::other(format!("{} is not ready", self.name)))
     }
 
+    /// The id of its process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal.
     pub fn signal(&self, which: Signal) {
         self.record.line(&format!("signal {which:?} to {}", self.name));
--- a/review/standins-2/src/relay.rs
+++ b/review/standins-2/src/relay.rs
@@ -1,7 +1,7 @@
 //! A relay between two programs: the network of a case. It can be cut: it then passes nothing on, and accepts nothing.
 
-use crate::members::reset_on_close;
 use crate::record::Record;
+use crate::sys::{limit_receive_buffer, reset_on_close};
 use crate::{lock, sleep_ms};
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -9,6 +9,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+/// The receive buffer of the relay's sockets.
+const RECEIVE_BUFFER_BYTES: i32 = 4096;
+
 /// A relay to one address.
 pub struct Relay {
     cut: AtomicBool,
@@ -21,6 +24,9 @@
     /// Starts a relay; returns it with its address.
     pub fn start(name: &str, to: SocketAddr, record: &Record) -> std::io::Result<(Arc<Relay>, SocketAddr)> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
+        // The kernel acknowledges bytes that the relay has not read. With a small buffer these are few, as they are
+        // where the network itself is cut.
+        limit_receive_buffer(&listener, RECEIVE_BUFFER_BYTES);
         let address = listener.local_addr()?;
         let relay = Arc::new(Relay {
             cut: AtomicBool::new(false),
@@ -98,7 +104,8 @@
                         break;
                     }
                 }
-                Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {}
+                Err(e)
+                    if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {}
                 Err(_) => break,
             }
         }
--- a/review/standins-2/src/settings.rs
+++ b/review/standins-2/src/settings.rs
@@ -8,6 +8,8 @@
     pub dedup_window_ms: f64,
     /// The effect of the class `booking`: `dedup` or `fragile`.
     pub booking_effect: &'static str,
+    /// The effect of the class `small`.
+    pub small_effect: &'static str,
 }
 
 impl Default for Figures {
@@ -17,13 +19,21 @@
             drain_grace_ms: 500.0,
             dedup_window_ms: 6000.0,
             booking_effect: "dedup",
+            small_effect: "retryable",
         }
     }
 }
 
 /// The JSON of `settings` for a gateway in zone `edge-1`, number `position` of `group_size`.
 pub fn settings(figures: &Figures, position: usize, group_size: usize) -> String {
-    let class = |name: &str, aim: f64, stretch: f64, deadline: f64, worth: f64, late: f64, effect: &str, window: f64| {
+    let class = |name: &str,
+                 aim: f64,
+                 stretch: f64,
+                 deadline: f64,
+                 worth: f64,
+                 late: f64,
+                 effect: &str,
+                 window: f64| {
         format!(
             "{{\"name\":\"{name}\",\"aimMs\":{aim:.1},\"aimStretch\":{stretch:.1},\"deadlineMs\":{deadline:.1},\
              \"dedupWindowMs\":{window:.1},\"effect\":\"{effect}\",\"group\":\"all\",\"importance\":{worth:.1},\
@@ -32,7 +42,7 @@
     };
     let classes = [
         class("video", 600.0, 1.6, 5000.0, 2.0, 0.15, "retryable", 5000.0),
-        class("small", 400.0, 2.0, 2500.0, 1.0, 0.2, "retryable", 5000.0),
+        class("small", 400.0, 2.0, 2500.0, 1.0, 0.2, figures.small_effect, figures.dedup_window_ms),
         class("booking", 800.0, 0.0, 3000.0, 3.0, 0.0, figures.booking_effect, figures.dedup_window_ms),
     ];
     let Figures { purge_grace_ms, drain_grace_ms, .. } = figures;
