Review case: a refused retry leads to a booking that runs twice

Change: a case with a crowded store. The first try runs and fails, the marked retry is refused, and the client that heeds the refusal comes again when the store has forgotten the key.

--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -15,7 +15,8 @@
 pub enum Kind {
     Served(Vec<u8>),
     NotModified,
-    Refused,
+    /// With the time to stay away, ms; 0 if none was given.
+    Refused(u32),
     Failed(String),
 }
 
@@ -34,6 +35,8 @@
     pub part: Option<u32>,
     pub allow_ms: u32,
     pub key: Option<String>,
+    /// Whether the client marks it as a retry.
+    pub is_retry: bool,
     pub size_kb: f64,
     pub body: Vec<u8>,
 }
@@ -41,7 +44,16 @@
 impl Request {
     /// A read of an object with one part.
     pub fn read(class: &'static str, object: u64, allow_ms: u32) -> Request {
-        Request { class, object, part: None, allow_ms, key: None, size_kb: 300.0, body: Vec::new() }
+        Request {
+            class,
+            object,
+            part: None,
+            allow_ms,
+            key: None,
+            is_retry: false,
+            size_kb: 300.0,
+            body: Vec::new(),
+        }
     }
 }
 
@@ -97,6 +109,9 @@
     if let Some(key) = &request.key {
         fields.push(("replay", key.clone()));
     }
+    if request.is_retry {
+        fields.push(("dup", "1".into()));
+    }
     let mut bytes = vec![0x94, 0x00];
     put_int(&mut bytes, id);
     put_text(&mut bytes, request.class);
@@ -106,6 +121,16 @@
     (bytes, name)
 }
 
+/// The field `cooldown` of a refusal.
+fn cooldown(error: &[Value]) -> u32 {
+    let Some(Value::Map(fields)) = error.get(1) else { return 0 };
+    let field = fields.iter().find(|(name, _)| *name == Value::Text("cooldown".into()));
+    field.map_or(0, |(_, value)| match value {
+        Value::Text(text) => text.parse().unwrap_or(0),
+        _ => 0,
+    })
+}
+
 fn kind(error: &Value, result: &Value) -> Result<Kind, String> {
     let word = |value: &Value| match value {
         Value::Text(text) => text.clone(),
@@ -114,7 +139,7 @@
     match (error, result) {
         (Value::List(error), Value::Nil) => {
             let name = error.first().map(word).unwrap_or_default();
-            Ok(if name == "Shed" { Kind::Refused } else { Kind::Failed(name) })
+            Ok(if name == "Shed" { Kind::Refused(cooldown(error)) } else { Kind::Failed(name) })
         }
         (Value::Nil, Value::List(items)) => match items.as_slice() {
             [Value::Bool(_), _] => Ok(Kind::Served(Vec::new())),
@@ -219,6 +244,22 @@
         Some(Sent { id, name, object, class, sent_at: now_ms(), allow_ms })
     }
 
+    /// Sends a request in two halves with a pause between them; `None` if the connection has ended before.
+    pub fn send_in_halves(&mut self, request: &Request, pause_ms: f64) -> Option<Sent> {
+        let id = self.next_id;
+        let (bytes, name) = encode(id, request);
+        self.next_id += 1;
+        let (first, rest) = bytes.split_at(bytes.len() / 2);
+        self.record.line(&format!("{} request {id}: first half of {name}", self.label));
+        self.stream.write_all(first).ok()?;
+        crate::sleep_ms(pause_ms);
+        // The gateway may have closed the connection meanwhile.
+        let written = self.stream.write_all(rest).is_ok();
+        self.record.line(&format!("{} request {id}: second half, written: {written}", self.label));
+        let (object, class, allow_ms) = (request.object, request.class, request.allow_ms);
+        Some(Sent { id, name, object, class, sent_at: now_ms(), allow_ms })
+    }
+
     /// Sends `abort` for a request.
     pub fn abort(&mut self, id: u32) {
         let mut bytes = vec![0x93, 0x02];
--- a/review/standins-2/src/members.rs
+++ b/review/standins-2/src/members.rs
@@ -43,6 +43,8 @@
     Hang,
     /// Answers with a word and no bytes after so many ms.
     Answer(&'static str, f64),
+    /// Runs a write at once, and answers after so many ms.
+    RunThenAnswer(f64),
     /// Runs it, and resets its connection after so many ms.
     Reset(f64),
 }
@@ -240,6 +242,12 @@
                 sleep_ms(ms);
                 return self.answer(ask, connection, word, "-", b"");
             }
+            Fate::RunThenAnswer(ms) => {
+                self.note_run(ask);
+                sleep_ms(ms);
+                let fields = format!("entity=w,issued={:.0}", now_ms());
+                return self.answer(ask, connection, "200", &fields, b"done");
+            }
             Fate::Reset(ms) => {
                 self.note_run(ask);
                 sleep_ms(ms);
