--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -72,7 +72,6 @@
 struct State {
     answers: HashMap<u32, Vec<Answer>>,
     ended_at: Option<f64>,
-    fault: Option<String>,
     bytes_read: u64,
 }
 
@@ -173,7 +172,7 @@
                     value
                 }
                 Err(error) => {
-                    lock(state).fault = Some(error);
+                    record.line(&format!("{label}: {error}"));
                     return;
                 }
             };
@@ -191,7 +190,7 @@
                     let answer = Answer { at: now_ms(), kind };
                     lock(state).answers.entry(*id as u32).or_default().push(answer);
                 }
-                Err(error) => lock(state).fault = Some(error),
+                Err(error) => record.line(&format!("{label}: {error}")),
             }
         }
         buffer.drain(..used);
@@ -260,25 +259,11 @@
         Some(Sent { id, name, object, class, sent_at: now_ms(), allow_ms })
     }
 
-    /// Sends `abort` for a request.
-    pub fn abort(&mut self, id: u32) {
-        let mut bytes = vec![0x93, 0x02];
-        put_text(&mut bytes, "abort");
-        bytes.push(0x91);
-        put_int(&mut bytes, id);
-        let _ = self.stream.write_all(&bytes);
-    }
-
     /// The first answer to a request.
     pub fn answer(&self, id: u32) -> Option<Answer> {
         lock(&self.state).answers.get(&id).and_then(|answers| answers.first().cloned())
     }
 
-    /// Number of answers to a request.
-    pub fn answer_count(&self, id: u32) -> usize {
-        lock(&self.state).answers.get(&id).map_or(0, Vec::len)
-    }
-
     /// Waits for the answer until a Unix time, ms.
     pub fn wait(&self, id: u32, until: f64) -> Option<Answer> {
         loop {
@@ -297,11 +282,6 @@
         lock(&self.state).ended_at.is_some()
     }
 
-    /// What could not be read, if anything.
-    pub fn fault(&self) -> Option<String> {
-        lock(&self.state).fault.clone()
-    }
-
     /// Bytes read so far.
     pub fn bytes_read(&self) -> u64 {
         lock(&self.state).bytes_read
--- a/review/standins-2/src/feed.rs
+++ b/review/standins-2/src/feed.rs
@@ -70,11 +70,6 @@
         ))
     }
 
-    /// Adds the purge of an object. Returns the Unix ms.
-    pub fn tell_purge(&self, object: &str, at: f64) -> f64 {
-        self.tell(&format!("\"purge\":{{\"key\":\"{object}\",\"at\":{at:.0}}}"))
-    }
-
     /// Sets how events are written from now on.
     pub fn set_pace(&self, pace: Option<Pace>) {
         *lock(&self.pace) = pace;
--- a/review/standins-2/src/members.rs
+++ b/review/standins-2/src/members.rs
@@ -1,7 +1,6 @@
 //! Caches, parents and the origin: RESP servers on loopback addresses.
 
 use crate::record::Record;
-use crate::sys::reset_on_close;
 use crate::world::{Role, World};
 use crate::{lock, now_ms, sleep_ms};
 use std::collections::{HashMap, HashSet};
@@ -10,6 +9,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
+/// Bytes of a part, at most.
+const BODY_BYTES: usize = 2000;
+
 /// An attempt as it came to a member.
 #[derive(Clone, Debug)]
 pub struct Ask {
@@ -35,18 +37,12 @@
 pub enum Fate {
     /// Serves it after its time.
     Serve,
-    /// Serves it so many ms later.
-    Late(f64),
     /// Serves it, and takes so many ms to send the bytes.
     Send(f64),
-    /// Never answers.
-    Hang,
     /// Answers with a word and no bytes after so many ms.
     Answer(&'static str, f64),
     /// Runs a write at once, and answers after so many ms.
     RunThenAnswer(f64),
-    /// Runs it, and resets its connection after so many ms.
-    Reset(f64),
 }
 
 type Choose = dyn Fn(&Ask) -> Fate + Send + Sync;
@@ -58,8 +54,6 @@
     pub asks: Mutex<Vec<Ask>>,
     /// Attempts given up by `QUIT`: Unix ms, member and id.
     pub quits: Mutex<Vec<(f64, String, String)>>,
-    /// Health checks: Unix ms, member and connection.
-    pub probes: Mutex<Vec<(f64, String, u64)>>,
     /// When an attempt's answer was written: Unix ms, member, id and word.
     pub ends: Mutex<Vec<(f64, String, String, String)>>,
     /// When a gateway's connection ended: Unix ms and its number.
@@ -69,7 +63,6 @@
     pub hit_ms: f64,
     pub fill_ms: f64,
     pub write_classes: HashSet<String>,
-    pub body_bytes: usize,
     choose: Mutex<Arc<Choose>>,
     roles: Mutex<HashMap<String, Role>>,
     connections: AtomicU64,
@@ -121,25 +114,18 @@
 
 impl Members {
     /// Servers without members.
-    pub fn new(
-        record: &Record,
-        write_classes: &[&str],
-        fresh_ms: &[(&str, f64)],
-        body_bytes: usize,
-    ) -> Arc<Members> {
+    pub fn new(record: &Record, write_classes: &[&str], fresh_ms: &[(&str, f64)]) -> Arc<Members> {
         let fresh_ms = fresh_ms.iter().map(|(class, ms)| ((*class).to_string(), *ms)).collect();
         Arc::new(Members {
             world: Mutex::new(World::new(fresh_ms)),
             asks: Mutex::default(),
             quits: Mutex::default(),
-            probes: Mutex::default(),
             ends: Mutex::default(),
             closes: Mutex::default(),
             runs: Mutex::default(),
             hit_ms: 5.0,
             fill_ms: 30.0,
             write_classes: write_classes.iter().map(|class| (*class).to_string()).collect(),
-            body_bytes,
             choose: Mutex::new(Arc::new(|_: &Ask| Fate::Serve)),
             roles: Mutex::default(),
             connections: AtomicU64::new(0),
@@ -214,7 +200,6 @@
                     lock(&self.quits).push((now_ms(), member.to_string(), text(1)));
                 }
                 ("NOOP" | "INFO", 2) => {
-                    lock(&self.probes).push((now_ms(), member.to_string(), number));
                     let mut out = b"*4\r\n".to_vec();
                     for part in [text(1).as_str(), "alive", "rep=inflight:1;x1:0.1", ""] {
                         bulk(&mut out, part.as_bytes());
@@ -232,12 +217,9 @@
     fn run(&self, ask: &Ask, connection: &Connection) {
         let choose = Arc::clone(&*lock(&self.choose));
         let fate = choose(ask);
-        let sending = if let Fate::Send(ms) = fate { ms } else { 0.0 };
-        let later = match fate {
+        let sending = match fate {
             Fate::Serve => 0.0,
-            Fate::Late(ms) => ms,
-            Fate::Send(_) => 0.0,
-            Fate::Hang => return,
+            Fate::Send(ms) => ms,
             Fate::Answer(word, ms) => {
                 sleep_ms(ms);
                 return self.answer(ask, connection, word, "-", b"");
@@ -248,17 +230,7 @@
                 let fields = format!("entity=w,issued={:.0}", now_ms());
                 return self.answer(ask, connection, "200", &fields, b"done");
             }
-            Fate::Reset(ms) => {
-                self.note_run(ask);
-                sleep_ms(ms);
-                self.note_end(ask, "reset");
-                let stream = lock(&connection.stream);
-                reset_on_close(&*stream);
-                let _ = stream.shutdown(Shutdown::Both);
-                return;
-            }
         };
-        sleep_ms(later);
         if self.write_classes.contains(ask.field("lane")) {
             let source = ask.field("miss");
             let reaches_origin = ask.role == Role::Origin || !source.is_empty();
@@ -274,7 +246,7 @@
                 sleep_ms(sending);
                 let (object, part) = (ask.field("name"), ask.field("piece"));
                 let unit = format!("{object}/{part}@{issued:.0};");
-                let body = unit.repeat(self.body_bytes / unit.len());
+                let body = unit.repeat(BODY_BYTES / unit.len());
                 let fields = format!("entity=t{issued:.0},issued={issued:.0}");
                 self.answer(ask, connection, "200", &fields, body.as_bytes());
             }
@@ -338,19 +310,3 @@
         self.note_end(ask, word);
     }
 }
-
-/// When the origin gave out the copy that a body comes from, Unix ms.
-pub fn issued_of(body: &[u8]) -> Option<f64> {
-    let text = std::str::from_utf8(body).ok()?;
-    text.split_once('@')?.1.split_once(';')?.0.parse().ok()
-}
-
-/// Whether a body is whole and belongs to an object.
-pub fn is_body_of(body: &[u8], object: u64) -> bool {
-    let Ok(text) = std::str::from_utf8(body) else { return false };
-    let Some((unit, _)) = text.split_once(';') else { return false };
-    let unit = format!("{unit};");
-    unit.starts_with(&format!("{object:016x}/"))
-        && text.len() % unit.len() == 0
-        && unit.repeat(text.len() / unit.len()) == text
-}
--- a/review/standins-2/src/platform.rs
+++ b/review/standins-2/src/platform.rs
@@ -14,11 +14,8 @@
 /// A signal.
 #[derive(Clone, Copy, Debug)]
 pub enum Signal {
-    Hup = 1,
     Kill = 9,
     Term = 15,
-    Cont = 18,
-    Stop = 19,
 }
 
 /// Sends a signal to a child of this process.
@@ -84,13 +81,6 @@
     child: Child,
 }
 
-impl Program {
-    /// Sends a signal.
-    pub fn signal(&self, which: Signal) {
-        signal(&self.child, which);
-    }
-}
-
 impl Drop for Program {
     fn drop(&mut self) {
         end(&mut self.child);
@@ -206,11 +196,6 @@
         Err(io::Error::other(format!("{} is not ready", self.name)))
     }
 
-    /// The id of its process.
-    pub fn pid(&self) -> u32 {
-        self.child.id()
-    }
-
     /// Sends a signal.
     pub fn signal(&self, which: Signal) {
         self.record.line(&format!("signal {which:?} to {}", self.name));
@@ -233,12 +218,6 @@
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
     }
-
-    /// Kills it, and waits for its end.
-    pub fn kill(&mut self) {
-        self.record.line(&format!("kill {}", self.name));
-        end(&mut self.child);
-    }
 }
 
 impl Drop for Gateway {
--- a/review/standins-2/src/settings.rs
+++ b/review/standins-2/src/settings.rs
@@ -6,21 +6,11 @@
     pub purge_grace_ms: f64,
     pub drain_grace_ms: f64,
     pub dedup_window_ms: f64,
-    /// The effect of the class `booking`: `dedup` or `fragile`.
-    pub booking_effect: &'static str,
-    /// The effect of the class `small`.
-    pub small_effect: &'static str,
 }
 
 impl Default for Figures {
     fn default() -> Self {
-        Figures {
-            purge_grace_ms: 1000.0,
-            drain_grace_ms: 500.0,
-            dedup_window_ms: 6000.0,
-            booking_effect: "dedup",
-            small_effect: "retryable",
-        }
+        Figures { purge_grace_ms: 1000.0, drain_grace_ms: 500.0, dedup_window_ms: 6000.0 }
     }
 }
 
@@ -42,8 +32,8 @@
     };
     let classes = [
         class("video", 600.0, 1.6, 5000.0, 2.0, 0.15, "retryable", 5000.0),
-        class("small", 400.0, 2.0, 2500.0, 1.0, 0.2, figures.small_effect, figures.dedup_window_ms),
-        class("booking", 800.0, 0.0, 3000.0, 3.0, 0.0, figures.booking_effect, figures.dedup_window_ms),
+        class("small", 400.0, 2.0, 2500.0, 1.0, 0.2, "retryable", 5000.0),
+        class("booking", 800.0, 0.0, 3000.0, 3.0, 0.0, "dedup", figures.dedup_window_ms),
     ];
     let Figures { purge_grace_ms, drain_grace_ms, .. } = figures;
     format!(
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -22,17 +22,7 @@
 impl Site {
     /// Starts the members, whose names begin with `prefix`, and the feed.
     pub fn start(prefix: &str, caches: usize, record: &Record) -> std::io::Result<Site> {
-        Site::start_with(prefix, caches, 2000, record)
-    }
-
-    /// The same with bodies of up to so many bytes.
-    pub fn start_with(
-        prefix: &str,
-        caches: usize,
-        body_bytes: usize,
-        record: &Record,
-    ) -> std::io::Result<Site> {
-        let members = Members::new(record, &["booking"], &[("small", 12_000.0)], body_bytes);
+        let members = Members::new(record, &["booking"], &[("small", 12_000.0)]);
         let mut list = Vec::new();
         for number in 1..=caches {
             list.push(members.start(&format!("{prefix}-c{number}"), Role::Cache, "edge-1", "box-a", 40.0)?);
