Review: stand-ins for bursts of clients and the limit on memory

Cause: the review looks at the limits that the platform sets for memory, which no case tried so far.

--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -1,10 +1,12 @@
 //! Stand-ins for the cases of the second review: clients, caches with parents and an origin, the control feed, the
 //! platform that starts gateways, and a relay. They follow the operators' pages on the protocol and the deployment.
 
+pub mod burst;
 pub mod case;
 pub mod client;
 pub mod feed;
 pub mod members;
+pub mod memory;
 pub mod msgpack;
 pub mod platform;
 pub mod record;
--- a/review/standins-2/src/members.rs
+++ b/review/standins-2/src/members.rs
@@ -39,6 +39,8 @@
     Serve,
     /// Serves it, and takes so many ms to send the bytes.
     Send(f64),
+    /// Serves it with a body of so many bytes, which it sends evenly in so many ms.
+    SendSlowly { bytes: usize, ms: f64 },
     /// Answers with a word and no bytes after so many ms.
     Answer(&'static str, f64),
     /// Runs a write at once, and answers after so many ms.
@@ -220,6 +222,7 @@
         let sending = match fate {
             Fate::Serve => 0.0,
             Fate::Send(ms) => ms,
+            Fate::SendSlowly { bytes, ms } => return self.send_slowly(ask, connection, bytes, ms),
             Fate::Answer(word, ms) => {
                 sleep_ms(ms);
                 return self.answer(ask, connection, word, "-", b"");
@@ -286,6 +289,28 @@
         Some(issued)
     }
 
+    fn send_slowly(&self, ask: &Ask, connection: &Connection, bytes: usize, ms: f64) {
+        /// Time between two pieces.
+        const PIECE_MS: f64 = 20.0;
+        let issued = now_ms().floor();
+        let mut out = b"*4\r\n".to_vec();
+        let fields = format!("entity=t{issued:.0},issued={issued:.0}");
+        for part in [ask.id.as_bytes(), b"200", fields.as_bytes(), vec![b'x'; bytes].as_slice()] {
+            bulk(&mut out, part);
+        }
+        let pieces = (ms / PIECE_MS).ceil().max(1.0) as usize;
+        for piece in out.chunks(out.len().div_ceil(pieces)) {
+            if lock(&connection.given_up).contains(&ask.id) || !connection.is_open.load(Ordering::Relaxed) {
+                return;
+            }
+            if lock(&connection.stream).write_all(piece).is_err() {
+                return;
+            }
+            sleep_ms(PIECE_MS);
+        }
+        self.note_end(ask, "200");
+    }
+
     fn note_run(&self, ask: &Ask) {
         if self.write_classes.contains(ask.field("lane")) {
             self.record.line(&format!("{} RUN {} {}", ask.member, ask.id, ask.field("dedupe")));
--- a/review/standins-2/src/platform.rs
+++ b/review/standins-2/src/platform.rs
@@ -18,6 +18,11 @@
     Term = 15,
 }
 
+/// Sends a signal to a process that this one started.
+pub fn signal_process(process: u32, signal: Signal) {
+    send_signal(process, signal as i32);
+}
+
 /// Sends a signal to a child of this process.
 pub fn signal(child: &Child, signal: Signal) {
     send_signal(child.id(), signal as i32);
@@ -123,6 +128,9 @@
     pub settings: String,
     /// The JSON of `known`.
     pub known: String,
+    /// The limits on memory, in MB, and on descriptors.
+    pub memory_mb: u32,
+    pub sockets: u32,
     /// The text of the operator file, if there is one.
     pub operator: Option<String>,
 }
@@ -137,9 +145,9 @@
         let seed = (now_ms() * 1000.0) as u64;
         let config = format!(
             "{{\"name\":\"{}\",\"listen\":\"{}\",\"seed\":\"{seed:016x}\",\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\"feed\":\"{}\",\
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":{}}},\"feed\":\"{}\",\
              \"flow_bytes_per_s\":310000,\"link_bytes_per_s\":1240000,\"known\":{},\"settings\":{}}}",
-            self.name, self.listen, self.feed, self.known, self.settings
+            self.name, self.listen, self.memory_mb, self.sockets, self.feed, self.known, self.settings
         );
         // Replaced whole, as a platform does.
         fs::write(self.file(".new"), config)?;
@@ -214,6 +222,11 @@
         false
     }
 
+    /// Its process.
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Whether it is still running.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -51,6 +51,8 @@
             feed: self.feed_address,
             settings: settings(figures, 0, 1),
             known: self.feed.known(),
+            memory_mb: 192,
+            sockets: 1024,
             operator,
         })
     }
