--- a/review/standins-2/src/members.rs
+++ b/review/standins-2/src/members.rs
@@ -1,6 +1,7 @@
 //! Caches, parents and the origin: RESP servers on loopback addresses.
 
 use crate::record::Record;
+use crate::sys::wait_readable;
 use crate::world::{Role, World};
 use crate::{lock, now_ms, sleep_ms};
 use std::collections::{HashMap, HashSet};
@@ -162,6 +163,39 @@
         Ok(Member { id: id.to_string(), address, zone, kind, size })
     }
 
+    /// Starts many caches on free ports, with one thread that accepts for all of them.
+    pub fn start_many(
+        self: &Arc<Self>,
+        prefix: &str,
+        count: usize,
+        zone: &'static str,
+        kind: &'static str,
+        size: f64,
+    ) -> std::io::Result<Vec<Member>> {
+        let (mut listeners, mut list) = (Vec::new(), Vec::new());
+        for number in 1..=count {
+            let listener = TcpListener::bind("127.0.0.1:0")?;
+            listener.set_nonblocking(true)?;
+            let id = format!("{prefix}{number}");
+            lock(&self.roles).insert(id.clone(), Role::Cache);
+            list.push(Member { id, address: listener.local_addr()?, zone, kind, size });
+            listeners.push(listener);
+        }
+        let (all, names) = (Arc::clone(self), list.clone());
+        std::thread::spawn(move || {
+            loop {
+                for position in wait_readable(&listeners, 1000) {
+                    while let Ok((stream, _)) = listeners[position].accept() {
+                        let (all, name) = (Arc::clone(&all), names[position].id.clone());
+                        let _ = stream.set_nonblocking(false);
+                        std::thread::spawn(move || all.serve(&name, Role::Cache, stream));
+                    }
+                }
+            }
+        });
+        Ok(list)
+    }
+
     fn serve(self: Arc<Self>, member: &str, role: Role, stream: TcpStream) {
         let number = self.connections.fetch_add(1, Ordering::Relaxed);
         let _ = stream.set_nodelay(true);
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -23,10 +23,7 @@
     /// Starts the members, whose names begin with `prefix`, and the feed.
     pub fn start(prefix: &str, caches: usize, record: &Record) -> std::io::Result<Site> {
         let members = Members::new(record, &["booking"], &[("small", 12_000.0)]);
-        let mut list = Vec::new();
-        for number in 1..=caches {
-            list.push(members.start(&format!("{prefix}-c{number}"), Role::Cache, "edge-1", "box-a", 40.0)?);
-        }
+        let mut list = members.start_many(&format!("{prefix}-c"), caches, "edge-1", "box-a", 40.0)?;
         list.push(members.start(&format!("{prefix}-p1"), Role::Parent, "west", "parent", 80.0)?);
         list.push(members.start(&format!("{prefix}-p2"), Role::Parent, "east", "parent", 80.0)?);
         list.push(members.start(&format!("{prefix}-o1"), Role::Origin, "west", "origin", 1.0)?);
