--- a/crates/deckproxy/src/program/attempts.rs
+++ b/crates/deckproxy/src/program/attempts.rs
@@ -7,8 +7,8 @@
 use crate::routing::members::Endpoint;
 use crate::routing::{AttemptKey, ConnectionFailure};
 use crate::transport::clock;
-use crate::transport::member::{Lost, MemberMessage, ReceivedReply, WrittenPart};
-use crate::transport::stream::Progress;
+use crate::transport::member::{Lost, MemberConnection, MemberMessage, ReceivedReply, WrittenPart};
+use crate::transport::stream::{Progress, READ_TURN_BYTES};
 use calloop::Readiness;
 use deckproxy_control::interface::MemberId;
 use deckproxy_flow::meter::Outcome;
@@ -70,10 +70,12 @@
         let upstream = self.upstreams.get_mut(&id);
         let written = upstream.and_then(|upstream| upstream.connection.cancel(key, now, connect_timeout));
         let written = written.unwrap_or(WrittenPart::All);
-        if written == WrittenPart::Some
-            && self.upstreams.get(&id).is_some_and(|u| u.connection.in_flight() == 0)
-        {
-            // The rest will never be written, and a request that was received only in part does not run.
+        // The rest of a request that is written in part will never be written, and such a request does not run. The rest
+        // of a large answer would take memory although nobody waits for it.
+        let is_useless =
+            |connection: &MemberConnection| written == WrittenPart::Some || connection.is_superfluous();
+        let connection = self.upstreams.get(&id).map(|upstream| &upstream.connection);
+        if connection.is_some_and(|connection| connection.in_flight() == 0 && is_useless(connection)) {
             self.close_upstream(id);
         }
         self.flush_upstream(now, id);
@@ -105,27 +107,38 @@
         }
         self.read_waiting_clients(now, id);
         self.flush_upstream(now, id);
-        // While the clients' write buffers exceed their bound, nothing is read: replies would only add to them.
-        let full = self.client_buffers.output() > self.bounds.unread;
-        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
-        let readable = upstream.connection.stream.is_readable() && !full;
-        let progress = if readable { upstream.connection.read(now) } else { Progress::Drained };
-        if !self.handle_replies(now, id) {
-            return;
-        }
-        match progress {
+        match self.read_upstream(now, id) {
             Progress::More => self.queue(ReadySource::Upstream(id)),
             Progress::Ended => self.fail_upstream(now, id, "closed"),
             Progress::Drained => {}
         }
-        let retired = |id| {
-            self.upstreams.get(id).is_some_and(|u| u.connection.retired && u.connection.in_flight() == 0)
-        };
-        if retired(&id) {
+        if self.upstreams.get(&id).is_some_and(|upstream| upstream.connection.is_superfluous()) {
             self.close_upstream(id);
         }
     }
 
+    /// Reads a connection, up to the limit of one turn and as far as there is memory for its answers, and handles the
+    /// replies.
+    fn read_upstream(&mut self, now: f64, id: UpstreamId) -> Progress {
+        let mut read = 0;
+        while read < READ_TURN_BYTES {
+            if self.upstreams.get(&id).is_none_or(|upstream| !upstream.connection.stream.is_readable()) {
+                return Progress::Drained;
+            }
+            let Some(limit) = self.member_read_limit(id) else { return Progress::Drained };
+            let Some(upstream) = self.upstreams.get_mut(&id) else { return Progress::Drained };
+            let progress = upstream.connection.read(now, limit);
+            if !self.handle_replies(now, id) {
+                return Progress::Drained;
+            }
+            if progress != Progress::More {
+                return progress;
+            }
+            read += limit;
+        }
+        Progress::More
+    }
+
     /// Passes the complete replies received on a connection to the router. Returns whether it is still open.
     fn handle_replies(&mut self, now: f64, id: UpstreamId) -> bool {
         loop {
--- a/crates/deckproxy/src/program/clients.rs
+++ b/crates/deckproxy/src/program/clients.rs
@@ -9,7 +9,7 @@
 use crate::transport::client::ClientConnection;
 use crate::transport::client_input::InputMode;
 use crate::transport::clock;
-use crate::transport::stream::Progress;
+use crate::transport::stream::{Progress, READ_TURN_BYTES};
 use calloop::Readiness;
 
 impl Gateway {
@@ -159,7 +159,7 @@
     /// connection that is closed with unread bytes, and the client would lose data written to it.
     pub(super) fn close_client(&mut self, now: f64, id: ClientId) {
         if let Some(mut client) = self.clients.remove(&id) {
-            client.stream.read();
+            client.stream.read(READ_TURN_BYTES);
             let cut = client.stream.partially_written().map_or(0, |written| written.bytes);
             let event = Event::ClientGone { client: id, cut, unread: client.stream.input.len() };
             client.stream.close(&self.handle);
--- a/crates/deckproxy/src/program/event_loop.rs
+++ b/crates/deckproxy/src/program/event_loop.rs
@@ -28,6 +28,7 @@
             self.accept_links(clock::now());
         }
         self.serve_ready();
+        self.resume_waiting_answers();
         self.run_background(start);
         if self.has_settled() {
             self.finish_shutdown(clock::now());
--- a/crates/deckproxy/src/program/gateway.rs
+++ b/crates/deckproxy/src/program/gateway.rs
@@ -2,10 +2,11 @@
 //!
 //! Its methods are grouped by concern: `event_loop` (turns, timers, background work), `effects` (effects of the router
 //! and the subsystems), `accept`, `eviction`, `clients`, `client_messages`, `upstream_pool`, `attempts`, `site_links`,
-//! `collectors`, `feed`, `housekeeping`, `reload`, `shutdown` and `summary`.
+//! `collectors`, `feed`, `memory`, `housekeeping`, `reload`, `shutdown` and `summary`.
 
 use crate::program::connections::{ReadySource, UpstreamConnection, UpstreamId};
 use crate::program::files::Files;
+use crate::program::memory::WaitingAnswers;
 use crate::program::start_error::StartError;
 use crate::program::subsystem::{Context, Event, micros};
 use crate::program::subsystems::Subsystems;
@@ -91,6 +92,8 @@
     pub(super) client_buffers: Rc<BufferUsage>,
     /// Bytes buffered on upstream connections.
     pub(super) upstream_buffers: Rc<BufferUsage>,
+    /// Connections to members whose answers wait for memory.
+    pub(super) waiting_answers: WaitingAnswers,
     /// Bytes buffered on the feed's connection.
     pub(super) feed_buffers: Rc<BufferUsage>,
     /// The subsystems that the operator file enables.
@@ -211,6 +214,7 @@
             bounds: Bounds::of(config.memory, config.sockets),
             client_buffers: Rc::default(),
             upstream_buffers: Rc::default(),
+            waiting_answers: WaitingAnswers::default(),
             feed_buffers: Rc::default(),
             subsystems,
             site_links,
@@ -261,16 +265,6 @@
         self.shutdown == ShutdownPhase::Rejecting
     }
 
-    /// Whether the bytes buffered for connections and bodies exceed their bound.
-    pub(super) fn is_memory_full(&self) -> bool {
-        let (clients, upstreams) = (&self.client_buffers, &self.upstream_buffers);
-        let buffered = clients.input() + clients.output() + upstreams.input();
-        let links = self.site_links.as_ref().map_or(0, |links| links.buffered_bytes());
-        let collectors = self.collectors.as_ref().map_or(0, |collectors| collectors.buffered_bytes());
-        let bodies = self.router.body_bytes() + self.subsystems.buffered_bytes();
-        buffered + bodies + links + collectors > self.bounds.buffered
-    }
-
     /// Allocates the id for a new connection.
     pub(super) fn next_connection_id(&mut self) -> u64 {
         self.last_connection_id += 1;
--- a/crates/deckproxy/src/program/housekeeping.rs
+++ b/crates/deckproxy/src/program/housekeeping.rs
@@ -1,6 +1,6 @@
-//! Periodic checks of connections: closes idle ones, resets stalled ones, and resumes reading from paused upstreams.
+//! Periodic checks of connections: closes idle ones and resets stalled ones.
 
-use crate::program::connections::{ReadySource, UpstreamConnection, UpstreamId};
+use crate::program::connections::{UpstreamConnection, UpstreamId};
 use crate::program::gateway::Gateway;
 use crate::program::subsystem::Event;
 use crate::protocol::limits;
@@ -18,9 +18,7 @@
         for id in self.clients.keys().copied().collect::<Vec<_>>() {
             self.check_client(now, id);
         }
-        if self.client_buffers.output() <= self.bounds.unread {
-            self.resume_upstreams();
-        } else {
+        if self.client_buffers.output() > self.bounds.unread {
             self.reset_largest_client(now);
         }
     }
@@ -56,18 +54,9 @@
         }
     }
 
-    /// Queues the upstream connections that were not read while the clients' write buffers exceeded their bound.
-    fn resume_upstreams(&mut self) {
-        let readable = self.upstreams.iter().filter(|(_, upstream)| upstream.connection.stream.is_readable());
-        for id in readable.map(|(id, _)| *id).collect::<Vec<_>>() {
-            self.queue(ReadySource::Upstream(id));
-        }
-    }
-
     /// Resets the client connection with the most buffered bytes, as the clients' write buffers exceed their bound.
     fn reset_largest_client(&mut self, now: f64) {
-        let largest =
-            self.clients.iter().max_by_key(|(_, client)| client.buffered_bytes()).map(|(id, _)| *id);
+        let largest = self.clients.iter().max_by_key(|(_, client)| client.held_bytes()).map(|(id, _)| *id);
         if let Some(id) = largest {
             self.log_peer("closing the connection with the largest write buffer");
             self.reset_client(now, id);
--- a/crates/deckproxy/src/program/mod.rs
+++ b/crates/deckproxy/src/program/mod.rs
@@ -21,6 +21,7 @@
 mod housekeeping;
 pub mod log_aliases;
 pub mod logging;
+mod memory;
 pub mod migrate;
 mod recovery;
 mod reload;
--- a/crates/deckproxy/src/program/summary.rs
+++ b/crates/deckproxy/src/program/summary.rs
@@ -42,10 +42,13 @@
             ("upstream_pools", self.upstream_pools.len()),
             ("in_flight_attempts", self.attempt_upstreams.len()),
             ("tasks", self.timers.len()),
+            ("waiting_answers", self.waiting_answers.len()),
         ];
         let bytes = [
             ("read_buffers", self.client_buffers.input() + self.upstream_buffers.input()),
             ("write_buffers", self.client_buffers.output()),
+            ("held_memory", self.memory_use().total()),
+            ("expected_answers", self.router.expected_bytes()),
         ];
         let all = tables.into_iter().chain(bytes).chain(self.router.table_sizes());
         let fields: Vec<Field> = all.map(|(name, size)| Field::value(name, size)).collect();
--- a/crates/deckproxy/src/protocol/limits.rs
+++ b/crates/deckproxy/src/protocol/limits.rs
@@ -104,11 +104,21 @@
 /// Size of the write buffer of a member's connection from which another connection is opened.
 pub const MEMBER_WRITE_BUFFER: usize = 4 * 1024 * 1024;
 
-/// Share of the memory used by connections and request bodies from which new requests are rejected. The rest is for the
-/// process itself, its tables and data already in transit.
-const BUFFERED_SHARE: f64 = 0.5;
-/// Share of the memory used by bytes waiting for clients from which nothing more is read from members and the client
-/// with the most unread bytes is closed.
+/// Bytes that are read from a member's connection without memory reserved for its answer.
+pub const MEMBER_READ: usize = 4 * 1024;
+
+/// Share of the memory that is held for peers from which new requests are rejected.
+const REQUESTS_SHARE: f64 = 0.5;
+/// Share up to which large answers of members are received.
+const ANSWERS_SHARE: f64 = 0.6;
+/// Share that the answers being received may use themselves. It is below that of requests, so that members that stop
+/// inside large answers don't keep all requests out.
+const MEMBER_INPUT_SHARE: f64 = 0.4;
+/// Share up to which members are read at all. The rest is for the process itself, its tables, and what the allocator
+/// can't use.
+const READ_SHARE: f64 = 0.65;
+/// Share of the memory used by messages waiting for clients from which no large answer is received and the client with
+/// the most unread bytes is closed.
 const UNREAD_SHARE: f64 = 0.25;
 
 /// Bounds derived from the memory and descriptor limits of the process.
@@ -118,8 +128,16 @@
     pub clients: usize,
     /// Most connections to members.
     pub member_connections: usize,
-    /// Most bytes that are read and not decoded, waiting to be written, or retained as bodies.
-    pub buffered: usize,
+    /// The process's limit on memory, bytes.
+    pub memory: usize,
+    /// Most bytes held for peers with which new requests are admitted.
+    pub requests: usize,
+    /// Most bytes held for peers with which large answers of members are received.
+    pub answers: usize,
+    /// Most bytes of answers that are being received.
+    pub member_input: usize,
+    /// Most bytes held for peers with which members are read.
+    pub read: usize,
     /// Most bytes that wait for clients.
     pub unread: usize,
 }
@@ -132,7 +150,11 @@
         Bounds {
             clients: sockets / CLIENT_SHARE,
             member_connections: sockets.saturating_sub(sockets / CLIENT_SHARE + reserved),
-            buffered: bytes(BUFFERED_SHARE),
+            memory: bytes(1.0),
+            requests: bytes(REQUESTS_SHARE),
+            answers: bytes(ANSWERS_SHARE),
+            member_input: bytes(MEMBER_INPUT_SHARE),
+            read: bytes(READ_SHARE),
             unread: bytes(UNREAD_SHARE),
         }
     }
--- a/crates/deckproxy/src/routing/completion.rs
+++ b/crates/deckproxy/src/routing/completion.rs
@@ -27,6 +27,9 @@
         let Some(open) = self.requests.get_mut(request).filter(|open| !open.finished) else { return };
         open.finished = true;
         let (client, id) = (open.client, open.client_id);
+        if let Answer::Served(body) = &final_answer.answer {
+            self.answer_sizes.learn(open.class, body.len());
+        }
         self.counters.count(&final_answer.answer);
         let was_unanswered = self.requests.remove_unanswered(client, id);
         self.check_invariant(was_unanswered, "one final answer to a request");
--- a/crates/deckproxy/src/routing/intake.rs
+++ b/crates/deckproxy/src/routing/intake.rs
@@ -88,6 +88,8 @@
             in_flight: Vec::new(),
             may_have_run_since: None,
             finished: false,
+            class,
+            expected_bytes: self.answer_sizes.expected(class),
         };
         self.requests.insert(id, open);
         let answer_by =
--- a/crates/deckproxy/src/routing/mod.rs
+++ b/crates/deckproxy/src/routing/mod.rs
@@ -1,6 +1,7 @@
 //! Requests, attempts, members and timers around the decision module, without I/O.
 
 mod actions;
+mod answer_sizes;
 mod attempt_key;
 mod attempts;
 mod cancellation;
--- a/crates/deckproxy/src/routing/requests.rs
+++ b/crates/deckproxy/src/routing/requests.rs
@@ -7,6 +7,9 @@
 use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 
+/// Memory that an open request takes in all tables, without its body, bytes.
+const REQUEST_BYTES: usize = 2048;
+
 /// An attempt in flight.
 pub(super) struct Attempt {
     /// Its number within the request, from 0.
@@ -37,6 +40,10 @@
     pub(super) may_have_run_since: Option<f64>,
     /// Whether it has its final answer, or needs none any more.
     pub(super) finished: bool,
+    /// The index of its class in the settings.
+    pub(super) class: usize,
+    /// Bytes that its answer is expected to have.
+    pub(super) expected_bytes: usize,
 }
 
 /// All open requests, by id, by client and by name.
@@ -49,6 +56,8 @@
     names: HashSet<Box<str>>,
     /// Bytes of the bodies of all open requests.
     body_bytes: usize,
+    /// Bytes of the answers that are expected to the unanswered requests.
+    expected_bytes: usize,
     /// The id of the next request.
     next: RequestId,
 }
@@ -69,6 +78,16 @@
         self.body_bytes
     }
 
+    /// Bytes that the open requests take, with their bodies.
+    pub(super) fn held_bytes(&self) -> usize {
+        self.body_bytes + self.open.len() * REQUEST_BYTES
+    }
+
+    /// Bytes of the answers that are expected to the unanswered requests.
+    pub(super) fn expected_bytes(&self) -> usize {
+        self.expected_bytes
+    }
+
     /// Allocates the id for a new request.
     pub(super) fn next_id(&mut self) -> RequestId {
         let id = self.next;
@@ -89,6 +108,7 @@
     /// Adds a request.
     pub(super) fn insert(&mut self, id: RequestId, request: OpenRequest) {
         self.body_bytes += request.call.body.len();
+        self.expected_bytes += request.expected_bytes;
         self.names.insert(request.call.name.clone());
         self.unanswered.insert((request.client, request.client_id), id);
         self.open.insert(id, request);
@@ -137,7 +157,9 @@
 
     /// Removes a request from the unanswered ones. Returns whether it was unanswered.
     pub(super) fn remove_unanswered(&mut self, client: ClientId, client_id: u32) -> bool {
-        self.unanswered.remove(&(client, client_id)).is_some()
+        let Some(id) = self.unanswered.remove(&(client, client_id)) else { return false };
+        self.expected_bytes -= self.open.get(&id).map_or(0, |request| request.expected_bytes);
+        true
     }
 
     /// The request of an attempt, even if the attempt has ended.
--- a/crates/deckproxy/src/routing/router.rs
+++ b/crates/deckproxy/src/routing/router.rs
@@ -5,6 +5,7 @@
 //! the other modules of this folder.
 
 use crate::protocol::feed::{KnownEvents, NumberedEvent};
+use crate::routing::answer_sizes::AnswerSizes;
 use crate::routing::attempt_key::AttemptKey;
 use crate::routing::counters::Counters;
 use crate::routing::deadline::Deadline;
@@ -25,6 +26,8 @@
     pub(super) classes: HashMap<Box<str>, usize>,
     pub(super) members: Members,
     pub(super) requests: RequestTable,
+    /// Sizes of the answers of each class.
+    pub(super) answer_sizes: AnswerSizes,
     /// Health checks in flight.
     pub(super) health_checks: HashMap<AttemptKey, MemberId>,
     pub(super) health_checks_sent: u64,
@@ -45,12 +48,14 @@
     pub fn new(now: f64, instance_settings: InstanceSettings, seed: u64, known: KnownEvents) -> Self {
         let classes =
             instance_settings.classes.iter().enumerate().map(|(i, name)| (name.as_str().into(), i)).collect();
+        let answer_sizes = AnswerSizes::new(instance_settings.classes.len());
         let mut router = Router {
             control: Control::new(instance_settings.settings.clone(), seed),
             instance_settings,
             classes,
             members: Members::default(),
             requests: RequestTable::default(),
+            answer_sizes,
             health_checks: HashMap::new(),
             health_checks_sent: 0,
             timers: Timers::default(),
@@ -113,6 +118,16 @@
         self.requests.body_bytes()
     }
 
+    /// Bytes that the open requests take, with their bodies.
+    pub fn held_bytes(&self) -> usize {
+        self.requests.held_bytes()
+    }
+
+    /// Bytes of the answers that are expected to the unanswered requests.
+    pub fn expected_bytes(&self) -> usize {
+        self.requests.expected_bytes()
+    }
+
     /// Sizes of the router's and the decision module's tables, by their names in the summary.
     pub fn table_sizes(&self) -> impl Iterator<Item = (&'static str, usize)> {
         let own = [
--- a/crates/deckproxy/src/transport/buffer_usage.rs
+++ b/crates/deckproxy/src/transport/buffer_usage.rs
@@ -8,50 +8,68 @@
 pub struct BufferUsage {
     input: Cell<usize>,
     output: Cell<usize>,
+    reservations: Cell<usize>,
 }
 
 impl BufferUsage {
-    /// Bytes read and not decoded yet.
+    /// Bytes allocated for input: received and not decoded yet, or reserved for the rest of a message.
     pub fn input(&self) -> usize {
         self.input.get()
     }
 
-    /// Bytes waiting to be written.
+    /// Bytes that messages waiting to be written take.
     pub fn output(&self) -> usize {
         self.output.get()
     }
 
+    /// Number of connections that have reserved memory for the rest of a message.
+    pub fn reservations(&self) -> usize {
+        self.reservations.get()
+    }
+
     /// Bytes in the input and output buffers together.
     pub fn total(&self) -> usize {
         self.input() + self.output()
     }
 }
 
+/// What one connection holds.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Held {
+    /// Bytes allocated for input.
+    pub(super) input: usize,
+    /// Bytes that messages waiting to be written take.
+    pub(super) output: usize,
+    /// Whether memory is reserved for the rest of a message.
+    pub(super) has_reservation: bool,
+}
+
 /// One connection's share of a [`BufferUsage`]; subtracted from the totals when it is dropped.
 #[derive(Debug)]
 pub(super) struct UsageShare {
     usage: Rc<BufferUsage>,
-    input: usize,
-    output: usize,
+    held: Held,
 }
 
 impl UsageShare {
     /// The share of a connection whose buffers are empty.
     pub(super) fn new(usage: &Rc<BufferUsage>) -> Self {
-        UsageShare { usage: Rc::clone(usage), input: 0, output: 0 }
+        UsageShare { usage: Rc::clone(usage), held: Held::default() }
     }
 
-    /// Sets the current sizes of the connection's buffers, in bytes.
-    pub(super) fn set(&mut self, input: usize, output: usize) {
-        let BufferUsage { input: total_input, output: total_output } = &*self.usage;
-        total_input.set(total_input.get() - self.input + input);
-        total_output.set(total_output.get() - self.output + output);
-        (self.input, self.output) = (input, output);
+    /// Sets what the connection holds now.
+    pub(super) fn set(&mut self, held: Held) {
+        let BufferUsage { input, output, reservations } = &*self.usage;
+        let before = std::mem::replace(&mut self.held, held);
+        input.set(input.get() - before.input + held.input);
+        output.set(output.get() - before.output + held.output);
+        let others = reservations.get() - usize::from(before.has_reservation);
+        reservations.set(others + usize::from(held.has_reservation));
     }
 }
 
 impl Drop for UsageShare {
     fn drop(&mut self) {
-        self.set(0, 0);
+        self.set(Held::default());
     }
 }
--- a/crates/deckproxy/src/transport/client.rs
+++ b/crates/deckproxy/src/transport/client.rs
@@ -3,7 +3,7 @@
 use crate::protocol::downstream::{Answer, Message, ProtocolError, encode_answer};
 use crate::protocol::limits;
 use crate::transport::client_input::{ClientInput, InputMode};
-use crate::transport::stream::{Progress, Stream};
+use crate::transport::stream::{Progress, READ_TURN_BYTES, Stream};
 use crate::transport::write_buffer::{OutgoingMessage, WrittenMessage};
 use bytes::Bytes;
 use std::io;
@@ -56,7 +56,7 @@
     /// Reads the available bytes, up to the limit of one turn.
     pub fn read(&mut self, now: f64) -> Progress {
         let before = self.stream.input.len();
-        let progress = self.stream.read();
+        let progress = self.stream.read(READ_TURN_BYTES);
         if self.stream.input.len() > before {
             self.active_at = now;
             self.input.received(now);
@@ -146,11 +146,16 @@
         admitted
     }
 
-    /// Bytes in the connection's buffers.
+    /// Bytes that are received and not decoded, or wait to be written.
     pub fn buffered_bytes(&self) -> usize {
         self.stream.input.len() + self.stream.unwritten_bytes()
     }
 
+    /// Bytes of memory that the connection's buffers take.
+    pub fn held_bytes(&self) -> usize {
+        self.stream.held_bytes()
+    }
+
     /// Whether no request is open and the write buffer is empty.
     pub fn is_idle(&self) -> bool {
         self.open_requests == 0 && self.stream.unwritten_bytes() == 0
--- a/crates/deckproxy/src/transport/collector.rs
+++ b/crates/deckproxy/src/transport/collector.rs
@@ -1,7 +1,7 @@
 //! Connections to flow collectors: a TCP connection or a UDP socket each.
 
 use crate::transport::buffer_usage::BufferUsage;
-use crate::transport::stream::{Progress, Stream};
+use crate::transport::stream::{Progress, READ_TURN_BYTES, Stream};
 use crate::transport::write_buffer::{OutgoingMessage, WrittenMessage};
 use bytes::Bytes;
 use calloop::{LoopHandle, Readiness};
@@ -188,7 +188,7 @@
 /// Reads and drops the available bytes. Returns whether the connection has ended.
 fn has_ended(stream: &mut Stream) -> bool {
     while stream.is_open() && stream.is_readable() {
-        match stream.read() {
+        match stream.read(READ_TURN_BYTES) {
             Progress::Ended => return true,
             Progress::Drained => break,
             Progress::More => {}
--- a/crates/deckproxy/src/transport/feed.rs
+++ b/crates/deckproxy/src/transport/feed.rs
@@ -1,7 +1,7 @@
 //! The connection to the control feed.
 
 use crate::protocol::feed::{self, Decoder, FeedLine, LineTooLong};
-use crate::transport::stream::{Progress, Stream};
+use crate::transport::stream::{Progress, READ_TURN_BYTES, Stream};
 use crate::transport::write_buffer::{OutgoingMessage, WrittenMessage};
 use std::io;
 
@@ -43,7 +43,7 @@
 
     /// Reads the available bytes, up to the limit of one turn.
     pub fn read(&mut self) -> Progress {
-        self.stream.read()
+        self.stream.read(READ_TURN_BYTES)
     }
 
     /// Removes the next complete line from the input buffer and returns it.
--- a/crates/deckproxy/src/transport/member.rs
+++ b/crates/deckproxy/src/transport/member.rs
@@ -1,5 +1,6 @@
 //! A connection to a member. It carries concurrent attempts and records whether each was written completely.
 
+use crate::protocol::limits;
 use crate::protocol::upstream::{Decoder, Reply, ReplyError, encode_cancel, encode_health_check};
 use crate::transport::stream::{Progress, Stream};
 use crate::transport::write_buffer::{OutgoingMessage, WrittenMessage};
@@ -117,6 +118,11 @@
         self.used_at
     }
 
+    /// Whether nothing is in flight, and the connection is retired or is receiving a large answer that nobody waits for.
+    pub fn is_superfluous(&self) -> bool {
+        self.in_flight() == 0 && (self.retired || self.stream.missing > limits::MEMBER_READ)
+    }
+
     /// Whether an attempt of this name can be sent here: an answer under the name must be unambiguous.
     pub fn accepts(&self, name: &str) -> bool {
         let used = self.keys.contains_key(name) || self.cancelled.contains(name);
@@ -187,10 +193,10 @@
         Some(if is_partial { WrittenPart::Some } else { WrittenPart::All })
     }
 
-    /// Reads the available bytes, up to the limit of one turn.
-    pub fn read(&mut self, now: f64) -> Progress {
+    /// Reads the available bytes, at most `limit`.
+    pub fn read(&mut self, now: f64, limit: usize) -> Progress {
         let before = self.stream.input.len();
-        let progress = self.stream.read();
+        let progress = self.stream.read(limit);
         if self.stream.input.len() > before {
             self.received_at = now;
         }
@@ -200,7 +206,9 @@
     /// Whether nothing is in flight and the member has closed the connection, which the kernel may not have reported
     /// yet. The outcome of an attempt written to it would be unknown, as it might have run.
     pub fn is_stale(&mut self, now: f64) -> bool {
-        self.in_flight() == 0 && self.stream.is_open() && self.read(now) == Progress::Ended
+        self.in_flight() == 0
+            && self.stream.is_open()
+            && self.read(now, limits::MEMBER_READ) == Progress::Ended
     }
 
     /// Removes the next complete answer from the input buffer and returns it with the key of its attempt or health
--- a/crates/deckproxy/src/transport/site_link.rs
+++ b/crates/deckproxy/src/transport/site_link.rs
@@ -4,7 +4,7 @@
 use crate::protocol::link::{self, Decoder, FrameError};
 use crate::transport::buffer_usage::BufferUsage;
 use crate::transport::listener::Listener;
-use crate::transport::stream::{Progress, Stream};
+use crate::transport::stream::{Progress, READ_TURN_BYTES, Stream};
 use crate::transport::write_buffer::{OutgoingMessage, WrittenMessage};
 use deckproxy_sites::frame::{Frame, Payload};
 use std::collections::{BTreeSet, HashMap};
@@ -56,7 +56,7 @@
 
     /// Reads the available bytes, up to the limit of one turn.
     pub fn read(&mut self) -> Progress {
-        self.stream.read()
+        self.stream.read(READ_TURN_BYTES)
     }
 
     /// Removes the next complete frame from the input buffer and returns it.
--- a/crates/deckproxy/src/transport/stream.rs
+++ b/crates/deckproxy/src/transport/stream.rs
@@ -2,23 +2,29 @@
 //!
 //! It is registered once, edge-triggered, and remembers the readiness that the kernel reported. A connection whose
 //! reading is paused, for fairness or for backpressure, therefore causes no wake-ups.
+//!
+//! The input buffer takes about as much memory as the bytes in it: sockets are read into a buffer that all connections
+//! share. Memory for bytes that have only been announced is taken by [`Stream::reserve_missing`] alone, and counts from
+//! then on.
 
-use crate::transport::buffer_usage::{BufferUsage, UsageShare};
+use crate::transport::buffer_usage::{BufferUsage, Held, UsageShare};
 use crate::transport::registration::register;
 use crate::transport::write_buffer::{OutgoingMessage, WriteBuffer, WrittenMessage};
 use bytes::BytesMut;
 use calloop::{Interest, LoopHandle, Readiness, RegistrationToken};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use std::cell::RefCell;
 use std::io::{self, ErrorKind, Read};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Bytes read in one call, unless the decoder is missing more for its next message.
-const READ_CHUNK_BYTES: usize = 16 * 1024;
-/// Limit of the bytes read from one connection in one turn, before other connections get theirs; the last call may
-/// exceed it by less than a chunk.
-const READ_TURN_BYTES: usize = 256 * 1024;
+/// Limit of the bytes read from one connection in one turn, before other connections get theirs.
+pub const READ_TURN_BYTES: usize = 256 * 1024;
+/// Most bytes read in one call.
+const READ_CALL_BYTES: usize = 64 * 1024;
+/// An input buffer that grows does so by at least one in this many parts, so that small reads do not copy it each time.
+const GROWTH_SHARE: usize = 4;
 /// Time after which the kernel discards the remaining bytes of a closed connection if the remote end does not
 /// acknowledge them.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(10);
@@ -37,6 +43,11 @@
 /// The handshake has begun; this error has no stable `ErrorKind`.
 const EINPROGRESS: i32 = 115;
 
+thread_local! {
+    /// The buffer into which all connections of a thread read.
+    static READ_BUFFER: RefCell<Box<[u8]>> = RefCell::new(vec![0; READ_CALL_BYTES].into());
+}
+
 /// The result of one turn of reading.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Progress {
@@ -62,6 +73,8 @@
     pub input: BytesMut,
     /// Lower bound of the bytes that the decoder is missing for its next message.
     pub missing: usize,
+    /// Whether memory was reserved for the rest of the message that is being received.
+    has_reservation: bool,
     output: WriteBuffer,
     /// Whether a read may return bytes: set when the kernel reports readiness and by `assume_readable`, cleared when a
     /// read would block.
@@ -127,6 +140,7 @@
             token,
             input: BytesMut::new(),
             missing: 0,
+            has_reservation: false,
             output: WriteBuffer::default(),
             readable: false,
             writable: !connecting,
@@ -175,23 +189,23 @@
         self.readable && !self.connecting
     }
 
-    /// Reads the available bytes, up to the limit of one turn.
-    pub fn read(&mut self) -> Progress {
-        let progress = self.read_turn();
+    /// Reads the available bytes, at most `limit`.
+    pub fn read(&mut self, limit: usize) -> Progress {
+        let progress = READ_BUFFER.with_borrow_mut(|buffer| self.read_into(buffer, limit));
         self.update_usage();
         progress
     }
 
-    fn read_turn(&mut self) -> Progress {
-        let mut remaining = READ_TURN_BYTES;
+    fn read_into(&mut self, buffer: &mut [u8], limit: usize) -> Progress {
+        let mut remaining = limit;
         while remaining > 0 {
-            let chunk = self.missing.max(READ_CHUNK_BYTES).min(remaining.max(READ_CHUNK_BYTES));
-            match self.read_chunk(chunk) {
+            let call = remaining.min(buffer.len());
+            match (&*self.socket).read(&mut buffer[..call]) {
                 Ok(0) => return Progress::Ended,
                 // Continues after a short read: an EOF that arrived with the bytes triggers no edge of its own.
                 Ok(bytes) => {
-                    self.missing = self.missing.saturating_sub(bytes);
-                    remaining = remaining.saturating_sub(bytes);
+                    self.append(&buffer[..bytes]);
+                    remaining -= bytes;
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     self.readable = false;
@@ -204,17 +218,48 @@
         Progress::More
     }
 
-    fn read_chunk(&mut self, chunk: usize) -> io::Result<usize> {
-        let buffered = self.input.len();
-        self.input.resize(buffered + chunk, 0);
-        let read = (&*self.socket).read(&mut self.input[buffered..]);
-        self.input.truncate(buffered + *read.as_ref().unwrap_or(&0));
-        read
+    /// Appends received bytes to the input buffer.
+    fn append(&mut self, bytes: &[u8]) {
+        self.missing = self.missing.saturating_sub(bytes.len());
+        if self.spare() < bytes.len() {
+            self.grow_input(bytes.len().max(self.input.len() / GROWTH_SHARE));
+        }
+        self.input.extend_from_slice(bytes);
+    }
+
+    /// Moves the input to a buffer with room for exactly `spare` further bytes.
+    fn grow_input(&mut self, spare: usize) {
+        let mut grown = BytesMut::with_capacity(self.input.len() + spare);
+        grown.extend_from_slice(&self.input);
+        self.input = grown;
+    }
+
+    /// Bytes that the input buffer has room for.
+    fn spare(&self) -> usize {
+        self.input.capacity() - self.input.len()
+    }
+
+    /// Whether memory is reserved for the rest of the message that is being received.
+    pub fn has_reservation(&self) -> bool {
+        self.has_reservation
+    }
+
+    /// Takes memory for the bytes that the decoder is missing for its next message.
+    pub fn reserve_missing(&mut self) {
+        if self.spare() < self.missing {
+            self.grow_input(self.missing);
+        }
+        self.has_reservation = true;
+        self.update_usage();
     }
 
     /// Updates the accounting with the current sizes of the buffers.
     fn update_usage(&mut self) {
-        self.usage.set(self.input.len(), self.output.bytes());
+        self.usage.set(Held {
+            input: self.input.capacity(),
+            output: self.output.held_bytes(),
+            has_reservation: self.has_reservation,
+        });
     }
 
     /// Releases unused memory of the input buffer; called when it holds no further complete message. `consumed` says
@@ -223,6 +268,7 @@
     pub fn trim(&mut self, consumed: bool) {
         if consumed || self.input.is_empty() {
             self.input = BytesMut::from(&self.input[..]);
+            self.has_reservation = false;
         }
         self.update_usage();
     }
@@ -245,6 +291,11 @@
         self.output.bytes()
     }
 
+    /// Bytes of memory that the connection's buffers take.
+    pub fn held_bytes(&self) -> usize {
+        self.input.capacity() + self.output.held_bytes()
+    }
+
     /// The partially written message, if any.
     pub fn partially_written(&self) -> Option<WrittenMessage> {
         self.output.partially_written()
--- a/crates/deckproxy/src/transport/write_buffer.rs
+++ b/crates/deckproxy/src/transport/write_buffer.rs
@@ -6,6 +6,8 @@
 
 /// Maximum number of slices in one vectored write.
 const MAX_SLICES: usize = 48;
+/// Bytes that the allocator and shared ownership add to the encoded bytes of a message.
+const ALLOCATION_OVERHEAD_BYTES: usize = 64;
 
 /// One encoded message.
 #[derive(Debug)]
@@ -64,6 +66,12 @@
         self.bytes
     }
 
+    /// Bytes of memory that the waiting messages take: far more than their own bytes if these are few.
+    pub fn held_bytes(&self) -> usize {
+        let queue = self.queue.capacity() * size_of::<OutgoingMessage>();
+        self.bytes + queue + self.queue.len() * ALLOCATION_OVERHEAD_BYTES
+    }
+
     /// Whether no message is waiting.
     pub fn is_empty(&self) -> bool {
         self.queue.is_empty()
@@ -102,6 +110,8 @@
                 Err(error) => return Err(error),
             }
         }
+        // Frees the queue, which may have grown large.
+        self.queue = VecDeque::new();
         Ok(true)
     }
 
--- /dev/null
+++ b/crates/deckproxy/tests/memory.rs
@@ -0,0 +1,71 @@
+//! What peers can make a gateway hold: its memory stays within the process's limit, and other clients are served.
+
+use deckproxy_standins::*;
+use serde_json::json;
+use std::collections::HashMap;
+use std::collections::hash_map::Entry;
+
+/// The limit of the gateways' memory.
+const MEMORY_MB: u64 = 48;
+/// The largest answer.
+static ANSWER: [u8; 240_000] = [7; 240_000];
+/// Bytes of each large answer that arrive at a time; most of it is only announced.
+const ARRIVED: usize = 10_000;
+/// Clients that request large answers, and how many they request together.
+const CLIENTS: usize = 30;
+const REQUESTS: usize = 500;
+
+/// A gateway with little memory, whose reads have a deadline of 9 s.
+fn start_small(site: &TestSite) -> Gateway {
+    let mut setup = site.setup();
+    setup.memory_mb = MEMORY_MB;
+    setup.settings["services"][0]["deadlineMs"] = json!(9000.0);
+    setup.start()
+}
+
+fn request_object(client: &mut Client, object: &str) -> u64 {
+    client.send_request("page", &[("lookup", object), ("allow", "9000")], &[])
+}
+
+/// Expects that a client is served an object, with a cache that answers only for it.
+fn expect_other_client_served(site: &TestSite, gateway: &Gateway, object: &str) {
+    let mut other = gateway.client();
+    let id = request_object(&mut other, object);
+    loop {
+        let (cache, request) = site.next_request();
+        if request.field("name") == Some(object) {
+            cache.answer(&request, "200", b"mine");
+            break;
+        }
+    }
+    other.expect_served(id, b"mine");
+}
+
+/// Guards against a gateway that is killed because it takes memory for all answers that have begun, however many.
+#[test]
+fn large_answers_that_begin_at_once_stay_within_the_memory_limit() {
+    let site = TestSite::start();
+    let gateway = start_small(&site);
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| gateway.client()).collect();
+    let mut begun = HashMap::new();
+    for number in 0..REQUESTS {
+        request_object(&mut clients[number % CLIENTS], &format!("{:016x}", number + 1));
+        let (cache, request) = site.next_request();
+        if number % 8 == 0 {
+            // A cache that answers nothing would be ejected.
+            cache.answer(&request, "200", b"small");
+        } else if let Entry::Vacant(first) = begun.entry(request.connection) {
+            // One answer on each connection: the next one can't begin before its end.
+            let answer = Member::encode(&request.id, "200", "entity=t1,issued=1", &ANSWER);
+            cache.send(request.connection, &answer[..ARRIVED]);
+            first.insert((cache, answer));
+        }
+    }
+    assert!(begun.len() > 300, "{} answers began", begun.len());
+    for (connection, (cache, answer)) in &begun {
+        cache.send(*connection, &answer[ARRIVED..2 * ARRIVED]);
+    }
+    expect_other_client_served(&site, &gateway, "00000000000000aa");
+    let memory = gateway.own_memory_kb();
+    assert!(memory < MEMORY_MB * 1024, "{memory} KB");
+}
