--- a/crates/deckproxy-sites/src/requester/attempts.rs
+++ b/crates/deckproxy-sites/src/requester/attempts.rs
@@ -57,7 +57,7 @@
         let one_way = endpoint.estimate.round_trip() / 2.0;
         let time_left = (time_left - one_way).max(MIN_TIME_SENT).floor();
         let request = Request { number, time_left, ..leader.request.request.clone() };
-        exchange.attempt = Some(Attempt {
+        let mut attempt = Attempt {
             endpoint: index,
             number,
             connection: Some(connection_id),
@@ -67,8 +67,12 @@
             body: BytesMut::new(),
             is_chunked: false,
             credit_limit: self.limits.credit_window,
+            promised_bytes: 0,
+            may_extend: false,
             cached_tag: request.cached_tag.clone(),
-        });
+        };
+        self.memory.promise(&mut attempt, self.limits.credit_window);
+        exchange.attempt = Some(attempt);
         self.counters.attempts += 1;
         self.counters.retries += u64::from(exchange.is_retry);
         self.effects.push_back(Effect::Send(connection_id, Payload::Request(request)));
@@ -95,7 +99,8 @@
         id: ExchangeId,
         response_bytes: Option<usize>,
     ) -> Option<Attempt> {
-        let attempt = self.exchanges.get_mut(&id)?.attempt.take()?;
+        let mut attempt = self.exchanges.get_mut(&id)?.attempt.take()?;
+        self.memory.attempt_removed(&mut attempt);
         let endpoint = self.endpoints.get_mut(attempt.endpoint)?;
         endpoint.estimate.attempt_finished(attempt.expected_bytes, response_bytes);
         if attempt.is_receiving() {
--- a/crates/deckproxy-sites/src/requester/exchange.rs
+++ b/crates/deckproxy-sites/src/requester/exchange.rs
@@ -54,6 +54,10 @@
     pub(super) is_chunked: bool,
     /// Credit window: offset up to which the serving side may send the body, bytes.
     pub(super) credit_limit: usize,
+    /// Bytes that its response may take: its credit window, and once that may be extended the whole body.
+    pub(super) promised_bytes: usize,
+    /// Whether memory is taken for the whole body, so that the credit window may be extended to its end.
+    pub(super) may_extend: bool,
     /// Tag of the cached copy in the request.
     pub(super) cached_tag: Option<String>,
 }
--- a/crates/deckproxy-sites/src/requester/mod.rs
+++ b/crates/deckproxy-sites/src/requester/mod.rs
@@ -12,12 +12,14 @@
 //! - `connections`: handshakes, lost connections, received messages.
 //! - `resume`: reattachment to attempts after a lost connection.
 //! - `responses`: response heads and bodies, with flow control.
+//! - `memory`: what requests and responses take, and the extension of credit windows.
 //! - `timers`: deadlines, heartbeats and timeouts.
 
 mod attempts;
 mod connections;
 mod endpoint;
 mod exchange;
+mod memory;
 mod queue;
 mod requests;
 mod responses;
@@ -35,6 +37,7 @@
 use crate::{LinkLimits, Millis, saturating_u32};
 use endpoint::Endpoint;
 use exchange::{CollapseKey, Exchange, ExchangeId};
+use memory::Memory;
 use queue::{ExchangeQueue, TimeKey};
 use retry_budget::RetryBudget;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -57,6 +60,7 @@
     queue_checked_at: Millis,
     last_exchange: ExchangeId,
     retry_budget: RetryBudget,
+    memory: Memory,
     is_closing: bool,
     effects: VecDeque<Effect>,
     /// Events since the start.
@@ -79,6 +83,7 @@
             queue_checked_at: now,
             last_exchange: 0,
             retry_budget: RetryBudget::new(limits.retry_ratio),
+            memory: Memory::default(),
             is_closing: false,
             effects: VecDeque::new(),
             counters: Counters::default(),
--- a/crates/deckproxy-sites/src/requester/requests.rs
+++ b/crates/deckproxy-sites/src/requester/requests.rs
@@ -19,7 +19,9 @@
             self.counters.collapsed += 1;
             self.requests.insert(token, id);
             self.deadlines.insert((TimeKey::at(request.deadline), token));
-            exchange.waiters.push_back(Waiter { token, request });
+            let waiter = Waiter { token, request };
+            self.memory.request_added(&waiter);
+            exchange.waiters.push_back(waiter);
             return;
         }
         if self.exchanges.len() >= self.limits.max_exchanges {
@@ -41,6 +43,7 @@
         if let Some(key) = &key {
             self.collapsible.insert(key.clone(), id);
         }
+        self.memory.request_added(&leader);
         self.requests.insert(leader.token, id);
         self.deadlines.insert((TimeKey::at(leader.request.deadline), leader.token));
         self.exchanges.insert(id, Exchange::new(key, leader));
@@ -52,6 +55,7 @@
         let Some(id) = self.requests.remove(&token) else { return };
         let Some(exchange) = self.exchanges.get_mut(&id) else { return };
         if let Some(waiter) = exchange.remove_waiter(token) {
+            self.memory.request_removed(&waiter);
             self.deadlines.remove(&(TimeKey::at(waiter.request.deadline), token));
         }
         if exchange.waiters.is_empty() {
@@ -61,6 +65,7 @@
 
     /// Sends one request its final response.
     pub(super) fn reply(&mut self, waiter: &Waiter, reply: Reply) {
+        self.memory.request_removed(waiter);
         self.requests.remove(&waiter.token);
         self.deadlines.remove(&(TimeKey::at(waiter.request.deadline), waiter.token));
         self.effects.push_back(Effect::Reply(waiter.token, reply));
--- a/crates/deckproxy-sites/src/requester/responses.rs
+++ b/crates/deckproxy-sites/src/requester/responses.rs
@@ -2,10 +2,10 @@
 
 use super::Requester;
 use super::exchange::{Attempt, ExchangeId};
-use super::types::{Effect, Reply};
-use crate::frame::{BodyChunk, Outcome, Payload, ResponseHead, WindowUpdate};
+use super::types::Reply;
+use crate::frame::{BodyChunk, Outcome, ResponseHead};
 use crate::purges::PurgeLog;
-use crate::{ConnectionId, Millis, saturating_u32};
+use crate::{ConnectionId, Millis};
 use bytes::Bytes;
 
 /// Largest body that is accepted, bytes.
@@ -15,8 +15,8 @@
 enum BodyProgress {
     /// The attempt has ended, or is attached to another connection.
     Ignored,
-    /// More chunks follow; with a window update if at most half of the credit window is left.
-    Partial(Option<WindowUpdate>),
+    /// More chunks follow.
+    Partial(ExchangeId),
     /// The body is complete.
     Complete(ExchangeId),
 }
@@ -66,7 +66,6 @@
         chunk: &BodyChunk,
         purges: &PurgeLog,
     ) -> bool {
-        let window = self.limits.credit_window;
         let mut is_first_of_several = false;
         let mut progress = BodyProgress::Ignored;
         if let Some((id, attempt)) = self.attempt_on(endpoint_index, connection, chunk.number) {
@@ -77,11 +76,15 @@
             }
             is_first_of_several = received == 0 && chunk.bytes.len() < body_length;
             attempt.is_chunked |= is_first_of_several;
+            if received == 0 {
+                // What is promised is taken at once: a buffer that grows by doubling could take twice as much.
+                attempt.body.reserve(body_length.min(attempt.promised_bytes));
+            }
             attempt.body.extend_from_slice(&chunk.bytes);
             progress = if attempt.body.len() == body_length {
                 BodyProgress::Complete(id)
             } else {
-                BodyProgress::Partial(extend_window(attempt, window))
+                BodyProgress::Partial(id)
             };
         }
         if let Some(endpoint) = self.endpoints.get_mut(endpoint_index) {
@@ -93,10 +96,8 @@
             }
         }
         match progress {
-            BodyProgress::Ignored | BodyProgress::Partial(None) => {}
-            BodyProgress::Partial(Some(update)) => {
-                self.effects.push_back(Effect::Send(connection, Payload::WindowUpdate(update)));
-            }
+            BodyProgress::Ignored => {}
+            BodyProgress::Partial(id) => self.extend_or_wait(id),
             BodyProgress::Complete(id) => self.response_complete(now, id, purges),
         }
         true
@@ -174,13 +175,3 @@
         }
     }
 }
-
-/// Extends an attempt's credit window once at most half of it is left.
-fn extend_window(attempt: &mut Attempt, window: usize) -> Option<WindowUpdate> {
-    let received = attempt.body.len();
-    if attempt.credit_limit.saturating_sub(received) > window / 2 {
-        return None;
-    }
-    attempt.credit_limit = received + window;
-    Some(WindowUpdate { number: attempt.number, limit: saturating_u32(attempt.credit_limit) })
-}
--- a/crates/deckproxy-sites/src/site/mod.rs
+++ b/crates/deckproxy-sites/src/site/mod.rs
@@ -109,6 +109,21 @@
         self.peers.get(peer).map(|peer| &peer.requester)
     }
 
+    /// Bytes of forwarded requests and their responses, in both directions, with what may be sent to this gateway at any
+    /// time.
+    pub fn held_bytes(&self) -> usize {
+        let requesters = self.peers.iter().map(|peer| peer.requester.held_bytes());
+        requesters.sum::<usize>() + self.responder.usage().retained_bytes
+    }
+
+    /// Sets how many bytes may be taken for further responses of peers.
+    pub fn set_memory_room(&mut self, bytes: usize) {
+        for index in 0..self.peers.len() {
+            self.peers[index].requester.set_memory_room(bytes);
+            self.collect_requester_effects(index);
+        }
+    }
+
     /// The serving side.
     pub fn responder(&self) -> &Responder {
         &self.responder
--- a/crates/deckproxy-sites/tests/requester.rs
+++ b/crates/deckproxy-sites/tests/requester.rs
@@ -341,3 +341,40 @@
     );
     assert!(!fixture.receive(16.0, 1, Payload::Request(Request::default())), "a message to the serving side");
 }
+
+fn extended_windows(effects: &[Effect]) -> Vec<u64> {
+    let number = |effect: &Effect| match effect {
+        Effect::Send(_, Payload::WindowUpdate(update)) => Some(update.number),
+        _ => None,
+    };
+    effects.iter().filter_map(number).collect()
+}
+
+/// Guards against memory for bodies that nothing has counted: what a peer may send at any time counts, and the window of
+/// a body is extended only once there is room for all of it.
+#[test]
+fn credit_windows_count_as_memory_and_are_extended_as_there_is_room() {
+    let window = LINK.credit_window;
+    let mut fixture = Fixture::connected();
+    fixture.requester.set_memory_room(0);
+    let numbers: Vec<u64> = (1..=3)
+        .map(|token| fixture.request(10.0, token, forwarded_request(token, RetrySafety::Idempotent, 900.0)))
+        .collect();
+    assert!(fixture.requester.held_bytes() >= 3 * window);
+    let length = u32::try_from(3 * window).unwrap();
+    for number in &numbers {
+        fixture.receive(20.0, 1, response(*number, Outcome::Served, length));
+        let bytes = Bytes::from(vec![1; window]);
+        assert!(fixture.receive(20.0, 1, Payload::Chunk(BodyChunk { number: *number, offset: 0, bytes })));
+    }
+    assert_eq!(extended_windows(&fixture.effects()), numbers[..1], "one body at a time without room");
+    assert!(fixture.requester.held_bytes() >= 5 * window);
+    fixture.requester.set_memory_room(2 * window);
+    assert_eq!(extended_windows(&fixture.effects()), numbers[1..2]);
+    fixture.requester.cancel(30.0, 1);
+    fixture.requester.cancel(30.0, 2);
+    fixture.requester.set_memory_room(0);
+    assert_eq!(extended_windows(&fixture.effects()), numbers[2..], "the next one, as no other is extended");
+    fixture.requester.cancel(40.0, 3);
+    assert_eq!(fixture.requester.held_bytes(), 0);
+}
--- a/crates/deckproxy-sites/tests/schedules/main.rs
+++ b/crates/deckproxy-sites/tests/schedules/main.rs
@@ -58,6 +58,7 @@
         assert_eq!(site.open_requests(), 0);
         let open = site.requester(0).unwrap().open_counts();
         assert_eq!(open, OpenCounts::default(), "something is left on the requesting side");
+        assert_eq!(site.held_bytes(), 0, "memory is counted that nothing uses");
         let usage = site.responder().usage();
         assert_eq!((usage.runs, usage.retained_bytes), (0, 0), "something is left on the serving side");
     }
--- a/crates/deckproxy/src/program/effects.rs
+++ b/crates/deckproxy/src/program/effects.rs
@@ -72,8 +72,12 @@
         if !self.subsystems.is_any_enabled() {
             return false;
         }
-        let rejects_requests = self.subsystems.has_sites() && (self.is_memory_full() || self.is_rejecting());
-        self.subsystems.poll(&Context { now, router: &self.router, rejects_requests });
+        let (mut rejects_requests, mut memory_room) = (false, 0);
+        if self.subsystems.has_sites() {
+            rejects_requests = self.is_memory_full() || self.is_rejecting();
+            memory_room = self.memory_room();
+        }
+        self.subsystems.poll(&Context { now, router: &self.router, rejects_requests, memory_room });
         let any = self.apply_subsystem_effects(now);
         self.flush_links(now) || any
     }
--- a/crates/deckproxy/src/program/gateway.rs
+++ b/crates/deckproxy/src/program/gateway.rs
@@ -123,7 +123,7 @@
 
 /// The context for subsystems. A function, so that the gateway's other fields can be borrowed at the same time.
 pub(super) fn context(now: f64, router: &Router) -> Context<'_> {
-    Context { now, router, rejects_requests: false }
+    Context { now, router, rejects_requests: false, memory_room: 0 }
 }
 
 /// Binds the address for links of other sites' gateways, if the operator file has one.
--- a/crates/deckproxy/src/program/memory.rs
+++ b/crates/deckproxy/src/program/memory.rs
@@ -87,6 +87,11 @@
         held > self.bounds.requests || held + self.router.expected_bytes() > self.bounds.memory
     }
 
+    /// Bytes that may be taken for further large answers.
+    pub(super) fn memory_room(&self) -> usize {
+        self.bounds.answers.saturating_sub(self.memory_use().total())
+    }
+
     /// The number of bytes that may be read next from a member's connection. `None` if there is no memory for the answer
     /// that it is sending: the connection is queued, and read once there is.
     pub(super) fn member_read_limit(&mut self, id: UpstreamId) -> Option<usize> {
--- a/crates/deckproxy/src/program/sites/mod.rs
+++ b/crates/deckproxy/src/program/sites/mod.rs
@@ -181,6 +181,7 @@
     }
 
     fn poll(&mut self, cx: &Context<'_>, out: &mut Effects) {
+        self.site.set_memory_room(cx.memory_room);
         while let Some(effect) = self.site.next_effect() {
             match effect {
                 site::Effect::Connect { peer, endpoint: address_index } => {
@@ -216,7 +217,7 @@
     }
 
     fn buffered_bytes(&self) -> usize {
-        self.site.responder().usage().retained_bytes
+        self.site.held_bytes()
     }
 
     fn is_settled(&self) -> bool {
--- a/crates/deckproxy/src/program/subsystem/mod.rs
+++ b/crates/deckproxy/src/program/subsystem/mod.rs
@@ -37,6 +37,8 @@
     /// Whether new requests must be rejected, because the memory limit is reached or a shutdown is in its rejecting
     /// phase. Determined only for [`Subsystem::poll`]; false in all other calls.
     pub rejects_requests: bool,
+    /// Bytes that may be taken for answers of other sites. Determined only for [`Subsystem::poll`]; 0 in all other calls.
+    pub memory_room: usize,
 }
 
 /// A subsystem's decision on a client's request, made before the router receives it.
--- a/crates/deckproxy/tests/sites/main.rs
+++ b/crates/deckproxy/tests/sites/main.rs
@@ -4,12 +4,15 @@
 mod lifecycle;
 mod link_faults;
 mod link_protocol;
+mod memory;
 mod purges;
 
 use deckproxy_standins::link_relay::LinkRelay;
 use deckproxy_standins::*;
 use std::net::{SocketAddr, TcpStream};
 
+/// The limit of a gateway's memory where a test is not about it.
+const MEMORY_MB: u64 = 192;
 /// Objects of the north begin with a, those of the south with b, those of the east with c.
 const SOUTHERN: &str = "b000000000000001";
 
@@ -45,11 +48,16 @@
 
 impl LinkedSite {
     fn start(operator: String) -> Self {
+        Self::start_with_memory(operator, MEMORY_MB)
+    }
+
+    fn start_with_memory(operator: String, memory_mb: u64) -> Self {
         let members = TestSite::start();
         let feed = Feed::start();
         let mut setup = members.setup();
         setup.feed = feed.address;
         setup.operator = Some(operator);
+        setup.memory_mb = memory_mb;
         let gateway = setup.start();
         let (_, feed_connection) = feed.accept();
         LinkedSite { members, setup, gateway, feed, feed_connection }
@@ -70,16 +78,17 @@
 
 impl SitePair {
     fn start_with(mode: &str) -> Self {
+        Self::start_with_memory(mode, MEMORY_MB)
+    }
+
+    fn start_with_memory(mode: &str, memory_mb: u64) -> Self {
         let [north_at, south_at] = [free_address(), free_address()];
         let link = LinkRelay::to(south_at);
-        let south = LinkedSite::start(operator_text(
-            "south",
-            south_at,
-            &[("north", north_at)],
-            &[("a", "north", "")],
-        ));
+        let southern = operator_text("south", south_at, &[("north", north_at)], &[("a", "north", "")]);
+        let south = LinkedSite::start_with_memory(southern, memory_mb);
         let routes = [("b", "south", mode)];
-        let north = LinkedSite::start(operator_text("north", north_at, &[("south", link.address)], &routes));
+        let northern = operator_text("north", north_at, &[("south", link.address)], &routes);
+        let north = LinkedSite::start_with_memory(northern, memory_mb);
         wait_for_link(&north, "south");
         wait_for_link(&south, "north");
         let client = north.gateway.client();
