--- a/crates/deckproxy/src/program/attempts.rs
+++ b/crates/deckproxy/src/program/attempts.rs
@@ -72,8 +72,9 @@
         let written = written.unwrap_or(WrittenPart::All);
         // The rest of a request that is written in part will never be written, and such a request does not run. The rest
         // of a large answer would take memory although nobody waits for it.
-        let is_useless =
-            |connection: &MemberConnection| written == WrittenPart::Some || connection.is_superfluous();
+        let is_useless = |connection: &MemberConnection| {
+            written == WrittenPart::Some || connection.receives_unwanted_answer()
+        };
         let connection = self.upstreams.get(&id).map(|upstream| &upstream.connection);
         if connection.is_some_and(|connection| connection.in_flight() == 0 && is_useless(connection)) {
             self.close_upstream(id);
--- a/crates/deckproxy/src/transport/member.rs
+++ b/crates/deckproxy/src/transport/member.rs
@@ -118,9 +118,14 @@
         self.used_at
     }
 
-    /// Whether nothing is in flight, and the connection is retired or is receiving a large answer that nobody waits for.
+    /// Whether nothing is in flight, and the connection is retired or receives an unwanted answer.
     pub fn is_superfluous(&self) -> bool {
-        self.in_flight() == 0 && (self.retired || self.stream.missing > limits::MEMBER_READ)
+        self.in_flight() == 0 && (self.retired || self.receives_unwanted_answer())
+    }
+
+    /// Whether a large answer is being received that nobody waits for.
+    pub fn receives_unwanted_answer(&self) -> bool {
+        self.in_flight() == 0 && self.stream.missing > limits::MEMBER_READ
     }
 
     /// Whether an attempt of this name can be sent here: an answer under the name must be unambiguous.
