Take memory for client messages before they are received (slow writers)

What callers saw: with hundreds of clients that wrote slowly, stopped inside a large request or sent very many fields, the process passed its memory limit; where it did not, large requests kept the small ones of other clients out.

Cause: memory was asked when a request was complete; what was announced or received in part was taken without asking and bounded by the number of clients alone.

Change: a partial message asks for memory for all that it announces; else its request is rejected at once and the rest dropped as it arrives. Shares by size, so that large requests leave room for small ones. Types of the account in a module of their own, as tests/structure.rs found an import cycle.

--- a/crates/deckproxy/src/program/client_messages.rs
+++ b/crates/deckproxy/src/program/client_messages.rs
@@ -3,6 +3,7 @@
 use crate::program::gateway::{Gateway, context};
 use crate::program::subsystem::{Event, RequestKey, Verdict};
 use crate::protocol::downstream::{self, Answer, Call, Message, ProtocolError, RequestError};
+use crate::protocol::limits;
 use crate::routing::ClientId;
 use crate::transport::client::ClientConnection;
 use crate::transport::client_input::InputMode;
@@ -31,17 +32,47 @@
                 Ok(Some(message)) => self.handle_message(clock::now(), id, message, bytes),
                 Err(error) => self.handle_protocol_error(now, id, &error, bytes),
             }
-            if self.clients.get(&id).is_some_and(ClientConnection::is_over_write_limit) {
+            if self.is_over_write_limit(id) {
                 // More rejections would have to be buffered without a bound.
                 self.drain_client(now, id, "it does not read its rejections", InputMode::Discard);
             }
         }
+        self.admit_partial_message(now, id);
         // A closing connection is half-closed only once all received messages are handled.
         if self.clients.get(&id).is_some_and(ClientConnection::is_closing) {
             self.flush_client(now, id);
         }
     }
 
+    fn is_over_write_limit(&self, id: ClientId) -> bool {
+        let is_scarce = self.is_memory_scarce();
+        self.clients.get(&id).is_some_and(|client| {
+            client.is_over_write_limit() || is_scarce && client.is_over_scarce_write_limit()
+        })
+    }
+
+    /// Takes memory for the message that has been received in part. If there is none, its request is rejected at once,
+    /// and the message is dropped as it arrives.
+    fn admit_partial_message(&mut self, now: f64, id: ClientId) {
+        let Some(client) = self.clients.get(&id) else { return };
+        let bytes = client.unadmitted_bytes();
+        if bytes == 0 || client.is_discarding() {
+            return;
+        }
+        let is_small = client.stream.input.len() + client.stream.missing <= limits::CLIENT_INPUT;
+        let is_admitted = is_small || self.admits_partial_message(bytes);
+        if !is_admitted {
+            self.reject_partial_request(now, id);
+        }
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if is_admitted {
+            client.admit_partial_message();
+        } else {
+            client.drop_partial_message();
+            self.flush_client(now, id);
+        }
+    }
+
     /// Handles bytes that can't be decoded: sends an answer if they contain a request id, and drains the connection.
     fn handle_protocol_error(&mut self, now: f64, id: ClientId, fault: &ProtocolError, bytes: usize) {
         let event = match fault.request_id {
@@ -57,7 +88,6 @@
 
     /// Handles a client's message; `bytes` is its size.
     fn handle_message(&mut self, now: f64, id: ClientId, message: Message, bytes: usize) {
-        let full = self.is_memory_full();
         let event = match &message {
             Message::Call { id: request, call } => {
                 Event::RequestReceived { client: id, id: *request, class: &call.class, bytes }
@@ -71,7 +101,7 @@
         };
         self.notify(now, &event);
         match message {
-            Message::Call { id: request, call } => self.handle_request(now, (id, request), *call, full),
+            Message::Call { id: request, call } => self.handle_request(now, (id, request), *call),
             Message::Ping(request) => self.handle_ping(now, id, request),
             Message::Cancel(requests) => self.handle_cancellation(now, id, requests),
             Message::Invalid { id: request, error } => self.handle_invalid(now, id, request, error),
@@ -79,8 +109,7 @@
         }
     }
 
-    /// Handles a request; `full` says whether the bound on buffered bytes is exceeded.
-    fn handle_request(&mut self, now: f64, key: RequestKey, call: Call, full: bool) {
+    fn handle_request(&mut self, now: f64, key: RequestKey, call: Call) {
         let (id, request) = key;
         if self.is_request_open(key) {
             // Answers to two open requests with the same id could not be distinguished.
@@ -96,8 +125,9 @@
             return self.drain_client(now, id, error.as_str(), InputMode::Reject);
         }
         // During a shutdown or on a closing connection, a request that is rejected at once can be retried sooner. The
-        // bound on all buffered bytes is checked before the client's own limit on open requests.
+        // account of memory is checked before the client's own limit on open requests.
         let rejecting = client.is_closing() || self.is_rejecting();
+        let full = self.is_memory_full(call.body.len());
         let admitted = self.clients.get_mut(&id).is_some_and(|client| !rejecting && !full && client.admit());
         if !admitted {
             self.router.counters.rejected += 1;
--- a/crates/deckproxy/src/program/effects.rs
+++ b/crates/deckproxy/src/program/effects.rs
@@ -3,7 +3,7 @@
 use crate::program::gateway::{Gateway, context};
 use crate::program::subsystem::{Context, Effect as SubsystemEffect, Event, FIRST_LINK_CLIENT, micros};
 use crate::program::timer_task::TimerTask;
-use crate::protocol::upstream;
+use crate::protocol::{limits, upstream};
 use crate::routing::{AttemptKey, ClientId, Effect};
 use crate::transport::clock;
 use crate::transport::member::MemberMessage;
@@ -72,12 +72,14 @@
         if !self.subsystems.is_any_enabled() {
             return false;
         }
-        let (mut rejects_requests, mut memory_room) = (false, 0);
+        let (mut rejects_requests, mut rejects_bodies, mut memory_room) = (false, false, 0);
         if self.subsystems.has_sites() {
-            rejects_requests = self.is_memory_full() || self.is_rejecting();
+            rejects_requests = self.is_memory_full(0) || self.is_rejecting();
+            rejects_bodies = rejects_requests || self.is_memory_full(limits::CLIENT_BODY);
             memory_room = self.memory_room();
         }
-        self.subsystems.poll(&Context { now, router: &self.router, rejects_requests, memory_room });
+        let router = &self.router;
+        self.subsystems.poll(&Context { now, router, rejects_requests, rejects_bodies, memory_room });
         let any = self.apply_subsystem_effects(now);
         self.flush_links(now) || any
     }
--- a/crates/deckproxy/src/program/gateway.rs
+++ b/crates/deckproxy/src/program/gateway.rs
@@ -6,7 +6,7 @@
 
 use crate::program::connections::{ReadySource, UpstreamConnection, UpstreamId};
 use crate::program::files::Files;
-use crate::program::memory::WaitingAnswers;
+use crate::program::memory_use::WaitingAnswers;
 use crate::program::start_error::StartError;
 use crate::program::subsystem::{Context, Event, micros};
 use crate::program::subsystems::Subsystems;
@@ -123,7 +123,7 @@
 
 /// The context for subsystems. A function, so that the gateway's other fields can be borrowed at the same time.
 pub(super) fn context(now: f64, router: &Router) -> Context<'_> {
-    Context { now, router, rejects_requests: false, memory_room: 0 }
+    Context { now, router, rejects_requests: false, rejects_bodies: false, memory_room: 0 }
 }
 
 /// Binds the address for links of other sites' gateways, if the operator file has one.
--- a/crates/deckproxy/src/program/memory.rs
+++ b/crates/deckproxy/src/program/memory.rs
@@ -2,68 +2,13 @@
 //!
 //! All buffers and bodies are in the account, also memory that is only promised: the rest of an answer that has begun, and
 //! the answers that open requests are expected to bring. The nearer a piece of work is to its end, the more memory it may
-//! use, so that work in progress can always be completed: new requests are rejected first, then large answers of members
-//! wait, and small ones last.
+//! use, so that work in progress can always be completed: requests with large bodies are rejected first, then all new ones, then
+//! large answers of members wait, and small ones last.
 
 use crate::program::connections::{ReadySource, UpstreamId};
 use crate::program::gateway::Gateway;
+use crate::program::memory_use::MemoryUse;
 use crate::protocol::limits;
-use std::collections::VecDeque;
-
-/// Bytes that are held, by what holds them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) struct MemoryUse {
-    /// Buffers of clients' connections, for input.
-    pub(super) client_input: usize,
-    /// Messages that wait for clients.
-    pub(super) client_output: usize,
-    /// Buffers of members' connections, for input, with what is reserved for the rest of answers.
-    pub(super) member_input: usize,
-    /// Messages that wait for members.
-    pub(super) member_output: usize,
-    /// Open requests with their bodies.
-    pub(super) requests: usize,
-    /// Buffers of links to other sites.
-    pub(super) links: usize,
-    /// Requests and answers that subsystems hold.
-    pub(super) subsystems: usize,
-    /// Messages that wait for collectors.
-    pub(super) collectors: usize,
-}
-
-impl MemoryUse {
-    /// All bytes that are held.
-    pub(super) fn total(&self) -> usize {
-        self.client_input
-            + self.client_output
-            + self.member_input
-            + self.member_output
-            + self.requests
-            + self.links
-            + self.subsystems
-            + self.collectors
-    }
-}
-
-/// Connections to members whose next answer waits for memory, in the order in which they are served.
-#[derive(Debug, Default)]
-pub(super) struct WaitingAnswers {
-    queue: VecDeque<UpstreamId>,
-}
-
-impl WaitingAnswers {
-    /// Number of connections that wait.
-    pub(super) fn len(&self) -> usize {
-        self.queue.len()
-    }
-
-    /// Adds a connection, unless it waits already.
-    fn push(&mut self, id: UpstreamId) {
-        if !self.queue.contains(&id) {
-            self.queue.push_back(id);
-        }
-    }
-}
 
 impl Gateway {
     /// The memory that peers make the gateway hold now.
@@ -80,11 +25,23 @@
         }
     }
 
-    /// Whether new requests must be rejected: what is held is over its bound, or would be over the process's limit with
-    /// the answers that are expected.
-    pub(super) fn is_memory_full(&self) -> bool {
+    /// Whether a request with a body of so many bytes must be rejected: what is held is over its bound, or would be over
+    /// the process's limit with the answers that are expected.
+    pub(super) fn is_memory_full(&self, body: usize) -> bool {
         let held = self.memory_use().total();
-        held > self.bounds.requests || held + self.router.expected_bytes() > self.bounds.memory
+        let bound = if body > limits::CLIENT_INPUT { self.bounds.bodies } else { self.bounds.requests };
+        held > bound || held + self.router.expected_bytes() > self.bounds.memory
+    }
+
+    /// Whether there is memory for so many further bytes of a client's message of which a part is missing.
+    pub(super) fn admits_partial_message(&self, bytes: usize) -> bool {
+        let held = self.memory_use();
+        held.client_input + bytes <= self.bounds.client_input && held.total() + bytes <= self.bounds.bodies
+    }
+
+    /// Whether so much is held that hardly anything may be added.
+    pub(super) fn is_memory_scarce(&self) -> bool {
+        self.memory_use().total() > self.bounds.read
     }
 
     /// Bytes that may be taken for further large answers.
@@ -127,12 +84,12 @@
 
     /// Queues the connections to members whose answers waited for memory and may be received now.
     pub(super) fn resume_waiting_answers(&mut self) {
-        while let Some(id) = self.waiting_answers.queue.front().copied() {
+        while let Some(id) = self.waiting_answers.first() {
             let missing = self.upstreams.get(&id).map(|upstream| upstream.connection.stream.missing);
             if missing.is_some_and(|missing| !self.admits_answer(missing)) {
                 return;
             }
-            self.waiting_answers.queue.pop_front();
+            self.waiting_answers.remove_first();
             if missing.is_some() && self.member_read_limit(id).is_some() {
                 self.queue(ReadySource::Upstream(id));
             }
--- a/crates/deckproxy/src/program/mod.rs
+++ b/crates/deckproxy/src/program/mod.rs
@@ -22,6 +22,7 @@
 pub mod log_aliases;
 pub mod logging;
 mod memory;
+mod memory_use;
 pub mod migrate;
 mod recovery;
 mod reload;
--- a/crates/deckproxy/src/program/sites/forwarding.rs
+++ b/crates/deckproxy/src/program/sites/forwarding.rs
@@ -5,8 +5,8 @@
     Context, Effect, Effects, Event, FIRST_LINK_CLIENT, Note, RequestKey, Verdict, outcome_of,
 };
 use crate::protocol::downstream::{Answer, Call, RequestError};
-use crate::protocol::link;
 use crate::protocol::upstream::CopyInfo;
+use crate::protocol::{limits, link};
 use bytes::Bytes;
 use deckproxy_control::interface;
 use deckproxy_flow::meter::Outcome;
@@ -86,11 +86,13 @@
 
     /// Handles a request received over a link: routes it locally, forwards it to another site, or answers it at once.
     pub(super) fn link_request(&mut self, cx: &Context<'_>, run: RunId, request: Request, out: &mut Effects) {
+        let has_large_body = request.body.len() > limits::CLIENT_INPUT;
+        let rejects = if has_large_body { cx.rejects_bodies } else { cx.rejects_requests };
         let path = request.site_path.clone();
         let site = path.last().cloned();
         out.push_back(Effect::Notify(Note::LinkRequestBegan { run, class: request.class.clone(), site }));
         let call = match link::call_from_request(request) {
-            Ok(call) if !cx.rejects_requests => call,
+            Ok(call) if !rejects => call,
             Ok(_) => return self.answer_link(cx, run, Answer::Rejected(0.0), None, out),
             Err(error) => return self.answer_link(cx, run, Answer::Invalid(error), None, out),
         };
--- a/crates/deckproxy/src/program/subsystem/mod.rs
+++ b/crates/deckproxy/src/program/subsystem/mod.rs
@@ -37,6 +37,8 @@
     /// Whether new requests must be rejected, because the memory limit is reached or a shutdown is in its rejecting
     /// phase. Determined only for [`Subsystem::poll`]; false in all other calls.
     pub rejects_requests: bool,
+    /// Whether new requests with a large body must be rejected; likewise.
+    pub rejects_bodies: bool,
     /// Bytes that may be taken for answers of other sites. Determined only for [`Subsystem::poll`]; 0 in all other calls.
     pub memory_room: usize,
 }
--- a/crates/deckproxy/src/protocol/downstream/decode.rs
+++ b/crates/deckproxy/src/protocol/downstream/decode.rs
@@ -4,7 +4,7 @@
 use crate::protocol::downstream::framing::{Scanner, skip_value};
 use crate::protocol::downstream::message::{Call, Message, ObjectId};
 use crate::protocol::limits;
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use rmp::decode;
 
 /// Number of elements of a request's array, and its message type on the wire.
@@ -18,6 +18,8 @@
 #[derive(Debug, Default)]
 pub struct Decoder {
     scanner: Scanner,
+    /// Whether the message that is being received is dropped.
+    drops: bool,
 }
 
 impl Decoder {
@@ -27,21 +29,43 @@
     /// The input can't be decoded; neither it nor anything after it on the connection can be used.
     pub fn next(&mut self, buffer: &mut BytesMut) -> Result<Option<Message>, ProtocolError> {
         match self.scanner.scan(buffer) {
-            Ok(None) => Ok(None),
+            Ok(None) => {
+                if self.drops {
+                    self.drop_scanned(buffer);
+                }
+                Ok(None)
+            }
             Ok(Some(length)) => {
                 let complete = buffer.split_to(length);
                 self.scanner = Scanner::default();
-                message(&complete).map(Some)
+                let drops = std::mem::take(&mut self.drops);
+                if drops { Ok(Some(Message::Ignored)) } else { message(&complete).map(Some) }
             }
             Err(error) => Err(ProtocolError { error, request_id: request_head(buffer).map(|(id, _)| id) }),
         }
     }
 
+    /// Drops the message whose start is in the buffer, and the rest of it as it arrives.
+    pub fn drop_message(&mut self, buffer: &mut BytesMut) {
+        self.drops = true;
+        self.drop_scanned(buffer);
+    }
+
+    fn drop_scanned(&mut self, buffer: &mut BytesMut) {
+        let bytes = self.scanner.drop_scanned(buffer.len());
+        buffer.advance(bytes);
+    }
+
     /// The id of the request at the start of the buffer, if it has been received; the rest may be missing.
     pub fn partial_request(&self, buffer: &[u8]) -> Option<u32> {
         request_head(buffer).map(|(id, _)| id)
     }
 
+    /// Whether a part of a message was received, of which nothing may be left in the buffer.
+    pub fn is_mid_message(&self) -> bool {
+        self.scanner.is_mid_message()
+    }
+
     /// Minimum number of bytes that are still missing after `have` bytes were received.
     pub fn missing(&self, have: usize) -> usize {
         self.scanner.missing(have)
--- a/crates/deckproxy/src/protocol/downstream/framing.rs
+++ b/crates/deckproxy/src/protocol/downstream/framing.rs
@@ -80,6 +80,8 @@
     left: Option<u64>,
     /// Number of values skipped so far.
     values: u64,
+    /// Bytes of the message that were dropped from the start of the buffer.
+    dropped: usize,
 }
 
 impl Scanner {
@@ -99,7 +101,9 @@
             self.values += 1;
             left = left - 1 + extent.values;
             self.left = Some(left);
-            if self.position > limits::CLIENT_MESSAGE || self.values + left > limits::CLIENT_VALUES {
+            if self.dropped + self.position > limits::CLIENT_MESSAGE
+                || self.values + left > limits::CLIENT_VALUES
+            {
                 return Err(RequestError::MessageTooLarge);
             }
         }
@@ -107,6 +111,19 @@
         Ok(complete.then_some(self.position))
     }
 
+    /// Whether a part of a message was scanned.
+    pub(super) fn is_mid_message(&self) -> bool {
+        self.left.is_some()
+    }
+
+    /// Records that the scanned bytes among the `have` bytes received are dropped from the buffer. Returns their number.
+    pub(super) fn drop_scanned(&mut self, have: usize) -> usize {
+        let bytes = self.position.min(have);
+        self.position -= bytes;
+        self.dropped += bytes;
+        bytes
+    }
+
     /// Minimum number of bytes that are still missing of a message after `have` bytes were received.
     pub(super) fn missing(&self, have: usize) -> usize {
         self.position.saturating_sub(have)
--- a/crates/deckproxy/src/protocol/limits.rs
+++ b/crates/deckproxy/src/protocol/limits.rs
@@ -104,10 +104,20 @@
 /// Size of the write buffer of a member's connection from which another connection is opened.
 pub const MEMBER_WRITE_BUFFER: usize = 4 * 1024 * 1024;
 
+/// Bytes of rejections and pongs that one client may leave unread while memory is scarce.
+pub const CLIENT_REJECTIONS_SCARCE: usize = 2 * 1024;
+/// Bytes that a client's partial message may always take, and body up to which a request counts as small. It has room for
+/// a cancellation of all requests that may be open.
+pub const CLIENT_INPUT: usize = 2 * 1024;
 /// Bytes that are read from a member's connection without memory reserved for its answer.
 pub const MEMBER_READ: usize = 4 * 1024;
 
-/// Share of the memory that is held for peers from which new requests are rejected.
+/// Share of the memory that clients' partial messages may use.
+const CLIENT_INPUT_SHARE: f64 = 0.2;
+/// Share of the memory that is held for peers from which requests with a large body are rejected, so that these don't keep
+/// the small ones out.
+const BODIES_SHARE: f64 = 0.4;
+/// Share from which all new requests are rejected.
 const REQUESTS_SHARE: f64 = 0.5;
 /// Share up to which large answers of members are received.
 const ANSWERS_SHARE: f64 = 0.6;
@@ -130,6 +140,10 @@
     pub member_connections: usize,
     /// The process's limit on memory, bytes.
     pub memory: usize,
+    /// Most bytes that clients' partial messages may take.
+    pub client_input: usize,
+    /// Most bytes held for peers with which requests with a large body are admitted.
+    pub bodies: usize,
     /// Most bytes held for peers with which new requests are admitted.
     pub requests: usize,
     /// Most bytes held for peers with which large answers of members are received.
@@ -151,6 +165,8 @@
             clients: sockets / CLIENT_SHARE,
             member_connections: sockets.saturating_sub(sockets / CLIENT_SHARE + reserved),
             memory: bytes(1.0),
+            client_input: bytes(CLIENT_INPUT_SHARE),
+            bodies: bytes(BODIES_SHARE),
             requests: bytes(REQUESTS_SHARE),
             answers: bytes(ANSWERS_SHARE),
             member_input: bytes(MEMBER_INPUT_SHARE),
--- a/crates/deckproxy/src/transport/client.rs
+++ b/crates/deckproxy/src/transport/client.rs
@@ -77,6 +77,11 @@
         self.input.mode() != InputMode::Discard && self.other_bytes > limits::CLIENT_REJECTIONS
     }
 
+    /// Whether more bytes of rejections and pongs are waiting to be written than are allowed while memory is scarce.
+    pub fn is_over_scarce_write_limit(&self) -> bool {
+        self.input.mode() != InputMode::Discard && self.other_bytes > limits::CLIENT_REJECTIONS_SCARCE
+    }
+
     /// Whether a message has been received only in part.
     pub fn is_mid_message(&self) -> bool {
         self.input.is_mid_message()
@@ -125,12 +130,28 @@
         self.input.unanswered_partial_request(&self.stream)
     }
 
-    /// Appends the final answer to the request received in part; its message is dropped once it is complete.
+    /// Appends the final answer to the request received in part; its message is dropped as it arrives.
     pub fn answer_partial_request(&mut self, id: u32, answer: &Answer) {
-        self.input.partial_request_answered();
+        self.drop_partial_message();
         self.answer(id, answer, false);
     }
 
+    /// Bytes that the message received in part takes beyond those for which memory is taken, with all that is known to
+    /// be missing of it.
+    pub fn unadmitted_bytes(&self) -> usize {
+        self.input.unadmitted_bytes(&self.stream)
+    }
+
+    /// Takes memory for the message received in part, with all that is known to be missing of it.
+    pub fn admit_partial_message(&mut self) {
+        self.input.admit_partial_message(&mut self.stream);
+    }
+
+    /// Drops the message received in part, and the rest of it as it arrives. Its request must have its final answer.
+    pub fn drop_partial_message(&mut self) {
+        self.input.drop_partial_message(&mut self.stream);
+    }
+
     /// Removes the next complete message from the input buffer and returns it.
     ///
     /// # Errors
--- a/crates/deckproxy/src/transport/client_input.rs
+++ b/crates/deckproxy/src/transport/client_input.rs
@@ -23,8 +23,10 @@
 struct PartialMessage {
     /// When its first bytes were received, Unix ms.
     since: f64,
-    /// Its request has its final answer, so that the complete message is dropped.
+    /// Its request has its final answer, so that the message is dropped as it arrives.
     is_answered: bool,
+    /// Bytes up to which memory is taken for it.
+    admitted_bytes: usize,
 }
 
 /// Decodes the messages of one client.
@@ -121,11 +123,30 @@
         is_answerable.then(|| self.decoder.partial_request(&stream.input)).flatten()
     }
 
-    /// Records that the request received in part has its final answer: its message is dropped once it is complete.
-    pub fn partial_request_answered(&mut self) {
+    /// Bytes that the message received in part takes beyond those for which memory is taken, with all that is known to
+    /// be missing of it.
+    pub fn unadmitted_bytes(&self, stream: &Stream) -> usize {
+        let announced = stream.input.len() + stream.missing;
+        let partial = self.partial.filter(|partial| !partial.is_answered);
+        partial.map_or(0, |partial| announced.saturating_sub(partial.admitted_bytes))
+    }
+
+    /// Takes memory for the message received in part, with all that is known to be missing of it.
+    pub fn admit_partial_message(&mut self, stream: &mut Stream) {
+        if let Some(partial) = &mut self.partial {
+            partial.admitted_bytes = stream.input.len() + stream.missing;
+            stream.reserve_missing();
+        }
+    }
+
+    /// Drops the message received in part, and the rest of it as it arrives. Its request must have its final answer.
+    pub fn drop_partial_message(&mut self, stream: &mut Stream) {
         if let Some(partial) = &mut self.partial {
             partial.is_answered = true;
         }
+        self.decoder.drop_message(&mut stream.input);
+        stream.missing = 0;
+        stream.trim(true);
     }
 
     /// Removes the next complete message from the input buffer and returns it.
@@ -158,8 +179,9 @@
     /// Records whether the rest of a message is awaited, and releases unused memory.
     fn await_rest(&mut self, stream: &mut Stream) {
         let since = self.received_at;
-        let partial = self.partial.unwrap_or(PartialMessage { since, is_answered: false });
-        self.partial = (!stream.input.is_empty()).then_some(partial);
+        let is_partial = !stream.input.is_empty() || self.decoder.is_mid_message();
+        let partial = self.partial.unwrap_or(PartialMessage { since, is_answered: false, admitted_bytes: 0 });
+        self.partial = is_partial.then_some(partial);
         stream.missing = self.decoder.missing(stream.input.len());
         stream.trim(std::mem::take(&mut self.consumed));
     }
