Serve each connection for a slice, and read a client before its requests are forwarded

What callers saw: while one client sent small requests on one connection at full speed, 83 of another client's 259 requests were served, and 113 answers came over half a second late.

Cause: before each attempt its client was read again, which led to further attempts; for a client that always has something to read one turn of the loop took up to 6.6 s (longest_turn_ms), and members seemed to be silent. Each rejection was written by a call of its own.

Change: slices of 0.5 ms, a backlog that is served after all ready connections, requests that stay pending until all that their client has sent is read, and one write for the answers of a slice.

--- a/crates/deckproxy/src/program/attempts.rs
+++ b/crates/deckproxy/src/program/attempts.rs
@@ -4,11 +4,12 @@
 use crate::program::gateway::{Gateway, context};
 use crate::program::subsystem::Event;
 use crate::program::timer_task::TimerTask;
+use crate::protocol::limits;
 use crate::routing::members::Endpoint;
 use crate::routing::{AttemptKey, ConnectionFailure};
 use crate::transport::clock;
 use crate::transport::member::{Lost, MemberConnection, MemberMessage, ReceivedReply, WrittenPart};
-use crate::transport::stream::{Progress, READ_TURN_BYTES};
+use crate::transport::stream::Progress;
 use calloop::Readiness;
 use deckproxy_control::interface::MemberId;
 use deckproxy_flow::meter::Outcome;
@@ -109,7 +110,7 @@
         self.read_waiting_clients(now, id);
         self.flush_upstream(now, id);
         match self.read_upstream(now, id) {
-            Progress::More => self.queue(ReadySource::Upstream(id)),
+            Progress::More => self.queue_backlog(ReadySource::Upstream(id)),
             Progress::Ended => self.fail_upstream(now, id, "closed"),
             Progress::Drained => {}
         }
@@ -118,11 +119,11 @@
         }
     }
 
-    /// Reads a connection, up to the limit of one turn and as far as there is memory for its answers, and handles the
-    /// replies.
+    /// Reads a connection, for at most a slice of the loop's time and as far as there is memory for its answers, and
+    /// handles the replies.
     fn read_upstream(&mut self, now: f64, id: UpstreamId) -> Progress {
-        let mut read = 0;
-        while read < READ_TURN_BYTES {
+        let slice_end = clock::now() + limits::SLICE;
+        loop {
             if self.upstreams.get(&id).is_none_or(|upstream| !upstream.connection.stream.is_readable()) {
                 return Progress::Drained;
             }
@@ -132,12 +133,10 @@
             if !self.handle_replies(now, id) {
                 return Progress::Drained;
             }
-            if progress != Progress::More {
+            if progress != Progress::More || clock::now() >= slice_end {
                 return progress;
             }
-            read += limit;
         }
-        Progress::More
     }
 
     /// Passes the complete replies received on a connection to the router. Returns whether it is still open.
--- a/crates/deckproxy/src/program/client_messages.rs
+++ b/crates/deckproxy/src/program/client_messages.rs
@@ -1,13 +1,14 @@
 //! Handling of client messages and their answers.
 
 use crate::program::gateway::{Gateway, context};
-use crate::program::subsystem::{Event, RequestKey, Verdict};
+use crate::program::subsystem::{Event, RequestKey};
 use crate::protocol::downstream::{self, Answer, Call, Message, ProtocolError, RequestError};
 use crate::protocol::limits;
 use crate::routing::ClientId;
 use crate::transport::client::ClientConnection;
 use crate::transport::client_input::InputMode;
 use crate::transport::clock;
+use crate::transport::pending_requests::PendingRequest;
 
 /// Whether the answered request was admitted, so that it counts as open on its client's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -16,18 +17,28 @@
     No,
 }
 
+/// How far the received messages of a client are handled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum DecodeProgress {
+    /// No complete message is left.
+    Complete,
+    /// The slice has ended, and further messages may be complete.
+    Paused,
+}
+
 impl Gateway {
-    /// Decodes and handles the complete messages received from a client.
-    pub(super) fn decode_messages(&mut self, now: f64, id: ClientId) {
-        loop {
-            let Some(client) = self.clients.get_mut(&id) else { return };
+    /// Decodes and handles the complete messages received from a client, until the end of its slice.
+    pub(super) fn decode_messages(&mut self, now: f64, id: ClientId, slice_end: f64) -> DecodeProgress {
+        let mut progress = DecodeProgress::Paused;
+        while progress == DecodeProgress::Paused {
+            let Some(client) = self.clients.get_mut(&id) else { return DecodeProgress::Complete };
             let before = client.stream.input.len();
             let message = client.take_message();
             let bytes = before - client.stream.input.len();
             match message {
                 Ok(None) => {
                     self.notify(now, &Event::ClientBytesReceived { client: id, bytes });
-                    break;
+                    progress = DecodeProgress::Complete;
                 }
                 Ok(Some(message)) => self.handle_message(clock::now(), id, message, bytes),
                 Err(error) => self.handle_protocol_error(now, id, &error, bytes),
@@ -36,10 +47,26 @@
                 // More rejections would have to be buffered without a bound.
                 self.drain_client(now, id, "it does not read its rejections", InputMode::Discard);
             }
+            if progress == DecodeProgress::Paused && clock::now() >= slice_end {
+                break;
+            }
+        }
+        if progress == DecodeProgress::Complete {
+            self.admit_partial_message(now, id);
         }
-        self.admit_partial_message(now, id);
         // A closing connection is half-closed only once all received messages are handled.
-        if self.clients.get(&id).is_some_and(ClientConnection::is_closing) {
+        let wants_flush =
+            |client: &ClientConnection| client.is_closing() || client.stream.unwritten_bytes() > 0;
+        if self.clients.get(&id).is_some_and(wants_flush) {
+            self.flush_client(now, id);
+        }
+        progress
+    }
+
+    /// Writes a client's answers if enough of them are collected.
+    fn flush_batch(&mut self, now: f64, id: ClientId) {
+        let unwritten = self.clients.get(&id).map_or(0, |client| client.stream.unwritten_bytes());
+        if unwritten > limits::CLIENT_WRITE_BATCH {
             self.flush_client(now, id);
         }
     }
@@ -132,18 +159,11 @@
         if !admitted {
             self.router.counters.rejected += 1;
             self.enqueue_answer(now, key, &Answer::Rejected(0.0), Admitted::No);
-            return self.flush_client(now, id);
+            return self.flush_batch(now, id);
         }
-        match self.subsystems.request(&context(now, &self.router), key, &call) {
-            Verdict::Pass => self.router.request(now, id, request, call),
-            Verdict::Taken => {}
-            Verdict::Answer(answer) => {
-                match answer {
-                    Answer::Invalid(_) => self.router.counters.invalid += 1,
-                    _ => self.router.counters.count(&answer),
-                }
-                self.answer_client(now, id, request, &answer);
-            }
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.pending.push(PendingRequest { id: request, call, received_at: now });
+            client.pending_changed();
         }
     }
 
@@ -154,7 +174,7 @@
         client.accept_id(request);
         client.push(downstream::encode_ready(request, ready));
         self.notify(now, &Event::PingAnswered { client: id });
-        self.flush_client(now, id);
+        self.flush_batch(now, id);
     }
 
     /// Cancels those of the requests that are open. Drains the connection if too many in a row were cancelled.
@@ -165,8 +185,15 @@
             }
             let Some(client) = self.clients.get_mut(&id) else { return };
             let too_many = client.cancel_request();
+            let was_pending = client.pending.remove(request);
+            client.pending_changed();
             self.notify(now, &Event::RequestCancelled { client: id, id: request });
-            self.router.cancel(now, id, request);
+            if was_pending {
+                self.router.counters.accepted += 1;
+                self.router.counters.cancelled += 1;
+            } else {
+                self.router.cancel(now, id, request);
+            }
             if too_many {
                 self.drain_client(now, id, "it cancels too many requests in a row", InputMode::Reject);
             }
@@ -178,7 +205,7 @@
         client.accept_id(request);
         self.router.counters.invalid += 1;
         self.enqueue_answer(now, (id, request), &Answer::Invalid(error), Admitted::No);
-        self.flush_client(now, id);
+        self.flush_batch(now, id);
     }
 
     /// Rejects the request of which only a part has been received, if its id is known: it gets a final answer even if its
@@ -202,7 +229,8 @@
     }
 
     fn is_request_open(&self, (client, id): RequestKey) -> bool {
-        self.router.is_open(client, id) || self.subsystems.has_request(client, id)
+        let is_pending = self.clients.get(&client).is_some_and(|client| client.pending.contains(id));
+        is_pending || self.router.is_open(client, id) || self.subsystems.has_request(client, id)
     }
 
     /// Sends the final answer to an admitted request. If the client has disconnected, the answer is dropped: the
--- a/crates/deckproxy/src/program/clients.rs
+++ b/crates/deckproxy/src/program/clients.rs
@@ -1,5 +1,6 @@
 //! Client connections: reading, writing and closing.
 
+use crate::program::client_messages::DecodeProgress;
 use crate::program::connections::ReadySource;
 use crate::program::gateway::{Gateway, context};
 use crate::program::subsystem::Event;
@@ -27,32 +28,35 @@
         self.read_client(now, id);
     }
 
-    /// Reads and handles all data received from a client, up to a limit.
+    /// Reads and handles the data received from a client, for at most a slice of the loop's time.
     ///
-    /// No effects are applied here, so that a request is never forwarded if its cancellation or the close of the
-    /// connection is read in the same call. Reading does not stop while answers are unwritten, as cancellations and
-    /// the close follow all other data.
+    /// Requests are forwarded once everything that the client has sent is read, so that none is if its cancellation or
+    /// the close of the connection follows, however much lies between. Reading does not stop while answers are
+    /// unwritten, for the same reason.
     fn read_client(&mut self, now: f64, id: ClientId) {
-        let began = clock::now();
-        for _ in 0..limits::CLIENT_READ_AHEAD {
+        let slice_end = clock::now() + limits::SLICE;
+        loop {
+            if self.decode_messages(now, id, slice_end) == DecodeProgress::Paused {
+                break;
+            }
             let Some(client) = self.clients.get_mut(&id) else { return };
             if !client.stream.is_readable() {
-                return;
+                client.has_backlog = false;
+                return self.route_pending_requests(id);
             }
-            match client.read(now) {
-                // A client that has closed expects no answer: messages before the close are not handled.
-                Progress::Ended => return self.close_client(now, id),
-                Progress::Drained => return self.decode_messages(now, id),
-                Progress::More => self.decode_messages(now, id),
-            }
-            // Data on a half-closed connection is dropped, and a flood of small messages must not delay other connections.
-            if self.clients.get(&id).is_none_or(ClientConnection::is_discarding)
-                || clock::now() - began > limits::CLIENT_READ_AGE
-            {
+            if clock::now() >= slice_end {
                 break;
             }
+            // A client that has closed expects no answer: messages before the close are not handled.
+            if client.read(now) == Progress::Ended {
+                return self.close_client(now, id);
+            }
         }
-        self.queue(ReadySource::Client(id));
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.has_backlog = true;
+        }
+        self.reject_overdue_requests(id);
+        self.queue_backlog(ReadySource::Client(id));
     }
 
     /// Reads a client's connection even if the kernel has not reported it as readable.
@@ -67,6 +71,10 @@
     /// that the kernel has not reported yet, because a turn took long or the process was not scheduled.
     pub(super) fn read_client_before_send(&mut self, now: f64, id: ClientId) {
         let Some(client) = self.clients.get_mut(&id) else { return };
+        if client.has_backlog {
+            // It has had its slice, and is read on when the others have had theirs.
+            return;
+        }
         if clock::now() - client.drained_at() > limits::CLIENT_READ_AGE {
             client.stream.assume_readable();
         }
@@ -136,7 +144,7 @@
     /// unanswered, which the request's deadline limits, and for some time while the client still sends.
     pub(super) fn linger_expired(&mut self, now: f64, id: ClientId) {
         match self.clients.get(&id) {
-            Some(client) if !client.is_half_closed() && self.router.has_unanswered(id) => {
+            Some(client) if !client.is_half_closed() && self.has_unanswered(id) => {
                 self.timers.schedule(now + limits::CLOSING_INTERVAL, TimerTask::LingerExpired(id));
             }
             Some(client) if client.is_still_sending(now) => {
@@ -159,6 +167,9 @@
     /// connection that is closed with unread bytes, and the client would lose data written to it.
     pub(super) fn close_client(&mut self, now: f64, id: ClientId) {
         if let Some(mut client) = self.clients.remove(&id) {
+            let pending = client.pending.len() as u64;
+            self.router.counters.accepted += pending;
+            self.router.counters.cancelled += pending;
             client.stream.read(READ_TURN_BYTES);
             let cut = client.stream.partially_written().map_or(0, |written| written.bytes);
             let event = Event::ClientGone { client: id, cut, unread: client.stream.input.len() };
--- a/crates/deckproxy/src/program/connections.rs
+++ b/crates/deckproxy/src/program/connections.rs
@@ -12,7 +12,7 @@
 pub(super) type CollectorId = u64;
 
 /// A connection or socket that is ready to be served.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(super) enum ReadySource {
     /// A client's connection.
     Client(ClientId),
--- a/crates/deckproxy/src/program/effects.rs
+++ b/crates/deckproxy/src/program/effects.rs
@@ -128,7 +128,9 @@
             SubsystemEffect::EjectMembers(members) => self.router.set_ejected(now, &members),
             SubsystemEffect::WakeTask { task, at: Some(at) } => self.background.wake_at(task, at),
             SubsystemEffect::WakeTask { task, at: None } => self.background.wake(micros(now), task),
-            SubsystemEffect::WakeLoopAt(at) => self.timers.schedule(at, TimerTask::WakeLoop),
+            SubsystemEffect::WakeLoopAt(at) => {
+                self.timers.schedule(at, TimerTask::WakeLoop);
+            }
             SubsystemEffect::LogPeer(text) => self.log_peer(&text),
         }
     }
--- a/crates/deckproxy/src/program/event_loop.rs
+++ b/crates/deckproxy/src/program/event_loop.rs
@@ -9,6 +9,8 @@
 
 /// Time of a turn for background work when no connection is ready, microseconds.
 const BACKGROUND_BUDGET: u64 = 2000;
+/// Time of a turn for connections with a backlog, ms.
+const BACKLOG_TIME: f64 = 4.0;
 /// Connections served, and datagrams received, in one turn before the loop polls the kernel again.
 const BATCH: usize = 64;
 
@@ -48,24 +50,37 @@
             .fold(f64::MAX, f64::min)
     }
 
-    /// Serves the connections that are ready now, at most a batch.
+    /// Serves the connections that are ready now, at most a batch, and then those with a backlog for a limited time.
     fn serve_ready(&mut self) {
-        for _ in 0..BATCH.min(self.ready.len()) {
-            let Some(source) = self.ready.pop_front() else { return };
-            let now = clock::now();
-            match source {
-                ReadySource::Client(id) => self.serve_client(now, id),
-                ReadySource::Upstream(id) => self.serve_upstream(now, id),
-                ReadySource::Link(id) => self.serve_link(now, id),
-                ReadySource::Feed => self.serve_feed(now),
-                ReadySource::Collector(id) => self.serve_collector(now, id),
-                ReadySource::FleetSocket => self.receive_datagrams(now),
+        for _ in 0..BATCH.min(self.ready.ready()) {
+            let Some(source) = self.ready.pop() else { break };
+            self.serve(source);
+        }
+        let end = clock::now() + BACKLOG_TIME;
+        for _ in 0..self.ready.backlog() {
+            let Some(source) = self.ready.pop_backlog() else { return };
+            self.serve(source);
+            if clock::now() >= end {
+                return;
             }
-            self.apply_effects(now);
-            self.run_timers(now);
         }
     }
 
+    /// Serves one connection for at most a slice, and applies what follows from it.
+    fn serve(&mut self, source: ReadySource) {
+        let now = clock::now();
+        match source {
+            ReadySource::Client(id) => self.serve_client(now, id),
+            ReadySource::Upstream(id) => self.serve_upstream(now, id),
+            ReadySource::Link(id) => self.serve_link(now, id),
+            ReadySource::Feed => self.serve_feed(now),
+            ReadySource::Collector(id) => self.serve_collector(now, id),
+            ReadySource::FleetSocket => self.receive_datagrams(now),
+        }
+        self.apply_effects(now);
+        self.run_timers(now);
+    }
+
     /// Receives pending datagrams, at most a batch.
     fn receive_datagrams(&mut self, now: f64) {
         for _ in 0..BATCH {
@@ -74,7 +89,7 @@
             };
             self.subsystems.notify(&context(now, &self.router), &Event::Datagram { from, bytes });
         }
-        self.queue(ReadySource::FleetSocket);
+        self.queue_backlog(ReadySource::FleetSocket);
     }
 
     /// Runs background tasks in the time left of this turn. A task that has waited for its maximum delay runs even if
--- a/crates/deckproxy/src/program/gateway.rs
+++ b/crates/deckproxy/src/program/gateway.rs
@@ -1,12 +1,13 @@
 //! The state of one gateway: its connections, router, timers and subsystems.
 //!
 //! Its methods are grouped by concern: `event_loop` (turns, timers, background work), `effects` (effects of the router
-//! and the subsystems), `accept`, `eviction`, `clients`, `client_messages`, `upstream_pool`, `attempts`, `site_links`,
+//! and the subsystems), `accept`, `eviction`, `clients`, `client_messages`, `pending_requests`, `upstream_pool`, `attempts`, `site_links`,
 //! `collectors`, `feed`, `memory`, `housekeeping`, `reload`, `shutdown` and `summary`.
 
 use crate::program::connections::{ReadySource, UpstreamConnection, UpstreamId};
 use crate::program::files::Files;
 use crate::program::memory_use::WaitingAnswers;
+use crate::program::ready_queue::ReadyQueue;
 use crate::program::start_error::StartError;
 use crate::program::subsystem::{Context, Event, micros};
 use crate::program::subsystems::Subsystems;
@@ -28,7 +29,7 @@
 use deckproxy_flow::scheduler::{Scheduler, TaskId, TaskSettings};
 use deckproxy_operator::Operator;
 use slog::{Logger, warn};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -78,8 +79,8 @@
     pub(super) feed_backoff: f64,
     /// The last event before the gap for which the feed was polled again.
     pub(super) feed_gap_polled: Option<u64>,
-    /// Queue of connections to be served, each at most once.
-    pub(super) ready: VecDeque<ReadySource>,
+    /// Connections to be served.
+    pub(super) ready: ReadyQueue,
     /// Whether connections may be pending on the listener.
     pub(super) accept_pending: bool,
     /// Whether a timer for a retry of accepting is scheduled.
@@ -207,7 +208,7 @@
             feed: None,
             feed_backoff: limits::FEED_BACKOFF_INITIAL,
             feed_gap_polled: None,
-            ready: VecDeque::new(),
+            ready: ReadyQueue::default(),
             accept_pending: true,
             accept_retry_scheduled: false,
             last_connection_id: 0,
@@ -271,11 +272,14 @@
         self.last_connection_id
     }
 
-    /// Queues a connection to be served, unless it is queued already.
+    /// Queues a connection that has become ready, unless it is queued already.
     pub(super) fn queue(&mut self, source: ReadySource) {
-        if !self.ready.contains(&source) {
-            self.ready.push_back(source);
-        }
+        self.ready.push(source);
+    }
+
+    /// Queues a connection that has used up its slice with work left, to be served after those that are ready.
+    pub(super) fn queue_backlog(&mut self, source: ReadySource) {
+        self.ready.push_backlog(source);
     }
 
     /// Notifies the subsystems of an event that does not borrow from the gateway.
--- a/crates/deckproxy/src/program/memory.rs
+++ b/crates/deckproxy/src/program/memory.rs
@@ -18,7 +18,7 @@
             client_output: self.client_buffers.output(),
             member_input: self.upstream_buffers.input(),
             member_output: self.upstream_buffers.output(),
-            requests: self.router.held_bytes(),
+            requests: self.client_buffers.requests() + self.router.held_bytes(),
             links: self.site_links.as_ref().map_or(0, |links| links.buffered_bytes()),
             subsystems: self.subsystems.buffered_bytes(),
             collectors: self.collectors.as_ref().map_or(0, |collectors| collectors.buffered_bytes()),
--- a/crates/deckproxy/src/program/mod.rs
+++ b/crates/deckproxy/src/program/mod.rs
@@ -24,6 +24,8 @@
 mod memory;
 mod memory_use;
 pub mod migrate;
+mod pending_requests;
+mod ready_queue;
 mod recovery;
 mod reload;
 mod serve;
--- a/crates/deckproxy/src/program/shutdown.rs
+++ b/crates/deckproxy/src/program/shutdown.rs
@@ -35,6 +35,9 @@
         if let Some(listener) = self.listener.take() {
             listener.close(&self.handle);
         }
+        for id in self.clients.keys().copied().collect::<Vec<_>>() {
+            self.reject_pending_requests(now, id);
+        }
         self.router.fail_all(now);
         self.subsystems.fail_open(&context(now, &self.router));
         self.apply_subsystem_effects(now);
--- a/crates/deckproxy/src/program/site_links.rs
+++ b/crates/deckproxy/src/program/site_links.rs
@@ -5,6 +5,7 @@
 use crate::program::subsystem::{Event, LinkId};
 use crate::program::timer_task::TimerTask;
 use crate::protocol::limits;
+use crate::transport::clock;
 use crate::transport::listener::Accepted;
 use crate::transport::site_link::{LinkTarget, SiteLink};
 use crate::transport::stream::{Progress, Stream};
@@ -15,6 +16,17 @@
 /// Pieces of bodies written to one link before other connections are served.
 const PIECES_PER_TURN: usize = 32;
 
+/// How far the received frames of a link are handled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FrameProgress {
+    /// No complete frame is left.
+    Complete,
+    /// The slice has ended, and further frames may be complete.
+    Paused,
+    /// The link is closed.
+    Closed,
+}
+
 impl Gateway {
     /// Accepts pending links.
     pub(super) fn accept_links(&mut self, now: f64) {
@@ -73,7 +85,8 @@
                 Ok(stream) => {
                     let connecting = Some(LinkTarget { peer, address_index });
                     links.open.insert(id, SiteLink::new(stream, connecting));
-                    return self.timers.schedule(now + connect_timeout, TimerTask::LinkConnectTimeout(id));
+                    self.timers.schedule(now + connect_timeout, TimerTask::LinkConnectTimeout(id));
+                    return;
                 }
                 Err(e) => Some(e),
             },
@@ -125,6 +138,10 @@
         if !self.is_link_established(now, id) {
             return;
         }
+        let slice_end = clock::now() + limits::SLICE;
+        if self.handle_frames(now, id, slice_end) != FrameProgress::Complete {
+            return;
+        }
         let Some(links) = &mut self.site_links else { return };
         let Some(link) = links.open.get_mut(&id) else { return };
         links.to_flush.insert(id);
@@ -135,12 +152,13 @@
         if received > 0 {
             self.subsystems.link_bytes_received(&context(now, &self.router), id, received);
         }
-        if !self.handle_frames(now, id) {
-            return;
-        }
+        // What came before the end of a link is handled before it is closed.
+        let slice_end = if progress == Progress::Ended { f64::MAX } else { slice_end };
+        let handled = self.handle_frames(now, id, slice_end);
         match progress {
-            Progress::More => self.queue(ReadySource::Link(id)),
+            _ if handled == FrameProgress::Closed => {}
             Progress::Ended => self.close_link(now, id),
+            Progress::More => self.queue_backlog(ReadySource::Link(id)),
             Progress::Drained => {}
         }
     }
@@ -164,21 +182,25 @@
         }
     }
 
-    /// Passes the complete frames received on a link to the subsystem. Returns whether the link is still open.
-    fn handle_frames(&mut self, now: f64, id: LinkId) -> bool {
+    /// Passes the complete frames received on a link to the subsystem, until the end of the link's slice.
+    fn handle_frames(&mut self, now: f64, id: LinkId, slice_end: f64) -> FrameProgress {
         loop {
             let link = self.site_links.as_mut().and_then(|links| links.open.get_mut(&id));
-            let Some(link) = link else { return false };
+            let Some(link) = link else { return FrameProgress::Closed };
             match link.take_frame() {
-                Ok(None) => return true,
+                Ok(None) => return FrameProgress::Complete,
                 Ok(Some(frame)) => self.subsystems.frame(&context(now, &self.router), id, frame),
                 Err(why) => {
                     self.log_peer(&format!("a link closes: {why}"));
                     self.close_link(now, id);
-                    return false;
+                    return FrameProgress::Closed;
                 }
             }
             self.apply_effects(now);
+            if clock::now() >= slice_end {
+                self.queue_backlog(ReadySource::Link(id));
+                return FrameProgress::Paused;
+            }
         }
     }
 
--- a/crates/deckproxy/src/protocol/limits.rs
+++ b/crates/deckproxy/src/protocol/limits.rs
@@ -95,12 +95,16 @@
 /// number. Reading continues in any case, as a client's cancellations and its end of stream arrive after everything
 /// that it sent before.
 pub const CLIENT_REJECTIONS: usize = 64 * 1024;
-/// Reads from a client in a row before anything is sent for it: enough for all requests that may be open, with the
-/// largest bodies, and the cancellations that follow them.
-pub const CLIENT_READ_AHEAD: usize = 8;
+/// Bytes that are read from a client before they are handled, unless more of a message is missing.
+pub const CLIENT_READ: usize = 16 * 1024;
 /// Time after which the last read from a client is outdated: the client is read again before an attempt is sent for it.
-/// Also the longest time for which one client is read without interruption.
 pub const CLIENT_READ_AGE: f64 = 20.0;
+/// Time for which one connection is served before the others get their turn.
+pub const SLICE: f64 = 0.5;
+/// Time for which requests of a client wait until everything that it has sent is read. Then they are rejected.
+pub const PENDING_TIMEOUT: f64 = 200.0;
+/// Bytes of answers that are collected for one write while a client's messages are handled.
+pub const CLIENT_WRITE_BATCH: usize = 16 * 1024;
 /// Size of the write buffer of a member's connection from which another connection is opened.
 pub const MEMBER_WRITE_BUFFER: usize = 4 * 1024 * 1024;
 
--- a/crates/deckproxy/src/transport/buffer_usage.rs
+++ b/crates/deckproxy/src/transport/buffer_usage.rs
@@ -8,6 +8,7 @@
 pub struct BufferUsage {
     input: Cell<usize>,
     output: Cell<usize>,
+    requests: Cell<usize>,
     reservations: Cell<usize>,
 }
 
@@ -22,6 +23,11 @@
         self.output.get()
     }
 
+    /// Bytes of requests that are received and not forwarded yet.
+    pub fn requests(&self) -> usize {
+        self.requests.get()
+    }
+
     /// Number of connections that have reserved memory for the rest of a message.
     pub fn reservations(&self) -> usize {
         self.reservations.get()
@@ -40,6 +46,8 @@
     pub(super) input: usize,
     /// Bytes that messages waiting to be written take.
     pub(super) output: usize,
+    /// Bytes of requests that are received and not forwarded yet.
+    pub(super) requests: usize,
     /// Whether memory is reserved for the rest of a message.
     pub(super) has_reservation: bool,
 }
@@ -59,10 +67,11 @@
 
     /// Sets what the connection holds now.
     pub(super) fn set(&mut self, held: Held) {
-        let BufferUsage { input, output, reservations } = &*self.usage;
+        let BufferUsage { input, output, requests, reservations } = &*self.usage;
         let before = std::mem::replace(&mut self.held, held);
         input.set(input.get() - before.input + held.input);
         output.set(output.get() - before.output + held.output);
+        requests.set(requests.get() - before.requests + held.requests);
         let others = reservations.get() - usize::from(before.has_reservation);
         reservations.set(others + usize::from(held.has_reservation));
     }
--- a/crates/deckproxy/src/transport/client.rs
+++ b/crates/deckproxy/src/transport/client.rs
@@ -3,7 +3,8 @@
 use crate::protocol::downstream::{Answer, Message, ProtocolError, encode_answer};
 use crate::protocol::limits;
 use crate::transport::client_input::{ClientInput, InputMode};
-use crate::transport::stream::{Progress, READ_TURN_BYTES, Stream};
+use crate::transport::pending_requests::PendingRequests;
+use crate::transport::stream::{Progress, Stream};
 use crate::transport::write_buffer::{OutgoingMessage, WrittenMessage};
 use bytes::Bytes;
 use std::io;
@@ -18,6 +19,10 @@
     /// The socket and its buffers.
     pub stream: Stream,
     input: ClientInput,
+    /// Received requests that are not forwarded yet. After a change, call [`ClientConnection::pending_changed`].
+    pub pending: PendingRequests,
+    /// Whether its last slice ended before everything that it had sent was read.
+    pub has_backlog: bool,
     /// Requests whose answer the kernel has not accepted completely yet.
     open_requests: usize,
     /// When bytes were last read or written, Unix ms.
@@ -42,6 +47,8 @@
         ClientConnection {
             stream,
             input: ClientInput::new(now),
+            pending: PendingRequests::default(),
+            has_backlog: false,
             open_requests: 0,
             active_at: now,
             drained_at: now,
@@ -56,7 +63,7 @@
     /// Reads the available bytes, up to the limit of one turn.
     pub fn read(&mut self, now: f64) -> Progress {
         let before = self.stream.input.len();
-        let progress = self.stream.read(READ_TURN_BYTES);
+        let progress = self.stream.read(limits::CLIENT_READ.max(self.stream.missing));
         if self.stream.input.len() > before {
             self.active_at = now;
             self.input.received(now);
@@ -82,6 +89,11 @@
         self.input.mode() != InputMode::Discard && self.other_bytes > limits::CLIENT_REJECTIONS_SCARCE
     }
 
+    /// Updates the accounting after a change of the pending requests.
+    pub fn pending_changed(&mut self) {
+        self.stream.set_request_bytes(self.pending.held_bytes());
+    }
+
     /// Whether a message has been received only in part.
     pub fn is_mid_message(&self) -> bool {
         self.input.is_mid_message()
--- a/crates/deckproxy/src/transport/stream.rs
+++ b/crates/deckproxy/src/transport/stream.rs
@@ -75,6 +75,8 @@
     pub missing: usize,
     /// Whether memory was reserved for the rest of the message that is being received.
     has_reservation: bool,
+    /// Bytes of the connection's requests that are received and not forwarded yet.
+    request_bytes: usize,
     output: WriteBuffer,
     /// Whether a read may return bytes: set when the kernel reports readiness and by `assume_readable`, cleared when a
     /// read would block.
@@ -141,6 +143,7 @@
             input: BytesMut::new(),
             missing: 0,
             has_reservation: false,
+            request_bytes: 0,
             output: WriteBuffer::default(),
             readable: false,
             writable: !connecting,
@@ -253,11 +256,18 @@
         self.update_usage();
     }
 
+    /// Counts the requests that are received on the connection and not forwarded yet, by the bytes that they take.
+    pub fn set_request_bytes(&mut self, bytes: usize) {
+        self.request_bytes = bytes;
+        self.update_usage();
+    }
+
     /// Updates the accounting with the current sizes of the buffers.
     fn update_usage(&mut self) {
         self.usage.set(Held {
             input: self.input.capacity(),
             output: self.output.held_bytes(),
+            requests: self.request_bytes,
             has_reservation: self.has_reservation,
         });
     }
@@ -293,7 +303,7 @@
 
     /// Bytes of memory that the connection's buffers take.
     pub fn held_bytes(&self) -> usize {
-        self.input.capacity() + self.output.held_bytes()
+        self.input.capacity() + self.output.held_bytes() + self.request_bytes
     }
 
     /// The partially written message, if any.
