Cancel the timers of requests and attempts that have ended

What operators saw: memory grew while clients sent requests and cancelled them at once: the timers stayed until they were due.

Change: Timers gives each timer an id by which it is cancelled; requests and attempts cancel theirs when they end.

--- a/crates/deckproxy/src/routing/attempts.rs
+++ b/crates/deckproxy/src/routing/attempts.rs
@@ -55,7 +55,7 @@
         let Some(open) = self.requests.get_mut(request) else { return };
         let number = open.attempts;
         open.attempts += 1;
-        open.in_flight.push(Attempt { number, member, sent_at: now, cancelled_as: None });
+        open.in_flight.push(Attempt { number, member, sent_at: now, cancelled_as: None, timeout: None });
         let until = if until > 0.0 { until.min(open.deadline) } else { open.deadline };
         let too_late =
             open.finished || until <= now || number >= self.instance_settings.settings.max_attempts;
@@ -69,7 +69,10 @@
         let Some(open) = self.requests.get(request) else { return };
         let (client, call) = (open.client, Rc::clone(&open.call));
         let unsent_timeout = self.instance_settings.limits.unsent_timeout.min(self.retry_window(now, open));
-        self.timers.schedule(until, Deadline::Attempt(key));
+        let timeout = self.timers.schedule(until, Deadline::Attempt(key));
+        if let Some(attempt) = self.requests.attempt_mut(key) {
+            attempt.timeout = Some(timeout);
+        }
         let options = AttemptOptions { timeout: until - now, ..options };
         let effect = Effect::SendAttempt { key, member, endpoint, client, call, options, unsent_timeout };
         self.effects.push_back(effect);
@@ -128,6 +131,9 @@
         let AttemptResult { ending, answer, load } = result;
         let Some(request) = request_of(key) else { return };
         let Some(attempt) = self.requests.remove_attempt(key) else { return };
+        if let Some(timeout) = attempt.timeout {
+            self.timers.cancel(timeout);
+        }
         let Some(open) = self.requests.get_mut(request) else { return };
         if !never_ran(ending) {
             open.may_have_run_since.get_or_insert(attempt.sent_at);
--- a/crates/deckproxy/src/routing/cancellation.rs
+++ b/crates/deckproxy/src/routing/cancellation.rs
@@ -26,6 +26,7 @@
     pub(super) fn abandon(&mut self, now: f64, request: RequestId) {
         let Some(open) = self.requests.get_mut(request) else { return };
         open.finished = true;
+        self.timers.cancel(open.answer_timer);
         for attempt in open.in_flight.iter_mut().filter(|attempt| attempt.cancelled_as.is_none()) {
             attempt.cancelled_as = Some(AttemptEnding::Cancelled);
             let key = attempt_key(request, attempt.number);
--- a/crates/deckproxy/src/routing/completion.rs
+++ b/crates/deckproxy/src/routing/completion.rs
@@ -26,6 +26,7 @@
     pub(super) fn finish(&mut self, request: RequestId, final_answer: FinalAnswer) {
         let Some(open) = self.requests.get_mut(request).filter(|open| !open.finished) else { return };
         open.finished = true;
+        self.timers.cancel(open.answer_timer);
         let (client, id) = (open.client, open.client_id);
         if let Answer::Served(body) = &final_answer.answer {
             self.answer_sizes.learn(open.class, body.len());
--- a/crates/deckproxy/src/routing/intake.rs
+++ b/crates/deckproxy/src/routing/intake.rs
@@ -79,6 +79,8 @@
             class,
             deadline,
         };
+        let answer_by =
+            deadline + (self.instance_settings.limits.answer_slack + limits::SOCKET_SLACK) * SLACK_SHARE;
         let open = OpenRequest {
             client,
             client_id,
@@ -87,14 +89,12 @@
             attempts: 0,
             in_flight: Vec::new(),
             may_have_run_since: None,
+            answer_timer: self.timers.schedule(answer_by, Deadline::Request(id)),
             finished: false,
             class,
             expected_bytes: self.answer_sizes.expected(class),
         };
         self.requests.insert(id, open);
-        let answer_by =
-            deadline + (self.instance_settings.limits.answer_slack + limits::SOCKET_SLACK) * SLACK_SHARE;
-        self.timers.schedule(answer_by, Deadline::Request(id));
         self.notify_control(now, Event::Request(request));
     }
 
--- a/crates/deckproxy/src/routing/requests.rs
+++ b/crates/deckproxy/src/routing/requests.rs
@@ -3,6 +3,7 @@
 use crate::protocol::downstream::Call;
 use crate::routing::attempt_key::{AttemptKey, attempt_key, request_of};
 use crate::routing::effect::ClientId;
+use crate::routing::timers::TimerId;
 use deckproxy_control::interface::{AttemptEnding, MemberId, RequestId};
 use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
@@ -20,6 +21,8 @@
     pub(super) sent_at: f64,
     /// Set while it is being cancelled: the ending to report if it may have run.
     pub(super) cancelled_as: Option<AttemptEnding>,
+    /// The timer of its timeout; none if it was not sent.
+    pub(super) timeout: Option<TimerId>,
 }
 
 /// A request that is unanswered or has an attempt in flight.
@@ -38,6 +41,8 @@
     pub(super) in_flight: Vec<Attempt>,
     /// When the first attempt that may have run was sent, Unix ms.
     pub(super) may_have_run_since: Option<f64>,
+    /// The timer that fails it if it has no answer.
+    pub(super) answer_timer: TimerId,
     /// Whether it has its final answer, or needs none any more.
     pub(super) finished: bool,
     /// The index of its class in the settings.
--- a/crates/deckproxy/tests/routing/member_lists.rs
+++ b/crates/deckproxy/tests/routing/member_lists.rs
@@ -164,3 +164,34 @@
     let both = requested_members(&mut router, NOW + 120.0, 400);
     assert!(both.iter().any(|m| m == "s-1"), "{both:?}");
 }
+
+/// Guards against memory that grows with each request that a client sends and cancels at once.
+#[test]
+fn cancelled_requests_leave_no_timers() {
+    let mut router = router();
+    for number in 0..2000u32 {
+        let object = u64::from(number);
+        let call = Call {
+            name: format!("{object:016x}").into(),
+            class: "page".into(),
+            timeout: 1000.0,
+            idempotency_key: None,
+            object: ObjectId { text: format!("{object:016x}").into(), number: object },
+            part: None,
+            group: 0,
+            size_kb: Some(10.0),
+            cached_tag: None,
+            is_retry: false,
+            body: Bytes::new(),
+        };
+        router.request(NOW, 1, number, call);
+        router.cancel(NOW, 1, number);
+        while let Some(effect) = router.next_effect() {
+            if let Effect::CancelAttempt { key, .. } = effect {
+                router.attempt_cancelled(NOW, key, true);
+            }
+        }
+    }
+    let timers = router.table_sizes().find(|(name, _)| *name == "timers").unwrap().1;
+    assert!(timers < 100, "{timers} timers");
+}
--- a/crates/deckproxy/tests/timers.rs
+++ b/crates/deckproxy/tests/timers.rs
@@ -14,3 +14,15 @@
     assert_eq!(fired, [(1.0, "a"), (3.0, "b"), (5.0, "c"), (5.0, "d")]);
     assert_eq!(timers.next_deadline(), None);
 }
+
+#[test]
+fn cancelled_timers_neither_fire_nor_stay() {
+    let mut timers = Timers::default();
+    let first = timers.schedule(1.0, "a");
+    timers.schedule(2.0, "b");
+    timers.cancel(first);
+    assert_eq!((timers.len(), timers.next_deadline()), (1, Some(2.0)));
+    assert_eq!(timers.pop_due(5.0), Some((2.0, "b")));
+    timers.cancel(first);
+    assert!(timers.is_empty());
+}
