Count the dropped bytes of a partial message as received

The bytes that are dropped when a request is rejected before it is complete were not reported to the subsystems, so that flow totals would miss them. Found by reading; no run showed it.

--- a/crates/deckproxy/src/program/client_messages.rs
+++ b/crates/deckproxy/src/program/client_messages.rs
@@ -93,11 +93,11 @@
         }
         let Some(client) = self.clients.get_mut(&id) else { return };
         if is_admitted {
-            client.admit_partial_message();
-        } else {
-            client.drop_partial_message();
-            self.flush_client(now, id);
+            return client.admit_partial_message();
         }
+        let bytes = client.drop_partial_message();
+        self.notify(now, &Event::ClientBytesReceived { client: id, bytes });
+        self.flush_client(now, id);
     }
 
     /// Handles bytes that can't be decoded: sends an answer if they contain a request id, and drains the connection.
@@ -222,8 +222,8 @@
         } else {
             Answer::Invalid(RequestError::IdOutOfSequence)
         };
-        client.answer_partial_request(request, &answer);
-        self.notify(now, &Event::RequestReceived { client: id, id: request, class: "", bytes: 0 });
+        let bytes = client.answer_partial_request(request, &answer);
+        self.notify(now, &Event::RequestReceived { client: id, id: request, class: "", bytes });
         self.notify(now, &Event::AnswerQueued { client: id, id: request, answer: &answer });
         true
     }
--- a/crates/deckproxy/src/transport/client.rs
+++ b/crates/deckproxy/src/transport/client.rs
@@ -142,10 +142,11 @@
         self.input.unanswered_partial_request(&self.stream)
     }
 
-    /// Appends the final answer to the request received in part; its message is dropped as it arrives.
-    pub fn answer_partial_request(&mut self, id: u32, answer: &Answer) {
-        self.drop_partial_message();
+    /// Appends the final answer to the request received in part; its message is dropped as it arrives. Returns the number
+    /// of bytes dropped now.
+    pub fn answer_partial_request(&mut self, id: u32, answer: &Answer) -> usize {
         self.answer(id, answer, false);
+        self.drop_partial_message()
     }
 
     /// Bytes that the message received in part takes beyond those for which memory is taken, with all that is known to
@@ -160,8 +161,9 @@
     }
 
     /// Drops the message received in part, and the rest of it as it arrives. Its request must have its final answer.
-    pub fn drop_partial_message(&mut self) {
-        self.input.drop_partial_message(&mut self.stream);
+    /// Returns the number of bytes dropped now.
+    pub fn drop_partial_message(&mut self) -> usize {
+        self.input.drop_partial_message(&mut self.stream)
     }
 
     /// Removes the next complete message from the input buffer and returns it.
--- a/crates/deckproxy/src/transport/client_input.rs
+++ b/crates/deckproxy/src/transport/client_input.rs
@@ -140,13 +140,16 @@
     }
 
     /// Drops the message received in part, and the rest of it as it arrives. Its request must have its final answer.
-    pub fn drop_partial_message(&mut self, stream: &mut Stream) {
+    /// Returns the number of bytes dropped now.
+    pub fn drop_partial_message(&mut self, stream: &mut Stream) -> usize {
+        let before = stream.input.len();
         if let Some(partial) = &mut self.partial {
             partial.is_answered = true;
         }
         self.decoder.drop_message(&mut stream.input);
         stream.missing = 0;
         stream.trim(true);
+        before - stream.input.len()
     }
 
     /// Removes the next complete message from the input buffer and returns it.
