Give up unwritten attempts when a member's process is gone or replaced

What callers saw: a write that waits for a connection to an origin that the list has reported as gone is written to whatever comes up at its address, and never reaches the new origin.

Cause: idle connections were closed and others retired, but what was queued on a connection that is being established stayed there; a member listed with another endpoint retired nothing until its pool was used again.

Change: both give up the attempts of which nothing was written, which are then retried elsewhere.

Measured: request_that_waits_for_a_gone_process_does_not_reach_the_next_one_at_its_address failed before (the new origin received nothing in 10 s) and passes now.

--- a/crates/deckproxy-model/src/balancer/gateway.rs
+++ b/crates/deckproxy-model/src/balancer/gateway.rs
@@ -190,6 +190,7 @@
             | routing::Effect::HealthChecked { .. }
             | routing::Effect::MembersChanged
             | routing::Effect::CloseIdle(_)
+            | routing::Effect::ProcessGone(_)
             | routing::Effect::Log(_) => None,
         }
     }
--- a/crates/deckproxy/src/program/effects.rs
+++ b/crates/deckproxy/src/program/effects.rs
@@ -56,6 +56,7 @@
             }
             Effect::MembersChanged => self.notify(now, &Event::MemberListChanged),
             Effect::CloseIdle(member) => self.retire_upstreams(member),
+            Effect::ProcessGone(member) => self.give_up_process(now, member),
             Effect::Log(text) => self.log_peer(&text),
         }
     }
--- a/crates/deckproxy/src/program/upstream_pool.rs
+++ b/crates/deckproxy/src/program/upstream_pool.rs
@@ -5,6 +5,7 @@
 use crate::program::subsystem::Event;
 use crate::program::timer_task::TimerTask;
 use crate::protocol::limits;
+use crate::routing::AttemptKey;
 use crate::routing::members::Endpoint;
 use crate::transport::clock;
 use crate::transport::member::MemberConnection;
@@ -178,6 +179,21 @@
         self.subsystems.notify(&cx, &Event::MemberBytesReceived { member, bytes });
     }
 
+    /// Retires the connections to a member's process that is gone. Attempts of which nothing was written are given up, as a
+    /// connection that is still being established may reach another process.
+    pub(super) fn give_up_process(&mut self, now: f64, member: MemberId) {
+        self.retire_upstreams(member);
+        let pool = self.upstream_pools.get(&member).into_iter().flatten();
+        let upstreams = pool.filter_map(|id| self.upstreams.get(id));
+        let unwritten: Vec<AttemptKey> =
+            upstreams.flat_map(|upstream| upstream.connection.unwritten_attempts()).collect();
+        for key in unwritten {
+            self.expire_unsent(now, key);
+        }
+        // Closes the connections on which nothing is in flight any more.
+        self.retire_upstreams(member);
+    }
+
     /// Closes a member's idle connections and retires the others: they get no new attempts, and are closed once none
     /// is in flight on them.
     pub(super) fn retire_upstreams(&mut self, member: MemberId) {
--- a/crates/deckproxy/src/routing/effect.rs
+++ b/crates/deckproxy/src/routing/effect.rs
@@ -86,6 +86,9 @@
     MembersChanged,
     /// Close a member's idle connections and retire the others.
     CloseIdle(MemberId),
+    /// Likewise, and give up the attempts of which nothing was written: the process that they were meant for is gone, and
+    /// another one may listen at its address.
+    ProcessGone(MemberId),
     /// Write a line to the log.
     Log(String),
 }
--- a/crates/deckproxy/src/routing/feed_events.rs
+++ b/crates/deckproxy/src/routing/feed_events.rs
@@ -40,6 +40,8 @@
     }
 
     fn apply_member_list(&mut self, now: f64, kind: ListKind, entries: &[MemberEntry], unreadable: usize) {
+        let replaced: Vec<MemberId> =
+            entries.iter().filter_map(|entry| self.members.replaced_by(entry)).collect();
         let (zones, kinds) = (&self.instance_settings.zones, &self.instance_settings.member_kinds);
         let members: Vec<Member> =
             entries.iter().filter_map(|entry| self.members.apply_entry(entry, zones, kinds)).collect();
@@ -48,9 +50,9 @@
             let text = format!("{dropped} entries of the member list could not be read");
             self.effects.push_back(Effect::Log(text));
         }
-        // Close idle connections to members that are gone at once: a new member may be started at the same address.
+        // At once: a new process may be started at the same address.
         let gone = self.gone_members(kind, &members);
-        self.effects.extend(gone.iter().copied().map(Effect::CloseIdle));
+        self.effects.extend(gone.iter().copied().chain(replaced).map(Effect::ProcessGone));
         self.notify_control(now, Event::MemberList(kind, members));
         // The decision module sends them nothing more, and attempts in flight need only the member's id to end.
         for member in gone {
--- a/crates/deckproxy/src/routing/members.rs
+++ b/crates/deckproxy/src/routing/members.rs
@@ -80,6 +80,13 @@
         Some(member.effective())
     }
 
+    /// The member of an entry, if the entry gives it another endpoint than the one known until now.
+    pub fn replaced_by(&self, entry: &MemberEntry) -> Option<MemberId> {
+        let id = *self.ids.get(&*entry.id)?;
+        let (known, address) = (self.endpoint(id)?, entry.address?);
+        (known != Endpoint { address, started: entry.started }).then_some(id)
+    }
+
     /// The id of a member's name; adds the member if the name is new.
     fn id_of(&mut self, name: &str) -> MemberId {
         if let Some(id) = self.ids.get(name) {
--- a/crates/deckproxy/tests/routing/request_invariants.rs
+++ b/crates/deckproxy/tests/routing/request_invariants.rs
@@ -124,6 +124,7 @@
                 | Effect::HealthChecked { .. }
                 | Effect::MembersChanged
                 | Effect::CloseIdle(_)
+                | Effect::ProcessGone(_)
                 | Effect::Purged { .. }
                 | Effect::Log(_) => {}
             }
--- a/crates/deckproxy/tests/unsent_requests.rs
+++ b/crates/deckproxy/tests/unsent_requests.rs
@@ -112,3 +112,34 @@
     let read = std::io::Read::read(&mut second, &mut got);
     assert!(!matches!(read, Ok(1..)), "written after the window: {got:?}");
 }
+
+/// Guards against work for a process that is gone reaching another one that has come up at its address: the request waits
+/// for a connection when the list reports the change.
+#[test]
+fn request_that_waits_for_a_gone_process_does_not_reach_the_next_one_at_its_address() {
+    let site = TestSite::start();
+    let listener = StalledListener::start();
+    let feed = Feed::start();
+    let mut setup = Setup::knowing(&[entry("s-00000009", listener.address, "hub", "origin", "Ready")]);
+    setup.feed = feed.address;
+    // Nothing else ends the wait, and the connect timeout covers the kernel's second attempt of the handshake.
+    let long = json!(8000.0);
+    setup.settings["limits"]["connectTimeoutMs"] = long.clone();
+    setup.settings["rules"]["drainGraceMs"] = long.clone();
+    setup.settings["familyInfo"]["obeyAfterMs"] = long.clone();
+    setup.settings["services"][2]["deadlineMs"] = long;
+    let gateway = setup.start();
+    let (_, subscription) = feed.accept();
+    let mut client = gateway.client();
+    let id = client.send_request("once", &[("lookup", OBJECT), ("allow", "8000")], b"write");
+    listener.wait_for_handshake();
+    let entries = [
+        entry("s-00000009", listener.address, "hub", "origin", "Gone"),
+        entry("s-00000010", listener.address, "edge", "box", "Ready"),
+        site.origin.entry("hub", "origin", "Ready"),
+    ];
+    send_line(&subscription, &member_update(2, &entries));
+    let request = site.origin.next_request();
+    site.origin.answer(&request, "200", b"done");
+    client.expect_served(id, b"done");
+}
