Remember the names of requests that may have run (an id ran twice)

What operators saw: an id ran twice when it came again after its client had left.

Cause: a name was refused only while its request was open; a client that leaves ends its requests although they may have run, and a gateway that forwards to another site kept no names.

--- a/crates/deckproxy/src/program/sites/forwarding.rs
+++ b/crates/deckproxy/src/program/sites/forwarding.rs
@@ -51,10 +51,18 @@
         self.last_token
     }
 
+    /// Remembers the name of a forwarded request that has ended and may have run, if it must not run again.
+    fn remember_name(&mut self, token: RequestToken) {
+        if let Some(name) = self.forwarded_names.remove(&token) {
+            self.recent_names.insert(&name);
+        }
+    }
+
     /// Cancels a forwarded request that its client cancelled, or all those of a client that disconnected.
     pub(super) fn cancel_client_requests(&mut self, now: f64, event: &Event<'_>, out: &mut Effects) {
         for (_, token) in self.client_requests.remove_cancelled(event) {
             self.reply_targets.remove(&token);
+            self.remember_name(token);
             self.site.cancel(now, token);
             out.push_back(Effect::CountCancelled);
         }
@@ -72,8 +80,14 @@
         let Destination::Remote(site) = destination else { return Verdict::Pass };
         match forwarded_request(cx, call, vec![self.site.own_site().to_string()]) {
             Err(error) => Verdict::Answer(Answer::Invalid(error)),
+            Ok(_) if self.recent_names.contains(&call.name) => {
+                Verdict::Answer(Answer::Invalid(RequestError::NameInUse))
+            }
             Ok(forwarded) => {
                 let token = self.new_token(ReplyTarget::Client(request));
+                if forwarded.retry_safety == RetrySafety::NotIdempotent {
+                    self.forwarded_names.insert(token, call.name.clone());
+                }
                 self.client_requests.insert(request, token);
                 self.site.request(cx.now, token, &site, forwarded);
                 let (client, id) = request;
@@ -150,6 +164,11 @@
         reply: Reply,
         out: &mut Effects,
     ) {
+        if matches!(reply, Reply::Rejected { .. } | Reply::Invalid) {
+            self.forwarded_names.remove(&token);
+        } else {
+            self.remember_name(token);
+        }
         let longest_retry_after = cx.router.instance_settings().settings.max_retry_after;
         let sends_retry_after = cx.router.instance_settings().settings.retry_after;
         let (answer, copy) = match reply {
--- a/crates/deckproxy/src/program/sites/mod.rs
+++ b/crates/deckproxy/src/program/sites/mod.rs
@@ -10,6 +10,7 @@
 use crate::protocol::limits;
 use crate::protocol::upstream::CopyInfo;
 use crate::routing::ClientId;
+use crate::routing::recent_names::RecentNames;
 use deckproxy_operator::Operator;
 use deckproxy_sites::frame::Frame;
 use deckproxy_sites::purges::PurgeNotice;
@@ -47,6 +48,10 @@
     peers: BTreeMap<String, ActivePeer>,
     /// Where the answer to each forwarded request is sent.
     reply_targets: HashMap<RequestToken, ReplyTarget>,
+    /// Names of the forwarded requests of clients that are not idempotent.
+    forwarded_names: HashMap<RequestToken, Box<str>>,
+    /// Names of those that have ended and must not run again.
+    recent_names: RecentNames,
     /// Forwarded requests of clients.
     client_requests: OpenRequests<RequestToken>,
     /// Requests that were received over one link and forwarded over another.
@@ -93,6 +98,8 @@
             addresses: sites.peers.iter().map(addresses).collect(),
             peers: peers.collect(),
             reply_targets: HashMap::new(),
+            forwarded_names: HashMap::new(),
+            recent_names: RecentNames::default(),
             client_requests: OpenRequests::default(),
             transit_requests: HashMap::new(),
             last_token: 0,
--- a/crates/deckproxy/src/routing/intake.rs
+++ b/crates/deckproxy/src/routing/intake.rs
@@ -42,8 +42,9 @@
             Ok(class) => class,
             Err(error) => return self.answer_invalid(client, id, error),
         };
-        if self.requests.has_name(&call.name) {
-            // The name identifies attempts on members' connections, so it must be unique among the open requests.
+        if self.requests.is_name_used(&call.name) {
+            // The name identifies attempts on members' connections, so it must be unique among the open requests. A later
+            // request under the name of one that may have run would run it again.
             return self.answer_invalid(client, id, RequestError::NameInUse);
         }
         if self.requests.len() >= self.instance_settings.limits.max_requests {
@@ -69,7 +70,8 @@
         let free = self.requests.is_free(id, client, client_id);
         self.check_invariant(free, "a request's id is free");
         self.counters.accepted += 1;
-        let deadline = now + call.timeout.min(self.instance_settings.settings.classes[class].deadline);
+        let rules = &self.instance_settings.settings.classes[class];
+        let deadline = now + call.timeout.min(rules.deadline);
         let request = Request {
             id,
             object: call.object.number,
@@ -92,6 +94,7 @@
             answer_timer: self.timers.schedule(answer_by, Deadline::Request(id)),
             finished: false,
             class,
+            is_idempotent: rules.idempotency == Idempotency::Idempotent,
             expected_bytes: self.answer_sizes.expected(class),
         };
         self.requests.insert(id, open);
--- a/crates/deckproxy/src/routing/mod.rs
+++ b/crates/deckproxy/src/routing/mod.rs
@@ -13,6 +13,7 @@
 mod health_checks;
 mod intake;
 pub mod members;
+pub mod recent_names;
 mod requests;
 mod router;
 pub mod timers;
--- a/crates/deckproxy/src/routing/requests.rs
+++ b/crates/deckproxy/src/routing/requests.rs
@@ -3,6 +3,7 @@
 use crate::protocol::downstream::Call;
 use crate::routing::attempt_key::{AttemptKey, attempt_key, request_of};
 use crate::routing::effect::ClientId;
+use crate::routing::recent_names::RecentNames;
 use crate::routing::timers::TimerId;
 use deckproxy_control::interface::{AttemptEnding, MemberId, RequestId};
 use std::collections::{BTreeMap, HashSet};
@@ -47,6 +48,8 @@
     pub(super) finished: bool,
     /// The index of its class in the settings.
     pub(super) class: usize,
+    /// Whether it may run several times.
+    pub(super) is_idempotent: bool,
     /// Bytes that its answer is expected to have.
     pub(super) expected_bytes: usize,
 }
@@ -59,6 +62,8 @@
     unanswered: BTreeMap<(ClientId, u32), RequestId>,
     /// Names of the open requests, which identify attempts on members' connections.
     names: HashSet<Box<str>>,
+    /// Names of the ended requests that must not run again.
+    recent_names: RecentNames,
     /// Bytes of the bodies of all open requests.
     body_bytes: usize,
     /// Bytes of the answers that are expected to the unanswered requests.
@@ -105,9 +110,9 @@
         !self.open.contains_key(&id) && !self.unanswered.contains_key(&(client, client_id))
     }
 
-    /// Whether a request with this name is open.
-    pub(super) fn has_name(&self, name: &str) -> bool {
-        self.names.contains(name)
+    /// Whether a request with this name is open, or one has ended that must not run again.
+    pub(super) fn is_name_used(&self, name: &str) -> bool {
+        self.names.contains(name) || self.recent_names.contains(name)
     }
 
     /// Adds a request.
@@ -126,6 +131,9 @@
         }
         if let Some(request) = self.open.remove(&id) {
             self.names.remove(&request.call.name);
+            if !request.is_idempotent && request.may_have_run_since.is_some() {
+                self.recent_names.insert(&request.call.name);
+            }
             self.body_bytes -= request.call.body.len();
         }
     }
--- a/crates/deckproxy/tests/client_disconnect.rs
+++ b/crates/deckproxy/tests/client_disconnect.rs
@@ -251,3 +251,40 @@
     cache.answer(&next, "200", b"filled");
     waiter.expect_served(id, b"filled");
 }
+
+/// Guards against a second execution of a request that is not idempotent: its client leaves while it runs, and another one
+/// sends it again under the same name.
+#[test]
+fn request_that_may_have_run_is_not_run_again_under_its_name() {
+    let (site, gateway, mut client) = TestSite::start_with_client();
+    let fields = [("lookup", OBJECT), ("ref", "00000000000000aa")];
+    client.send_request("once", &fields, b"effect");
+    let request = site.origin.next_request();
+    drop(client);
+    site.origin.expect_cancelled(&request.id);
+    let mut again = gateway.client();
+    let id = again.send_request("once", &fields, b"effect");
+    assert!(matches!(again.next_answer(), (of, Answer::Error(word, _)) if of == id && word != "Shed"));
+    assert!(site.origin.request_if_any().is_none(), "it ran twice");
+    // The connection and other names stay usable, and an answered request counts as well.
+    let served = site.serve_write(&mut again, b"new", b"done");
+    let id = again.send_request("once", &[("lookup", OBJECT), ("ref", &served.id)], b"new");
+    assert!(matches!(again.next_answer(), (of, Answer::Error(..)) if of == id));
+    assert!(site.origin.request_if_any().is_none(), "it ran twice");
+}
+
+/// Requests that may run several times, and those that never ran, may come again under their names.
+#[test]
+fn request_without_effect_may_come_again_under_its_name() {
+    let (site, gateway, mut client) = TestSite::start_with_client();
+    let fields = [("lookup", OBJECT), ("ref", "00000000000000aa")];
+    client.send_request("page", &fields, &[]);
+    let (cache, request) = site.next_request();
+    drop(client);
+    cache.expect_cancelled(&request.id);
+    let mut again = gateway.client();
+    let id = again.send_request("page", &fields, &[]);
+    let (cache, request) = site.next_request();
+    cache.answer(&request, "200", b"page");
+    again.expect_served(id, b"page");
+}
--- a/crates/deckproxy/tests/sites/forwarding.rs
+++ b/crates/deckproxy/tests/sites/forwarding.rs
@@ -135,3 +135,22 @@
     let _ = id;
     assert!(pair.north.feed.address.port() > 0);
 }
+
+/// Guards against a second execution at another site: the client of a forwarded request leaves while it runs, and another
+/// one sends it again under the same name.
+#[test]
+fn forwarded_request_that_may_have_run_is_not_run_again_under_its_name() {
+    let pair = SitePair::start();
+    let fields = [("lookup", SOUTHERN), ("ref", "00000000000000aa")];
+    let mut client = pair.north.gateway.client();
+    client.send_request("once", &fields, b"effect");
+    let request = pair.south.members.origin.next_request();
+    drop(client);
+    pair.south.members.origin.expect_cancelled(&request.id);
+    for gateway in [&pair.north.gateway, &pair.south.gateway] {
+        let mut again = gateway.client();
+        let id = again.send_request("once", &fields, b"effect");
+        assert!(matches!(again.next_answer(), (of, Answer::Error(word, _)) if of == id && word != "Shed"));
+    }
+    assert!(pair.south.members.origin.request_if_any().is_none(), "it ran twice");
+}
