Bound the large answer that is received beyond the others' share of memory

While no large answer was being received, one was admitted whatever else was held; once complete it made room for the next, so that answers that wait for a slow link or client grew without a bound. That one answer is now bounded by the share for all reads, and bodies of other sites have no such exception.

--- a/crates/deckproxy-sites/src/requester/memory.rs
+++ b/crates/deckproxy-sites/src/requester/memory.rs
@@ -21,8 +21,6 @@
     held: usize,
     /// Bytes that may be taken for further responses; no limit until the caller sets one.
     room: usize,
-    /// Number of attempts whose window may be extended to the end of their body.
-    extended: usize,
     /// Exchanges whose body waits for room, in the order in which they asked.
     waiting: VecDeque<ExchangeId>,
 }
@@ -34,7 +32,7 @@
 
 impl Default for Memory {
     fn default() -> Self {
-        Memory { held: 0, room: usize::MAX, extended: 0, waiting: VecDeque::new() }
+        Memory { held: 0, room: usize::MAX, waiting: VecDeque::new() }
     }
 }
 
@@ -58,21 +56,18 @@
     /// Counts an attempt that has ended.
     pub(super) fn attempt_removed(&mut self, attempt: &mut Attempt) {
         self.promise(attempt, 0);
-        self.extended -= usize::from(std::mem::take(&mut attempt.may_extend));
     }
 
-    /// Takes memory for the rest of a body beyond its window, if there is room. One body at a time is received whatever
-    /// room there is. Returns whether the window may be extended.
+    /// Takes memory for the rest of a body beyond its window, if there is room. Returns whether the window may be extended.
     fn admit(&mut self, attempt: &mut Attempt, body_length: usize) -> bool {
         if attempt.may_extend {
             return true;
         }
         let further = body_length.saturating_sub(attempt.promised_bytes);
-        if further > self.room && self.extended > 0 {
+        if further > self.room {
             return false;
         }
-        self.room = self.room.saturating_sub(further);
-        self.extended += 1;
+        self.room -= further;
         attempt.may_extend = true;
         self.promise(attempt, attempt.promised_bytes + further);
         true
--- a/crates/deckproxy-sites/tests/requester.rs
+++ b/crates/deckproxy-sites/tests/requester.rs
@@ -367,14 +367,14 @@
         let bytes = Bytes::from(vec![1; window]);
         assert!(fixture.receive(20.0, 1, Payload::Chunk(BodyChunk { number: *number, offset: 0, bytes })));
     }
-    assert_eq!(extended_windows(&fixture.effects()), numbers[..1], "one body at a time without room");
-    assert!(fixture.requester.held_bytes() >= 5 * window);
+    assert_eq!(extended_windows(&fixture.effects()), [], "there is no room for any of them");
     fixture.requester.set_memory_room(2 * window);
-    assert_eq!(extended_windows(&fixture.effects()), numbers[1..2]);
+    assert_eq!(extended_windows(&fixture.effects()), numbers[..1]);
+    assert!(fixture.requester.held_bytes() >= 5 * window);
     fixture.requester.cancel(30.0, 1);
     fixture.requester.cancel(30.0, 2);
-    fixture.requester.set_memory_room(0);
-    assert_eq!(extended_windows(&fixture.effects()), numbers[2..], "the next one, as no other is extended");
+    fixture.requester.set_memory_room(4 * window);
+    assert_eq!(extended_windows(&fixture.effects()), numbers[2..], "the next one whose client waits");
     fixture.requester.cancel(40.0, 3);
     assert_eq!(fixture.requester.held_bytes(), 0);
 }
--- a/crates/deckproxy/src/program/memory.rs
+++ b/crates/deckproxy/src/program/memory.rs
@@ -69,17 +69,19 @@
         Some(missing)
     }
 
-    /// Whether there is memory for an answer of which so many bytes are missing. One large answer at a time is received
-    /// whatever else is held, so that the others are not kept waiting without end.
+    /// Whether there is memory for an answer of which so many bytes are missing. One large answer at a time may
+    /// use a little more, so that members that stop inside answers can't keep all others out.
     fn admits_answer(&self, missing: usize) -> bool {
         let (held, bounds) = (self.memory_use(), &self.bounds);
         if missing <= limits::MEMBER_READ {
             return held.total() <= bounds.read;
         }
-        let fits = held.total() + missing <= bounds.answers
+        if self.upstream_buffers.reservations() == 0 {
+            return held.total() + missing <= bounds.read;
+        }
+        held.total() + missing <= bounds.answers
             && held.member_input + missing <= bounds.member_input
-            && held.client_output <= bounds.unread;
-        fits || self.upstream_buffers.reservations() == 0
+            && held.client_output <= bounds.unread
     }
 
     /// Queues the connections to members whose answers waited for memory and may be received now.
