--- a/crates/deckproxy/src/program/clients.rs
+++ b/crates/deckproxy/src/program/clients.rs
@@ -14,12 +14,16 @@
 use calloop::Readiness;
 
 impl Gateway {
-    /// Records the readiness of a client's connection that the kernel reported, and queues it.
+    /// Records the readiness of a client's connection that the kernel reported, and queues it. A connection that was reset
+    /// is closed.
     pub(super) fn client_ready(&mut self, id: ClientId, readiness: Readiness) {
-        if let Some(client) = self.clients.get_mut(&id) {
-            client.stream.set_ready(readiness);
-            self.queue(ReadySource::Client(id));
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if readiness.error && client.stream.has_failed() {
+            // Its client has left, and what it has sent before need not be read for that to be known.
+            return self.close_client(clock::now(), id);
         }
+        client.stream.set_ready(readiness);
+        self.queue(ReadySource::Client(id));
     }
 
     /// Writes to and reads from a client's connection.
--- a/crates/deckproxy/src/transport/stream.rs
+++ b/crates/deckproxy/src/transport/stream.rs
@@ -158,6 +158,11 @@
         self.writable |= readiness.writable || readiness.error;
     }
 
+    /// Whether the connection has failed, even if received bytes can still be read.
+    pub fn has_failed(&self) -> bool {
+        !matches!(self.socket.take_error(), Ok(None))
+    }
+
     /// Makes the connection count as readable, even if the kernel has not reported it.
     pub fn assume_readable(&mut self) {
         self.readable = true;
