Handle replies that a check for a closed connection has read

A check whether a member has closed an idle connection may read a reply; since answers are read with memory reserved, that reply was handled only with the next bytes. Found by reading the code; no run showed it. An error that the kernel can't report no longer counts as a failed connection.

--- a/crates/deckproxy/src/program/attempts.rs
+++ b/crates/deckproxy/src/program/attempts.rs
@@ -123,20 +123,20 @@
     /// handles the replies.
     fn read_upstream(&mut self, now: f64, id: UpstreamId) -> Progress {
         let slice_end = clock::now() + limits::SLICE;
-        loop {
+        let mut progress = Progress::More;
+        // Bytes may also have been read by an earlier check whether the member has closed the connection.
+        while self.handle_replies(now, id) {
+            if progress != Progress::More || clock::now() >= slice_end {
+                return progress;
+            }
             if self.upstreams.get(&id).is_none_or(|upstream| !upstream.connection.stream.is_readable()) {
                 return Progress::Drained;
             }
             let Some(limit) = self.member_read_limit(id) else { return Progress::Drained };
             let Some(upstream) = self.upstreams.get_mut(&id) else { return Progress::Drained };
-            let progress = upstream.connection.read(now, limit);
-            if !self.handle_replies(now, id) {
-                return Progress::Drained;
-            }
-            if progress != Progress::More || clock::now() >= slice_end {
-                return progress;
-            }
+            progress = upstream.connection.read(now, limit);
         }
+        Progress::Drained
     }
 
     /// Passes the complete replies received on a connection to the router. Returns whether it is still open.
--- a/crates/deckproxy/src/transport/stream.rs
+++ b/crates/deckproxy/src/transport/stream.rs
@@ -160,7 +160,7 @@
 
     /// Whether the connection has failed, even if received bytes can still be read.
     pub fn has_failed(&self) -> bool {
-        !matches!(self.socket.take_error(), Ok(None))
+        matches!(self.socket.take_error(), Ok(Some(_)))
     }
 
     /// Makes the connection count as readable, even if the kernel has not reported it.
