Hostile clients as a stand-in; requests of the router's tests from one function

The hostile clients of the soak stood in its test, and a request of the router's tests was written out three times.

--- a/crates/deckproxy-standins/src/lib.rs
+++ b/crates/deckproxy-standins/src/lib.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for everything that a gateway talks to, and checkers of the rules on what passed on the sockets.
 //!
 //! Those of one kind are driven by hand ([`member`], [`feed`], [`client`], [`test_site`]): a test plays one case with
-//! them step by step. Those of the other kind run by themselves ([`site`], [`live_feed`], [`load_client`],
+//! them step by step. Those of the other kind run by themselves ([`site`], [`live_feed`], [`load_client`], [`hostile_clients`],
 //! [`link_relay`]), for the demo and the drills. They write what passes to a [`record`], which [`rules`] judges
 //! afterwards. None of them shares code with the gateway.
 #![forbid(unsafe_code)]
@@ -11,6 +11,7 @@
 pub mod feed;
 pub mod gateway;
 pub mod gateway_setup;
+pub mod hostile_clients;
 pub mod limit_checkers;
 pub mod link_relay;
 pub mod live_feed;
--- a/crates/deckproxy/tests/routing/member_lists.rs
+++ b/crates/deckproxy/tests/routing/member_lists.rs
@@ -9,6 +9,23 @@
 use std::collections::BTreeMap;
 
 /// Tables stay bounded while member ids, the member at an address, clients and objects keep changing.
+/// A request for an object, named after the object.
+fn page_request(object: u64, body: Bytes) -> Call {
+    Call {
+        name: format!("{object:016x}").into(),
+        class: "page".into(),
+        timeout: 1000.0,
+        idempotency_key: None,
+        object: ObjectId { text: format!("{object:016x}").into(), number: object },
+        part: None,
+        group: 0,
+        size_kb: Some(10.0),
+        cached_tag: None,
+        is_retry: false,
+        body,
+    }
+}
+
 #[test]
 fn thousands_of_member_lists_leak_nothing() {
     let mut router = router();
@@ -37,19 +54,7 @@
         ));
         for n in 0..20u32 {
             let object = generation * 20 + u64::from(n);
-            let call = Call {
-                name: format!("{object:016x}").into(),
-                class: "page".into(),
-                timeout: 1000.0,
-                idempotency_key: None,
-                object: ObjectId { text: format!("{object:016x}").into(), number: object },
-                part: None,
-                group: 0,
-                size_kb: Some(10.0),
-                cached_tag: None,
-                is_retry: false,
-                body: Bytes::from_static(b"body"),
-            };
+            let call = page_request(object, Bytes::from_static(b"body"));
             router.request(now, generation, n, call);
         }
         while let Some(effect) = router.next_effect() {
@@ -94,19 +99,8 @@
     let mut members = Vec::new();
     for n in 0..40u32 {
         let object = u64::from(n) * 0x0123_4567_89ab;
-        let call = Call {
-            name: format!("h{from}-{n}").into(),
-            timeout: 1000.0,
-            object: ObjectId { text: format!("{object:016x}").into(), number: object },
-            part: None,
-            group: 0,
-            size_kb: Some(10.0),
-            class: "page".into(),
-            idempotency_key: None,
-            cached_tag: None,
-            is_retry: false,
-            body: Bytes::new(),
-        };
+        let name = format!("h{from}-{n}").into();
+        let call = Call { name, ..page_request(object, Bytes::new()) };
         router.request(now, 1, from + n, call);
         while let Some(effect) = router.next_effect() {
             if let Effect::SendAttempt { key, member, .. } = effect {
@@ -170,20 +164,7 @@
 fn cancelled_requests_leave_no_timers() {
     let mut router = router();
     for number in 0..2000u32 {
-        let object = u64::from(number);
-        let call = Call {
-            name: format!("{object:016x}").into(),
-            class: "page".into(),
-            timeout: 1000.0,
-            idempotency_key: None,
-            object: ObjectId { text: format!("{object:016x}").into(), number: object },
-            part: None,
-            group: 0,
-            size_kb: Some(10.0),
-            cached_tag: None,
-            is_retry: false,
-            body: Bytes::new(),
-        };
+        let call = page_request(u64::from(number), Bytes::new());
         router.request(NOW, 1, number, call);
         router.cancel(NOW, 1, number);
         while let Some(effect) = router.next_effect() {
