Test that a dropped message does not affect the one after it

The decoder drops a message from any point on when its request was rejected, and nothing tested where the next message begins. The test drops after each of the first 99 bytes, inside the body and before its last byte.

--- a/crates/deckproxy/tests/codecs.rs
+++ b/crates/deckproxy/tests/codecs.rs
@@ -343,3 +343,31 @@
     assert_eq!(all[2], purge(43, group));
     assert_eq!(all[3], FeedLine::Last(43));
 }
+
+/// A message that is dropped from any point on takes no memory for its body, and does not affect the next one.
+#[test]
+fn dropped_message_is_followed_by_the_next_one() {
+    let fields = Value::Map(vec![("ref".into(), "00000000000000aa".into()), ("k".into(), "v".into())]);
+    let parameters = Value::Array(vec![fields, Value::Binary(vec![7; 3000])]);
+    let mut bytes = Vec::new();
+    let message = Value::Array(vec![0.into(), 1.into(), "page".into(), parameters]);
+    rmpv::encode::write_value(&mut bytes, &message).unwrap();
+    let length = bytes.len();
+    let ping = Value::Array(vec![0.into(), 2.into(), "ping".into(), Value::Array(Vec::new())]);
+    rmpv::encode::write_value(&mut bytes, &ping).unwrap();
+    for start in (1..100).chain([1000, length - 1]) {
+        let mut decoder = downstream::Decoder::default();
+        let mut buffer = BytesMut::from(&bytes[..start]);
+        assert_eq!(decoder.next(&mut buffer), Ok(None));
+        decoder.drop_message(&mut buffer);
+        let mut got = Vec::new();
+        for piece in bytes[start..].chunks(7) {
+            buffer.extend_from_slice(piece);
+            while let Some(message) = decoder.next(&mut buffer).unwrap() {
+                got.push(message);
+            }
+            assert!(buffer.len() < 40, "{} bytes are held", buffer.len());
+        }
+        assert_eq!(got, [Message::Ignored, Message::Ping(2)], "dropped after {start} bytes");
+    }
+}
