Measure CPU a request by the number of caches in a location

Cause: nothing in the project showed what a request costs with hundreds or thousands of caches in one location, so a cost of the size of a pool stayed unseen.

Change: the members of a stand-in site can share one listener, each with an IP address of its own, so that thousands of them run in one process. `thread_cpu_ns` gives tests the CPU time of their thread.

--- a/crates/deckproxy-lab/src/measure/mod.rs
+++ b/crates/deckproxy-lab/src/measure/mod.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod flows;
 mod model;
+mod pool;
 mod routes;
 mod sites;
 
@@ -25,7 +26,7 @@
     /// Seed of the traffic.
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// With `program`: the other build of the gateway.
+    /// With `program` and `pool`: the other build of the gateway.
     #[arg(long, value_name = "PROGRAM", required_if_eq("name", "program"))]
     beside: Option<PathBuf>,
 }
@@ -44,6 +45,8 @@
     Fleet,
     /// This build of the gateway, compared with another one, `--beside`: CPU a request, memory, descriptors.
     Program,
+    /// What a request costs by the number of caches in a location; with `--beside`, of another build too.
+    Pool,
 }
 
 /// Runs a measurement.
@@ -64,6 +67,11 @@
             check_program(other)?;
             cpu::run(options, other);
         }
+        Name::Pool => {
+            let other = options.beside.as_deref();
+            other.map_or(Ok(()), check_program)?;
+            pool::run(options, other);
+        }
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/deckproxy-standins/src/lib.rs
+++ b/crates/deckproxy-standins/src/lib.rs
@@ -31,4 +31,4 @@
 pub use member::{Member, MemberEvent, MemberRequest, entry};
 pub use stalled_listener::StalledListener;
 pub use test_site::{OBJECT, SubscribedGateway, TestSite};
-pub use wait::{PATIENCE, QUIET, free_address, unix_ms, until};
+pub use wait::{PATIENCE, QUIET, free_address, thread_cpu_ns, unix_ms, until};
--- a/crates/deckproxy-standins/src/site.rs
+++ b/crates/deckproxy-standins/src/site.rs
@@ -13,15 +13,20 @@
 use crate::live_feed::LiveFeed;
 use crate::record::{Fact, Record};
 use crate::wait::{free_address, next_number, unix_ms, until};
-use connection::start_node;
+use connection::{accept_shared_connections, start_node};
 use node::{Node, SiteState};
 use serde_json::{Value, json};
-use std::net::{SocketAddr, TcpListener};
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Instant;
 
+/// The IP address of the first of the members that share a listener; the others' follow.
+const FIRST_SHARED_ADDRESS: Ipv4Addr = Ipv4Addr::new(127, 240, 0, 1);
+
 /// A site: its members, its feed, and the files of its gateways.
 pub struct Site {
     /// The site's number.
@@ -42,12 +47,15 @@
         let state = Arc::new(SiteState::new(number, config, record));
         let kinds =
             [(NodeKind::Cache, config.caches), (NodeKind::Parent, config.parents), (NodeKind::Origin, 1)];
-        let mut entries = Vec::new();
-        for (kind, count) in kinds {
-            for zone in zones_of(kind, &config) {
-                entries.extend((0..count).map(|_| add_node(&state, kind, &zone, 0)));
-            }
-        }
+        let members = kinds.into_iter().flat_map(|(kind, count)| {
+            let zones = zones_of(kind, &config).into_iter();
+            zones.flat_map(move |zone| std::iter::repeat_n((kind, zone), count))
+        });
+        let entries: Vec<Value> = if config.shared_listener {
+            start_sharing_listener(&state, members)
+        } else {
+            members.map(|(kind, zone)| add_node(&state, kind, &zone, 0)).collect()
+        };
         let folder =
             std::env::temp_dir().join(format!("deckproxy-lab-{}-{}", std::process::id(), next_number()));
         std::fs::create_dir_all(&folder).unwrap();
@@ -155,6 +163,28 @@
         nodes.values().filter(|node| matches(node)).map(|node| node.name.clone()).collect()
     }
 
+    /// Number of connections that its members have accepted.
+    pub fn connections_accepted(&self) -> usize {
+        self.state.connections_accepted.load(Ordering::SeqCst)
+    }
+
+    /// Has the feed report the complete list of its members once more.
+    ///
+    /// # Panics
+    /// Panics if a thread panicked while it held the lock.
+    pub fn publish_all_members(&self) {
+        let entries: Vec<Value> =
+            self.state.nodes.lock().unwrap().values().map(|node| node.entry("Ready", 0)).collect();
+        self.feed.publish(json!({"members": {"revision": 2, "complete": true, "members": entries}}));
+    }
+
+    /// Has the feed report a member's entry once more, as ready.
+    pub fn publish_ready(&self, name: &str) {
+        if let Some(node) = self.state.node(name) {
+            self.publish_member(&node.entry("Ready", 0));
+        }
+    }
+
     fn publish_member(&self, entry: &Value) {
         self.feed.publish(json!({"members": {"revision": 2, "complete": false, "members": [entry]}}));
     }
@@ -178,8 +208,33 @@
     }
 }
 
+/// Starts members that share a listener; returns their entries in the member list.
+fn start_sharing_listener(
+    state: &Arc<SiteState>,
+    members: impl Iterator<Item = (NodeKind, String)>,
+) -> Vec<Value> {
+    let listener = TcpListener::bind((Ipv4Addr::UNSPECIFIED, 0)).unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let port = listener.local_addr().unwrap().port();
+    let mut nodes = HashMap::new();
+    for (index, (kind, zone)) in members.enumerate() {
+        let offset = u32::try_from(index).expect("fewer members than addresses");
+        let address = SocketAddr::from((Ipv4Addr::from(FIRST_SHARED_ADDRESS.to_bits() + offset), port));
+        nodes.insert(address, Arc::new(Node::new(member_name(state), kind, &zone, address)));
+    }
+    let entries = nodes.values().map(|node| node.entry("Ready", 0)).collect();
+    state.nodes.lock().unwrap().extend(nodes.values().map(|node| (node.name.clone(), node.clone())));
+    let state = state.clone();
+    thread::spawn(move || accept_shared_connections(&state, &listener, &nodes));
+    entries
+}
+
+fn member_name(state: &SiteState) -> String {
+    format!("s-{}{:07x}", state.site, next_number())
+}
+
 /// Starts a new member at an address of its own; returns its entry in the member list.
 fn add_node(state: &Arc<SiteState>, kind: NodeKind, zone: &str, since: u64) -> Value {
     let listener = TcpListener::bind(free_address()).unwrap();
-    start_node(state, listener, format!("s-{}{:07x}", state.site, next_number()), kind, zone, since)
+    start_node(state, listener, member_name(state), kind, zone, since)
 }
--- a/crates/deckproxy-standins/src/site/config.rs
+++ b/crates/deckproxy-standins/src/site/config.rs
@@ -43,6 +43,9 @@
     pub origin_concurrency: usize,
     /// Zones of caches.
     pub zones: usize,
+    /// All members listen at one port, each at an IP address of its own. One listener then serves thousands of them, but
+    /// a member that has ended closes connections and doesn't refuse them.
+    pub shared_listener: bool,
 }
 
 impl Default for SiteConfig {
@@ -57,6 +60,7 @@
             purge_delay_ms: 4000,
             origin_concurrency: 0,
             zones: 1,
+            shared_listener: false,
         }
     }
 }
--- a/crates/deckproxy-standins/src/site/connection.rs
+++ b/crates/deckproxy-standins/src/site/connection.rs
@@ -7,9 +7,9 @@
 use crate::record::Fact;
 use crate::wait::next_number;
 use serde_json::Value;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -18,6 +18,24 @@
 /// Bytes read at once.
 const READ_CHUNK: usize = 64 * 1024;
 
+/// Accepts the connections of all members that share a listener at all IP addresses, until the last one has ended.
+pub(super) fn accept_shared_connections(
+    site: &Arc<SiteState>,
+    listener: &TcpListener,
+    nodes: &HashMap<SocketAddr, Arc<Node>>,
+) {
+    while nodes.values().any(|node| node.running.load(Ordering::SeqCst)) {
+        let Ok((stream, _)) = listener.accept() else {
+            thread::sleep(Duration::from_millis(1));
+            continue;
+        };
+        let node = stream.local_addr().ok().and_then(|address| nodes.get(&address));
+        if let Some(node) = node.filter(|node| node.running.load(Ordering::SeqCst)) {
+            serve_connection(site, node, stream);
+        }
+    }
+}
+
 /// Starts a member on a listener; returns its entry in the member list. `since`: when its process started, Unix ms.
 pub(super) fn start_node(
     site: &Arc<SiteState>,
@@ -42,11 +60,16 @@
             thread::sleep(Duration::from_millis(1));
             continue;
         };
-        let (site, node) = (site.clone(), node.clone());
-        thread::spawn(move || Connection::new(site, node, stream).serve());
+        serve_connection(site, node, stream);
     }
 }
 
+fn serve_connection(site: &Arc<SiteState>, node: &Arc<Node>, stream: TcpStream) {
+    site.connections_accepted.fetch_add(1, Ordering::SeqCst);
+    let (site, node) = (site.clone(), node.clone());
+    thread::spawn(move || Connection::new(site, node, stream).serve());
+}
+
 /// One connection to a member.
 #[derive(Clone)]
 struct Connection {
--- a/crates/deckproxy-standins/src/site/gateways.rs
+++ b/crates/deckproxy-standins/src/site/gateways.rs
@@ -47,7 +47,11 @@
         self.start_gateway(None, config, name, listen, operator)
     }
 
-    fn start_gateway(
+    /// Starts a gateway of another program than the usual one, if one is given, with a configuration of the caller's.
+    ///
+    /// # Panics
+    /// If it ends or does not listen in time.
+    pub fn start_gateway(
         &self,
         program: Option<&Path>,
         config: &Value,
--- a/crates/deckproxy-standins/src/site/node.rs
+++ b/crates/deckproxy-standins/src/site/node.rs
@@ -7,7 +7,7 @@
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -88,6 +88,8 @@
     pub next_seed: AtomicU64,
     /// Additional time that each request takes at the origin, ms.
     pub origin_slowdown_ms: AtomicU64,
+    /// Connections that the members have accepted.
+    pub connections_accepted: AtomicUsize,
     /// Requests that the origin processes.
     pub origin_in_flight: Mutex<usize>,
     /// Signalled when the origin has processed a request.
@@ -106,6 +108,7 @@
             purged: Mutex::default(),
             next_seed: AtomicU64::new(u64::from(site) + 1),
             origin_slowdown_ms: AtomicU64::new(0),
+            connections_accepted: AtomicUsize::new(0),
             origin_in_flight: Mutex::new(0),
             origin_freed: Condvar::new(),
         }
--- a/crates/deckproxy-standins/src/wait.rs
+++ b/crates/deckproxy-standins/src/wait.rs
@@ -1,5 +1,6 @@
 //! Waiting for conditions, free addresses, the clock.
 
+use rustix::time::{ClockId, clock_gettime};
 use socket2::{Domain, Socket, Type};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -42,6 +43,12 @@
     u64::try_from(since.as_millis()).unwrap()
 }
 
+/// CPU time that the calling thread has used, ns.
+pub fn thread_cpu_ns() -> i64 {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    time.tv_sec * 1_000_000_000 + time.tv_nsec
+}
+
 /// An address on which nobody listens.
 pub fn free_address() -> SocketAddr {
     reserve().1
