--- a/crates/deckproxy-control/src/control.rs
+++ b/crates/deckproxy-control/src/control.rs
@@ -19,9 +19,11 @@
 mod member_list;
 mod member_order;
 mod member_state;
+mod member_table;
 mod outcome_accounting;
 mod outlier_ejection;
 mod periodic_timer;
+mod pool;
 mod purge_bounds;
 mod rendezvous_hash;
 mod request_state;
@@ -29,14 +31,15 @@
 mod sending_times;
 mod shared_load;
 mod slow_start;
+mod source_order;
 mod tuning;
 
-use crate::interface::{Action, Event, ListKind, MemberId, Millis, RequestId, Settings};
+use crate::interface::{Action, Event, ListKind, Millis, RequestId, Settings};
 use capacity_estimate::KindThroughput;
 use collapsing::{CollapsedFill, FillKey};
 use decay::DecayingSum;
 use latency_inflation::LatencyInflation;
-use member_state::MemberState;
+use member_table::MemberTable;
 use purge_bounds::PurgeTarget;
 use request_state::{AttemptResult, PendingRequest};
 use retry_budget::RetryBudget;
@@ -51,10 +54,12 @@
 const WATCH_TIMER: u64 = 1;
 
 /// State of the periodic timer.
-#[derive(Default)]
+#[derive(Clone, Copy, Default)]
 struct TimerState {
     is_armed: bool,
     due_at: Millis,
+    /// Clock time of the run after the last stall of the router. Silence before it is no evidence.
+    resumed_at: Millis,
 }
 
 /// Numbers of entries in the tables that grow with members and traffic.
@@ -80,7 +85,7 @@
     now: Millis,
     /// Actions for that event so far.
     actions: Vec<Action>,
-    members: BTreeMap<MemberId, MemberState>,
+    members: MemberTable,
     /// By class.
     class_sending_times: Vec<ClassSendingTime>,
     pending: BTreeMap<RequestId, PendingRequest>,
@@ -107,7 +112,8 @@
     /// so far.
     pub fn new(settings: Settings, _seed: u64) -> Self {
         let class_sending_times = settings.classes.iter().map(ClassSendingTime::initial_estimate).collect();
-        Control { settings, class_sending_times, ..Control::default() }
+        let members = MemberTable::new(&settings);
+        Control { settings, members, class_sending_times, ..Control::default() }
     }
 
     /// Handles one event at clock time `now` and appends the resulting actions.
--- a/crates/deckproxy-control/src/control/attempt_limits.rs
+++ b/crates/deckproxy-control/src/control/attempt_limits.rs
@@ -1,7 +1,7 @@
 //! The rules that every attempt must satisfy before it is sent.
 
 use super::Control;
-use super::request_state::{AttemptPlan, PendingRequest};
+use super::request_state::{AttemptPlan, PendingRequest, PossibleRun};
 use super::tuning::{DEDUP_MARGIN, TIME_LEFT_MIN};
 use crate::interface::{Class, Group, Idempotency, Member, MemberId};
 
@@ -33,6 +33,22 @@
             && pending.request.deadline - self.now >= TIME_LEFT_MIN
     }
 
+    /// Whether a request may have another attempt at any member at all.
+    pub(super) fn is_sendable(&self, pending: &PendingRequest) -> bool {
+        let class = self.class_of(pending);
+        let may_run_again = match pending.possible_run {
+            Some(first) if class.idempotency == Idempotency::Keyed => self.is_in_dedup_window(&first, class),
+            Some(_) => class.idempotency == Idempotency::Idempotent,
+            None => true,
+        };
+        may_run_again && self.is_within_limits(pending)
+    }
+
+    /// Whether members still discard duplicates of a keyed request that may have been executed.
+    fn is_in_dedup_window(&self, first: &PossibleRun, class: &Class) -> bool {
+        self.now < first.sent_at + class.dedup_window - DEDUP_MARGIN
+    }
+
     /// Whether a request that may have been executed can be sent again, as its repetition has no effect.
     fn may_run_again(&self, pending: &PendingRequest, to: MemberId) -> bool {
         let Some(first) = pending.possible_run else { return true };
@@ -40,8 +56,8 @@
         match class.idempotency {
             Idempotency::Idempotent => true,
             Idempotency::Keyed => {
-                let is_in_window = self.now < first.sent_at + class.dedup_window - DEDUP_MARGIN;
-                is_in_window && self.share_dedup_group(class.group, first.member, to)
+                self.is_in_dedup_window(&first, class)
+                    && self.share_dedup_group(class.group, first.member, to)
             }
             Idempotency::NotIdempotent => false,
         }
@@ -49,7 +65,7 @@
 
     /// Whether two members discard each other's duplicates of a keyed request.
     fn share_dedup_group(&self, group: Group, first: MemberId, second: MemberId) -> bool {
-        let same = |value: fn(&Member) -> u32| match (self.members.get(&first), self.members.get(&second)) {
+        let same = |value: fn(&Member) -> u32| match (self.members.get(first), self.members.get(second)) {
             (Some(first), Some(second)) => value(&first.listed) == value(&second.listed),
             _ => false,
         };
--- a/crates/deckproxy-control/src/control/attempt_sending.rs
+++ b/crates/deckproxy-control/src/control/attempt_sending.rs
@@ -29,10 +29,10 @@
     }
 
     fn new_attempt(&self, pending: &PendingRequest, plan: AttemptPlan) -> Attempt {
-        let member_load = self.member_load(&self.members[&plan.member]);
+        let member_load = self.load_factor(&self.members[&plan.member]);
         let link_load = if plan.kind == AttemptKind::Lookup { 1.0 } else { self.link_load() };
         let sending_time = self.sending_time(&pending.request);
-        let expected = fill_time(sending_time * member_load.max(link_load).max(1.0));
+        let expected = fill_time(sending_time * member_load.max(link_load));
         let leads_fill = plan.kind == AttemptKind::Fill && self.is_leader(plan.request);
         Attempt {
             number: pending.sends,
@@ -90,18 +90,12 @@
     fn record_send(&mut self, plan: &AttemptPlan, slow_start_cost: Millis) {
         let now = self.now;
         for id in plan.endpoints() {
-            let Some(state) = self.members.get_mut(&id) else { continue };
+            let Some(state) = self.members.get_mut(id) else { continue };
             state.slow_start_budget.spend(slow_start_cost);
             state.in_flight.add(1.0, now);
             state.last_used_at = now;
-            let health = &mut state.health;
-            health.trial_in_flight |= health.is_half_open;
-            if id == plan.member {
-                if health.unanswered_sends == 0 {
-                    health.unanswered_since = now;
-                }
-                health.unanswered_sends += 1;
-            }
+            let is_target = id == plan.member;
+            self.members.change_health(id, |health| health.record_send(is_target, now));
         }
     }
 }
--- a/crates/deckproxy-control/src/control/capacity_estimate.rs
+++ b/crates/deckproxy-control/src/control/capacity_estimate.rs
@@ -66,9 +66,11 @@
         if self.settings.weights_are_capacities {
             return;
         }
-        let Some(member) = self.members.get(&id).map(|state| state.listed) else { return };
-        let same_kind = self.pool_of(&member).filter(|state| state.listed.kind == member.kind).count();
-        let served_by_all = served * self.routers_sharing(&member) / (1.0 + same_kind as f64);
+        let Some(member) = self.members.get(id).map(|state| state.listed) else { return };
+        let pool = self.members.pool(self.members.pool_key(&member));
+        let others = pool
+            .map_or(0, |pool| pool.ready_count_of_kind(member.kind) - usize::from(pool.is_ready(member.id)));
+        let served_by_all = served * self.routers_sharing(&member) / (1.0 + others as f64);
         let entry = self.kind_throughput.entry(member.kind);
         let throughput = entry.or_insert(KindThroughput::starting_at(self.now));
         throughput.decay_to(self.now);
--- a/crates/deckproxy-control/src/control/collapsing.rs
+++ b/crates/deckproxy-control/src/control/collapsing.rs
@@ -72,7 +72,7 @@
     pub(super) fn fill(&mut self, id: RequestId, cache: MemberId) {
         let Some(pending) = self.pending.get(&id) else { return };
         let request = pending.request;
-        if pending.sends == 1 && self.is_too_late_at_load(pending, self.member_load_by_id(cache)) {
+        if pending.sends == 1 && self.is_too_late_at_load(pending, self.load_factor_by_id(cache)) {
             return self.give_up(id);
         }
         // While the link is overloaded nothing is filled from the origin. If notes do not show which
@@ -81,24 +81,43 @@
         if avoids_origin && !self.origin_latency.has_observations() {
             return self.give_up(id);
         }
-        let mut sources = self.responsive_sources(id);
-        sources.retain(|source| !avoids_origin || self.origin() != Some(*source));
-        match self.send_fill(&request, cache, &sources) {
+        let avoided = self.origin().filter(|_| avoids_origin);
+        match self.send_fill(&request, cache, avoided) {
             Some(filled) => self.set_fill_cache(&request, filled),
             None => self.bypass_caches(id),
         }
     }
 
-    /// Sends a fill at the first pair of cache and source that accepts it; returns the cache.
-    fn send_fill(&mut self, request: &Request, cache: MemberId, sources: &[MemberId]) -> Option<MemberId> {
+    /// Sends a fill from the first usable source at the first cache that accepts it; returns the cache. Other
+    /// sources are not tried, as whether a cache accepts the fill does not depend on its source.
+    fn send_fill(
+        &mut self,
+        request: &Request,
+        cache: MemberId,
+        avoided: Option<MemberId>,
+    ) -> Option<MemberId> {
         let failed = self.pending.get(&request.id)?.failed_members.clone();
-        let others = self.caches_for(request).into_iter().filter(|other| *other != cache);
-        let mut caches = std::iter::once(cache).chain(others).filter(|cache| !failed.contains(cache));
-        let sources: Vec<MemberId> =
-            sources.iter().copied().filter(|source| !failed.contains(source)).collect();
-        caches.find(|cache| {
-            sources.iter().any(|source| self.try_send(AttemptPlan::fill(request.id, *cache, *source)))
-        })
+        let mut sources = self.source_order(request);
+        let source = loop {
+            let source = self.next_source(request.id, &mut sources)?;
+            if avoided != Some(source) && !failed.contains(&source) {
+                break source;
+            }
+        };
+        if !self.is_sendable(self.pending.get(&request.id)?) {
+            self.refill_slow_start_budgets(self.local_caches(), &failed);
+            return None;
+        }
+        let mut order = self.cache_order(request);
+        let mut next = Some(cache);
+        while let Some(cache) = next {
+            let plan = AttemptPlan::fill(request.id, cache, source);
+            if !failed.contains(&cache) && self.try_send(plan) {
+                return Some(cache);
+            }
+            next = self.next_member(&mut order);
+        }
+        None
     }
 
     /// Records the cache at which a leader fills.
--- a/crates/deckproxy-control/src/control/dispatch.rs
+++ b/crates/deckproxy-control/src/control/dispatch.rs
@@ -2,6 +2,7 @@
 
 use super::Control;
 use super::collapsing::FillKey;
+use super::member_order::MemberOrder;
 use super::request_state::{AttemptPlan, PendingRequest};
 use super::sending_times::fill_time;
 use super::tuning::{
@@ -42,83 +43,118 @@
             return self.bypass_caches(id);
         }
         // If this router is already filling the object, the object is looked up at that cache first.
-        let fill_cache = self.collapsed_fills.get(&FillKey::of(&pending.request)).map(|fill| fill.cache);
-        let caches: Vec<MemberId> = fill_cache.into_iter().chain(self.caches_for(&pending.request)).collect();
-        if pending.sends == 0 && self.are_caches_overloaded(pending, &caches) {
+        let fill = self.collapsed_fills.get(&FillKey::of(&pending.request));
+        let is_usable = |cache: &MemberId| self.members.get(*cache).is_some_and(|s| s.is_usable(self.now));
+        let fill_cache = fill.map(|fill| fill.cache).filter(is_usable);
+        let mut order = self.cache_order(&pending.request);
+        let mut next = fill_cache.or_else(|| self.next_member(&mut order));
+        if pending.sends == 0 && self.is_cache_overloaded(pending, next) {
             return self.give_up(id);
         }
         let failed = pending.failed_members.clone();
-        for cache in caches.into_iter().filter(|cache| !failed.contains(cache)) {
-            // A cache that warms up is empty, and a look-up costs it as much of its slow-start budget as
-            // the fill that would follow, so the fill is sent at once.
-            if self.is_cache_warming_up(cache) && self.accepts_attempts(cache) {
-                return self.handle_miss(id, cache);
-            }
-            if self.try_send(AttemptPlan::lookup(id, cache)) {
+        if !self.is_sendable(pending) {
+            order = self.cache_order(&pending.request).only_warming_up();
+            next = fill_cache.or_else(|| self.next_member(&mut order));
+        }
+        while let Some(cache) = next {
+            if !failed.contains(&cache) && self.try_cache(id, cache) {
                 return;
             }
+            next = self.next_member(&mut order);
         }
         self.bypass_caches(id);
     }
 
-    /// Whether even the first usable cache is too loaded for a request. A cache that reports spare CPU is
-    /// not: its load consists of waiting fills, so it can still serve look-ups.
-    fn are_caches_overloaded(&self, pending: &PendingRequest, caches: &[MemberId]) -> bool {
-        let mut states = caches.iter().filter_map(|cache| self.members.get(cache));
-        let best = states.find(|state| state.is_usable(self.now));
-        let loaded = best.filter(|state| !state.reports_spare_capacity(self.now));
-        self.is_too_late_at_load(pending, loaded.map_or(0.0, |state| self.member_load(state)))
+    /// Looks a request up at a cache, or has the cache fill. Returns false if the cache accepts no attempt.
+    fn try_cache(&mut self, id: RequestId, cache: MemberId) -> bool {
+        // A cache that warms up is empty, and a look-up costs it as much of its slow-start budget as the fill
+        // that would follow, so the fill is sent at once.
+        if self.is_cache_warming_up(cache) && self.accepts_attempts(cache) {
+            self.handle_miss(id, cache);
+            return true;
+        }
+        self.try_send(AttemptPlan::lookup(id, cache))
+    }
+
+    /// Whether even the first usable cache, if any, is too loaded for a request. A cache that reports spare
+    /// CPU is not: its load consists of waiting fills, so it can still serve look-ups.
+    fn is_cache_overloaded(&self, pending: &PendingRequest, first_usable: Option<MemberId>) -> bool {
+        let state = first_usable.and_then(|cache| self.members.get(cache));
+        let loaded = state.filter(|state| !state.reports_spare_capacity(self.now));
+        self.is_too_late_at_load(pending, loaded.map_or(1.0, |state| self.load_factor(state)))
     }
 
     fn is_cache_warming_up(&self, cache: MemberId) -> bool {
-        self.members.get(&cache).is_some_and(|state| self.is_warming_up(&state.listed))
+        self.members.get(cache).is_some_and(|state| self.is_warming_up(&state.listed))
     }
 
-    /// Sends a request without a cache look-up: to the parents in hash order, then to the origin. A write is
-    /// executed at the origin: it is sent there directly, else through a parent, else through a cache.
+    /// Sends a request without a cache look-up.
     pub(super) fn bypass_caches(&mut self, id: RequestId) {
         let Some(pending) = self.pending.get(&id) else { return };
-        let (request, failed, origin) = (pending.request, pending.failed_members.clone(), self.origin());
         let is_write = self.class_of(pending).write;
-        let is_blocked = if is_write { origin.is_none() } else { self.is_link_overloaded(pending) };
-        // For reads this also refills slow-start budgets, so it is done even if nothing can be sent.
-        let mut targets =
-            if is_write { self.write_targets(&request, origin) } else { self.responsive_sources(id) };
-        targets.retain(|target| is_write || !failed.contains(target));
-        let mut plans = targets.into_iter().map(|target| AttemptPlan::direct(id, target, origin));
-        if is_blocked || !plans.any(|plan| self.try_send(plan)) {
+        let is_sent = if is_write { self.send_write(id) } else { self.send_to_source(id) };
+        if !is_sent {
             self.give_up(id);
         }
     }
 
-    /// Members that may process a write, the origin first.
-    fn write_targets(&self, request: &Request, origin: Option<MemberId>) -> Vec<MemberId> {
-        let mut targets = self.sources_for(request);
-        targets.rotate_right(usize::from(origin.is_some()));
-        targets.extend(self.caches_for(request));
-        targets
+    /// Sends a read to the first source that accepts it. Returns whether it was sent.
+    fn send_to_source(&mut self, id: RequestId) -> bool {
+        let Some(pending) = self.pending.get(&id) else { return false };
+        let (request, failed) = (pending.request, pending.failed_members.clone());
+        let origin = self.origin();
+        let may_send = self.is_sendable(pending) && self.settings.cache_bypass;
+        let is_blocked = self.is_link_overloaded(pending) || !may_send;
+        let mut sources = self.source_order(&request);
+        if is_blocked {
+            return false;
+        }
+        while let Some(source) = self.next_source(id, &mut sources) {
+            if !failed.contains(&source) && self.try_send(AttemptPlan::direct(id, source, origin)) {
+                return true;
+            }
+        }
+        false
     }
 
-    /// The sources that accept attempts and whose fills would not be too late, in order of preference. If
-    /// there are none, the slow sources that are due for another trial: if all requests were rejected, a
-    /// recovery would never be noticed.
-    pub(super) fn responsive_sources(&mut self, id: RequestId) -> Vec<MemberId> {
-        let Some(request) = self.pending.get(&id).map(|pending| pending.request) else { return Vec::new() };
-        let mut sources = self.sources_for(&request);
-        sources.retain(|source| self.accepts_attempts(*source));
-        let Some(pending) = self.pending.get(&id) else { return sources };
-        let is_slow = |source: &MemberId| self.is_too_slow(pending, self.members[source].inflation(self.now));
-        let (mut slow, responsive): (Vec<_>, Vec<_>) = sources.into_iter().partition(is_slow);
-        if !responsive.is_empty() {
-            return responsive;
-        }
-        slow.retain(|source| self.is_due_for_trial(*source, &request));
-        slow
+    /// Sends a write, which is executed at the origin: to the origin directly, else through a parent, else
+    /// through a cache. Returns whether it was sent.
+    fn send_write(&mut self, id: RequestId) -> bool {
+        let Some(origin) = self.origin() else { return false };
+        let Some(pending) = self.pending.get(&id) else { return false };
+        let (request, is_sendable) = (pending.request, self.is_sendable(pending));
+        if !is_sendable || !self.settings.cache_bypass {
+            self.refill_parents();
+        }
+        if !is_sendable {
+            self.refill_slow_start_budgets(self.local_caches(), &[]);
+            return false;
+        }
+        if self.settings.cache_bypass {
+            if self.try_send(AttemptPlan::direct(id, origin, Some(origin))) {
+                return true;
+            }
+            let parents = self.parent_order(&request);
+            if parents.is_some_and(|parents| self.send_write_through(id, parents, origin)) {
+                return true;
+            }
+        }
+        self.send_write_through(id, self.cache_order(&request), origin)
+    }
+
+    /// Sends a write through the first member that accepts it. Returns whether it was sent.
+    fn send_write_through(&mut self, id: RequestId, mut members: MemberOrder, origin: MemberId) -> bool {
+        while let Some(member) = self.next_member(&mut members) {
+            if self.try_send(AttemptPlan::direct(id, member, Some(origin))) {
+                return true;
+            }
+        }
+        false
     }
 
     /// Whether a slow source is due for a trial. The interval is chosen so that the trials of all routers
     /// together use only [`SLOW_SOURCE_RETRY_SHARE`] of its throughput.
-    fn is_due_for_trial(&self, source: MemberId, request: &Request) -> bool {
+    pub(super) fn is_due_for_trial(&self, source: MemberId, request: &Request) -> bool {
         let state = &self.members[&source];
         let routers = self.routers_sharing(&state.listed);
         let capacity = self.capacity(&state.listed).unwrap_or(1.0);
--- a/crates/deckproxy-control/src/control/load.rs
+++ b/crates/deckproxy-control/src/control/load.rs
@@ -3,6 +3,8 @@
 use super::Control;
 use super::decay::TimedValue;
 use super::member_state::MemberState;
+use super::outlier_ejection::{max_slowness, slowness_over_median};
+use super::pool::Pool;
 use super::tuning::{BUSY_SHARE_SATURATED, CAPACITY_MIN, FILL_RATE_MULTIPLE};
 use crate::interface::{LoadReport, Member, MemberId, Millis};
 
@@ -24,14 +26,39 @@
     /// A member's load: the attempts in flight of all routers divided by its capacity; 0 if the capacity
     /// is unknown. An outlier is weighted as a smaller member.
     pub(super) fn member_load(&self, state: &MemberState) -> f64 {
+        self.load_at_slowness(state, self.outlier_slowness(state))
+    }
+
+    /// Upper bound of a member's load, which does not depend on the other members of its pool.
+    pub(super) fn max_load(&self, state: &MemberState) -> f64 {
+        self.load_at_slowness(state, max_slowness(state.inflation(self.now)))
+    }
+
+    /// A member's load if its outlier slowness is known.
+    fn load_at_slowness(&self, state: &MemberState, slowness: f64) -> f64 {
         let in_flight = state.in_flight.total(self.routers_sharing(&state.listed), self.now);
-        let load = |capacity: f64| in_flight * self.outlier_slowness(state) / capacity.max(CAPACITY_MIN);
+        let load = |capacity: f64| in_flight * slowness / capacity.max(CAPACITY_MIN);
         self.capacity(&state.listed).map_or(0.0, load)
     }
 
-    /// The load of the member with that id; 0 if it is not listed.
-    pub(super) fn member_load_by_id(&self, id: MemberId) -> f64 {
-        self.members.get(&id).map_or(0.0, |state| self.member_load(state))
+    /// Factor by which a member's load prolongs answers, 1 or more: an overloaded member serves its answers
+    /// in turn.
+    pub(super) fn load_factor(&self, state: &MemberState) -> f64 {
+        if self.max_load(state) <= 1.0 { 1.0 } else { self.member_load(state).max(1.0) }
+    }
+
+    /// The load factor of the member with that id; 1 if it is not listed.
+    pub(super) fn load_factor_by_id(&self, id: MemberId) -> f64 {
+        self.members.get(id).map_or(1.0, |state| self.load_factor(state))
+    }
+
+    /// Mean load of a pool's ready members.
+    pub(super) fn mean_load(&self, pool: &Pool) -> f64 {
+        let median = self.median_inflation_of_others(pool);
+        let load = |state: &MemberState| {
+            self.load_at_slowness(state, slowness_over_median(state.inflation(self.now), median))
+        };
+        pool.ready_states().map(load).sum::<f64>() / pool.ready_count().max(1) as f64
     }
 
     /// Number of concurrent transfers that the location's link can carry, if its rate is known.
@@ -68,11 +95,11 @@
 
     /// Records a member's load report.
     pub(super) fn record_load_report(&mut self, id: MemberId, report: LoadReport) {
-        let Some(state) = self.members.get(&id) else { return };
+        let Some(state) = self.members.get(id) else { return };
         let member = state.listed;
         let in_flight = report.in_flight.or_else(|| self.in_flight_from_busy_share(state, &report));
         let now = self.now;
-        if let Some(state) = self.members.get_mut(&id) {
+        if let Some(state) = self.members.get_mut(id) {
             state.busy_share =
                 report.busy_share.map(|value| TimedValue { value, at: now }).or(state.busy_share);
             if let Some(in_flight) = in_flight {
--- a/crates/deckproxy-control/src/control/member_list.rs
+++ b/crates/deckproxy-control/src/control/member_list.rs
@@ -1,8 +1,10 @@
-//! The member list: applying updates, and the roles and pools of members.
+//! The member list: applying updates, and the roles of members.
 
 use super::Control;
 use super::member_state::MemberState;
+use super::pool::PoolKey;
 use crate::interface::{Lifecycle, ListKind, Member, MemberId};
+use std::collections::BTreeSet;
 
 impl Control {
     /// Applies a full member list, or the changed entries of one.
@@ -19,19 +21,21 @@
     }
 
     fn mark_unlisted_members_gone(&mut self, list: &[Member]) {
-        for state in self.members.values_mut() {
-            if !list.iter().any(|member| member.id == state.listed.id) {
-                state.listed.lifecycle = Lifecycle::Gone;
-            }
+        let listed: BTreeSet<MemberId> = list.iter().map(|member| member.id).collect();
+        let unlisted: Vec<MemberId> = self.members.ids().filter(|id| !listed.contains(id)).collect();
+        for id in unlisted {
+            self.members.mark_gone(id);
         }
     }
 
     fn update_member(&mut self, kind: ListKind, member: Member) {
         let is_gone = member.lifecycle == Lifecycle::Gone;
-        match self.members.get_mut(&member.id) {
-            Some(state) if is_gone => state.listed.lifecycle = Lifecycle::Gone,
+        match self.members.get(member.id) {
+            Some(_) if is_gone => self.members.mark_gone(member.id),
             None if is_gone => {}
-            Some(state) if state.listed.started == member.started => state.listed = member,
+            Some(state) if state.listed.started == member.started => {
+                self.members.set_listed(member, self.is_warming_up(&member));
+            }
             _ => self.add_member(kind, member),
         }
     }
@@ -40,10 +44,11 @@
     /// it may have sent to that member just before its own restart. It therefore sends nothing to the
     /// member for one overload window of the caches' slow start.
     fn add_member(&mut self, kind: ListKind, member: Member) {
-        let may_have_been_used = kind == ListKind::Cached && self.is_warming_up(&member);
+        let is_warming_up = self.is_warming_up(&member);
+        let may_have_been_used = kind == ListKind::Cached && is_warming_up;
         let window = self.settings.cache_slow_start.overload_window;
         let blocked_until = if may_have_been_used { self.now + window } else { f64::MIN };
-        self.members.insert(member.id, MemberState::new(member, self.now, blocked_until));
+        self.members.insert(MemberState::new(member, self.now, blocked_until), is_warming_up);
     }
 
     /// Removes members that left. A member that left while warming up is retained, so that its spent
@@ -52,7 +57,11 @@
         let now = self.now;
         let longest = self.settings.cache_slow_start.duration.max(self.settings.parent_slow_start.duration);
         let is_new = |member: &Member| member.started.is_some_and(|started| now - started < longest);
-        self.members.retain(|_, state| state.listed.lifecycle != Lifecycle::Gone || is_new(&state.listed));
+        let is_old = |id: &MemberId| !is_new(&self.members[id].listed);
+        let removed: Vec<MemberId> = self.members.gone().filter(is_old).collect();
+        for id in removed {
+            self.members.remove(id);
+        }
     }
 
     /// Whether a member is a parent.
@@ -75,20 +84,13 @@
         self.is_cache(member) && member.zone == self.settings.zone
     }
 
-    /// The other ready members that can replace a member: those of its location for a cache, else those
-    /// of its kind.
-    pub(super) fn pool_of(&self, member: &Member) -> impl Iterator<Item = &MemberState> {
-        let (id, kind, zone, is_cache) = (member.id, member.kind, member.zone, self.is_cache(member));
-        let is_substitute = move |other: &Member| {
-            if is_cache { self.is_cache(other) && other.zone == zone } else { other.kind == kind }
-        };
-        let ready = self.members.values().filter(|state| state.listed.lifecycle == Lifecycle::Ready);
-        ready.filter(move |state| state.listed.id != id && is_substitute(&state.listed))
+    /// The pool of the caches of this router's location.
+    pub(super) fn local_caches(&self) -> PoolKey {
+        PoolKey::Caches { zone: self.settings.zone }
     }
 
     /// The origin, if one is listed as ready.
     pub(super) fn origin(&self) -> Option<MemberId> {
-        let mut ready = self.members.values().filter(|state| state.listed.lifecycle == Lifecycle::Ready);
-        ready.find(|state| self.is_origin(&state.listed)).map(|state| state.listed.id)
+        self.members.pool(PoolKey::Kind(self.settings.origin_kind?))?.first_ready()
     }
 }
--- a/crates/deckproxy-control/src/control/member_state.rs
+++ b/crates/deckproxy-control/src/control/member_state.rs
@@ -5,7 +5,9 @@
 use super::shared_load::SharedLoad;
 use super::slow_start::SlowStartBudget;
 use super::tuning::{
-    BUSY_SHARE_SATURATED, LOAD_REPORT_TIME_CONSTANT, MEMBER_LATENCY_PRIOR, OBSERVATION_TIME_CONSTANT,
+    BUSY_SHARE_SATURATED, EJECTION_FAILURES, EJECTION_RECOVERY_FACTOR, EJECTION_TIME_MAX, EJECTION_TIME_MIN,
+    LOAD_REPORT_TIME_CONSTANT, MEMBER_LATENCY_PRIOR, OBSERVATION_TIME_CONSTANT, SILENT_SENDS,
+    SILENT_TRIAL_SENDS,
 };
 use crate::interface::{Lifecycle, Member, Millis};
 
@@ -26,6 +28,65 @@
     pub(super) trial_in_flight: bool,
 }
 
+impl Health {
+    /// Clock time from which the member is usable if it is ready; infinite while its half-open trial is in
+    /// flight.
+    pub(super) fn usable_from(&self) -> Millis {
+        let awaits_trial = self.is_half_open && self.trial_in_flight;
+        if awaits_trial { f64::INFINITY } else { self.ejected_until }
+    }
+
+    /// Records a send to the member, as its target or as its source.
+    pub(super) fn record_send(&mut self, is_target: bool, now: Millis) {
+        self.trial_in_flight |= self.is_half_open;
+        if is_target {
+            if self.unanswered_sends == 0 {
+                self.unanswered_since = now;
+            }
+            self.unanswered_sends += 1;
+        }
+    }
+
+    /// Ejects the member, unless it is ejected already. Returns for how long.
+    pub(super) fn eject(&mut self, now: Millis) -> Option<Millis> {
+        if now < self.ejected_until {
+            return None;
+        }
+        self.ejection_duration = (self.ejection_duration * 2.0).clamp(EJECTION_TIME_MIN, EJECTION_TIME_MAX);
+        self.ejected_until = now + self.ejection_duration;
+        self.is_half_open = true;
+        self.trial_in_flight = false;
+        self.consecutive_failures = 0;
+        self.unanswered_sends = 0;
+        Some(self.ejection_duration)
+    }
+
+    /// Records a success, which ends the half-open state.
+    pub(super) fn record_success(&mut self) {
+        self.consecutive_failures = 0;
+        if self.is_half_open {
+            self.is_half_open = false;
+            self.ejection_duration *= EJECTION_RECOVERY_FACTOR;
+        }
+    }
+
+    /// Records a failure. Returns whether the member is to be ejected.
+    pub(super) fn record_failure(&mut self, now: Millis) -> bool {
+        // Failures at the same instant usually result from one broken connection and count as one failure.
+        let is_same_failure = self.last_failure_at == now && self.consecutive_failures > 0;
+        self.consecutive_failures += u32::from(!is_same_failure);
+        self.last_failure_at = now;
+        let failed_often = self.consecutive_failures >= EJECTION_FAILURES && !is_same_failure;
+        self.is_half_open || failed_often
+    }
+
+    /// Whether so many sends are unanswered that the member is silent once they have been so for long.
+    pub(super) fn is_silence_suspect(&self) -> bool {
+        let sends = if self.is_half_open { SILENT_TRIAL_SENDS } else { SILENT_SENDS };
+        self.unanswered_sends >= sends
+    }
+}
+
 /// A listed member.
 #[derive(Debug, Default)]
 pub(super) struct MemberState {
@@ -55,9 +116,7 @@
 
     /// Whether it accepts requests: it is ready and not ejected, and no trial of it is in flight.
     pub(super) fn is_usable(&self, now: Millis) -> bool {
-        let health = &self.health;
-        let awaits_trial = health.is_half_open && health.trial_in_flight;
-        self.listed.lifecycle == Lifecycle::Ready && now >= health.ejected_until && !awaits_trial
+        self.listed.lifecycle == Lifecycle::Ready && now >= self.health.usable_from()
     }
 
     /// Whether a recent report shows that its CPU is not saturated.
--- a/crates/deckproxy-control/src/control/outcome_accounting.rs
+++ b/crates/deckproxy-control/src/control/outcome_accounting.rs
@@ -57,20 +57,21 @@
         let now = self.now;
         let is_silent = matches!(result.ending, Timeout | Cancelled | NotSent);
         for id in attempt.plan.endpoints() {
-            let Some(state) = self.members.get_mut(&id) else { continue };
+            let Some(state) = self.members.get_mut(id) else { continue };
             let is_target = id == attempt.plan.member;
-            state.health.trial_in_flight &= !attempt.is_trial;
             // A late fill or direct attempt was already removed from its target's load when it became late.
             if !is_target || attempt.plan.kind == AttemptKind::Lookup || !attempt.is_late {
                 state.in_flight.add(-1.0, now);
             }
-            // An attempt that ended without a response before it was late is no evidence of silence.
-            let unanswered = &mut state.health.unanswered_sends;
-            if is_target && !is_silent {
-                *unanswered = 0;
-            } else if is_target && now < attempt.late_at {
-                *unanswered = unanswered.saturating_sub(1);
-            }
+            self.members.change_health(id, |health| {
+                health.trial_in_flight &= !attempt.is_trial;
+                // An attempt that ended without a response before it was late is no evidence of silence.
+                if is_target && !is_silent {
+                    health.unanswered_sends = 0;
+                } else if is_target && now < attempt.late_at {
+                    health.unanswered_sends = health.unanswered_sends.saturating_sub(1);
+                }
+            });
         }
     }
 
@@ -97,7 +98,7 @@
     /// the origin, for the origin. A fetch from the origin through a parent known to be slow is recorded
     /// for neither, as either may have caused the latency.
     fn record_served_latency(&mut self, attempt: &Attempt, request: &Request, result: &AttemptResult) {
-        let source = attempt.other_source().and_then(|source| self.members.get(&source));
+        let source = attempt.other_source().and_then(|source| self.members.get(source));
         let parent = source.filter(|state| self.is_parent(&state.listed));
         let is_through_parent = parent.is_some();
         let is_parent_slow = parent.is_some_and(|state| state.inflation(self.now) > SLOW_SOURCE_INFLATION);
@@ -126,7 +127,7 @@
     /// Records the latency inflation of an attempt, computed from its expected duration.
     fn record_latency(&mut self, attempt: &Attempt, inflation: impl Fn(Millis) -> f64) {
         let Some(expectation) = attempt.latency_expectation() else { return };
-        let Some(state) = self.members.get_mut(&expectation.member) else { return };
+        let Some(state) = self.members.get_mut(expectation.member) else { return };
         let inflation = inflation(expectation.expected);
         // A fill that is clearly faster than expected resets the latency inflation of a slow source.
         let is_fast_fill = attempt.plan.kind == AttemptKind::Fill && inflation < RECOVERED_FILL_SHARE;
@@ -160,7 +161,7 @@
     }
 
     fn origin_involvement(&self, attempt: &Attempt) -> OriginInvolvement {
-        let origin = self.origin().and_then(|id| self.members.get(&id));
+        let origin = self.origin().and_then(|id| self.members.get(id));
         let Some(origin) = origin else {
             return OriginInvolvement { is_endpoint: false, is_failing: false };
         };
--- a/crates/deckproxy-control/src/control/outlier_ejection.rs
+++ b/crates/deckproxy-control/src/control/outlier_ejection.rs
@@ -2,29 +2,18 @@
 //! smaller ones.
 
 use super::Control;
-use super::member_state::MemberState;
-use super::tuning::{
-    EJECTION_FAILURES, EJECTION_RECOVERY_FACTOR, EJECTION_TIME_MAX, EJECTION_TIME_MIN, LOG_LINES_MAX,
-    MEDIAN_INFLATION_MIN, OUTLIER_RATIO,
-};
+use super::member_state::{Health, MemberState};
+use super::pool::Pool;
+use super::tuning::{LOG_LINES_MAX, MEDIAN_INFLATION_MIN, OUTLIER_RATIO};
 use crate::interface::{Action, Member, MemberId};
 
 impl Control {
     /// Ejects a member temporarily; afterwards it is half-open.
     pub(super) fn eject(&mut self, id: MemberId, reason: &str) {
-        let Some(state) = self.members.get_mut(&id) else { return };
-        let health = &mut state.health;
-        if self.now < health.ejected_until {
-            return;
-        }
-        health.ejection_duration =
-            (health.ejection_duration * 2.0).clamp(EJECTION_TIME_MIN, EJECTION_TIME_MAX);
-        health.ejected_until = self.now + health.ejection_duration;
-        health.is_half_open = true;
-        health.trial_in_flight = false;
-        health.consecutive_failures = 0;
-        health.unanswered_sends = 0;
-        let (Member { kind, zone, .. }, duration) = (state.listed, health.ejection_duration);
+        let now = self.now;
+        let ejected = self.members.change_health(id, |health| health.eject(now));
+        let Some(duration) = ejected.flatten() else { return };
+        let Member { kind, zone, .. } = self.members[&id].listed;
         self.log(|| format!("member {id} (kind {kind}, zone {zone}) out for {duration:.0} ms: {reason}"));
     }
 
@@ -38,28 +27,16 @@
 
     /// Records a success of a member and ends its half-open state.
     pub(super) fn record_success(&mut self, id: MemberId) {
-        let Some(state) = self.members.get_mut(&id) else { return };
-        let health = &mut state.health;
-        health.consecutive_failures = 0;
-        if health.is_half_open {
-            health.is_half_open = false;
-            health.ejection_duration *= EJECTION_RECOVERY_FACTOR;
-        }
+        self.members.change_health(id, Health::record_success);
     }
 
     /// Records a failure that the member itself caused. The origin is never ejected, as no other member
     /// can replace it.
     pub(super) fn record_failure(&mut self, id: MemberId) {
+        let now = self.now;
+        let failed_often = self.members.change_health(id, |health| health.record_failure(now));
         let is_the_origin = self.origin() == Some(id);
-        let Some(state) = self.members.get_mut(&id) else { return };
-        let health = &mut state.health;
-        // Failures at the same instant usually result from one broken connection and count as one
-        // failure.
-        let is_same_failure = health.last_failure_at == self.now && health.consecutive_failures > 0;
-        health.consecutive_failures += u32::from(!is_same_failure);
-        health.last_failure_at = self.now;
-        let failed_often = health.consecutive_failures >= EJECTION_FAILURES && !is_same_failure;
-        if !is_the_origin && (health.is_half_open || failed_often) {
+        if !is_the_origin && failed_often == Some(true) {
             self.eject(id, "failing, or failed its trial");
         }
     }
@@ -68,14 +45,41 @@
     /// outlier is weighted as a smaller member, so its objects spill over sooner. If it was only slower
     /// because its requests were harder, the cost is a second copy of the objects that spill over.
     pub(super) fn outlier_slowness(&self, state: &MemberState) -> f64 {
-        let mut inflations: Vec<f64> =
-            self.pool_of(&state.listed).map(|other| other.inflation(self.now)).collect();
-        if inflations.is_empty() {
+        let inflation = state.inflation(self.now);
+        if max_slowness(inflation) <= 1.0 {
             return 1.0;
         }
-        inflations.sort_by(f64::total_cmp);
-        let median = inflations[(inflations.len() - 1) / 2];
-        let ratio = state.inflation(self.now) / median.max(MEDIAN_INFLATION_MIN);
-        if ratio > OUTLIER_RATIO { ratio } else { 1.0 }
+        let Some(pool) = self.members.pool(self.members.pool_key(&state.listed)) else { return 1.0 };
+        let median = if pool.is_ready(state.listed.id) {
+            self.median_inflation_of_others(pool)
+        } else {
+            self.inflation_at_rank(pool, pool.ready_count().checked_sub(1).map(|last| last / 2))
+        };
+        slowness_over_median(inflation, median)
+    }
+
+    /// The low median of the latency inflations of the other ready members of a pool, for each member whose
+    /// own inflation is above it; no other member is an outlier. `None` without other members.
+    pub(super) fn median_inflation_of_others(&self, pool: &Pool) -> Option<f64> {
+        self.inflation_at_rank(pool, pool.ready_count().checked_sub(2).map(|last| last / 2))
+    }
+
+    /// The latency inflation with that rank, from 0, among a pool's ready members.
+    fn inflation_at_rank(&self, pool: &Pool, rank: Option<usize>) -> Option<f64> {
+        let mut inflations: Vec<f64> = pool.ready_states().map(|state| state.inflation(self.now)).collect();
+        let (_, inflation, _) = inflations.select_nth_unstable_by(rank?, f64::total_cmp);
+        Some(*inflation)
     }
 }
+
+/// Slowness of a member with that latency inflation, compared with the median of its pool.
+pub(super) fn slowness_over_median(inflation: f64, median: Option<f64>) -> f64 {
+    let Some(median) = median else { return 1.0 };
+    let ratio = inflation / median.max(MEDIAN_INFLATION_MIN);
+    if ratio > OUTLIER_RATIO { ratio } else { 1.0 }
+}
+
+/// Upper bound of the slowness of a member with that latency inflation, whatever its pool's median is.
+pub(super) fn max_slowness(inflation: f64) -> f64 {
+    slowness_over_median(inflation, Some(MEDIAN_INFLATION_MIN))
+}
--- a/crates/deckproxy-control/src/control/periodic_timer.rs
+++ b/crates/deckproxy-control/src/control/periodic_timer.rs
@@ -7,7 +7,7 @@
 use super::sending_times::fill_time;
 use super::tuning::{
     LATE_INFLATION, OBJECT_IDLE_TIME, OBJECTS_MAX, ORIGIN_LATENCY_TIME_CONSTANT, ROUTER_STALL_TIME,
-    SILENT_SENDS, SILENT_TIME, SILENT_TRIAL_SENDS, SLOW_SOURCE_INFLATION, TIMER_PERIOD, WAITER_TIMEOUT,
+    SILENT_TIME, SLOW_SOURCE_INFLATION, TIMER_PERIOD, WAITER_TIMEOUT,
 };
 use super::{PERIODIC_TIMER, TimerState};
 use crate::interface::{Action, MemberId, Millis, RequestId};
@@ -24,7 +24,7 @@
     /// Sets the timer if requests are pending and it is not set yet.
     pub(super) fn arm_periodic_timer(&mut self) {
         if !self.timer.is_armed && !self.pending.is_empty() {
-            self.timer = TimerState { is_armed: true, due_at: self.now + TIMER_PERIOD };
+            self.timer = TimerState { is_armed: true, due_at: self.now + TIMER_PERIOD, ..self.timer };
             self.actions.push(Action::Timer { token: PERIODIC_TIMER, at: self.timer.due_at });
         }
     }
@@ -47,9 +47,7 @@
     /// process answers.
     fn reset_silence_after_stall(&mut self) {
         if self.now - self.timer.due_at > ROUTER_STALL_TIME {
-            for state in self.members.values_mut() {
-                state.health.unanswered_since = self.now;
-            }
+            self.timer.resumed_at = self.now;
         }
     }
 
@@ -87,19 +85,19 @@
     fn record_late_attempt(&mut self, attempt: &Attempt) {
         let (now, plan) = (self.now, attempt.plan);
         let is_fill = plan.kind == AttemptKind::Fill;
-        let source = plan.source.and_then(|source| self.members.get(&source));
+        let source = plan.source.and_then(|source| self.members.get(source));
         let is_source_slow = source.is_none_or(|state| state.inflation(now) > SLOW_SOURCE_INFLATION);
         if is_fill && !is_source_slow && self.origin_latency.has_observations() {
             let expected = fill_time(attempt.sending_time);
             self.origin_latency.record(now - attempt.sent_at, expected, ORIGIN_LATENCY_TIME_CONSTANT, now);
         }
         let expectation = attempt.latency_expectation().filter(|_| is_fill && attempt.sending_time_known);
-        if let Some(state) = expectation.and_then(|expectation| self.members.get_mut(&expectation.member)) {
+        if let Some(state) = expectation.and_then(|expectation| self.members.get_mut(expectation.member)) {
             state.record_inflation(LATE_INFLATION, now);
         }
         self.add_link_transfers(-attempt.link_transfers());
         if plan.kind != AttemptKind::Lookup
-            && let Some(state) = self.members.get_mut(&plan.member)
+            && let Some(state) = self.members.get_mut(plan.member)
         {
             state.in_flight.add(-1.0, now);
         }
@@ -118,8 +116,8 @@
 
     /// Ejects silent members and cancels their attempts in flight. The origin is never ejected.
     fn eject_silent_members(&mut self) {
-        let silent = self.members.values().filter(|state| self.is_silent(state));
-        let silent: Vec<MemberId> = silent.map(|state| state.listed.id).collect();
+        let suspects = self.members.silence_suspects();
+        let silent: Vec<MemberId> = suspects.filter(|id| self.is_silent(&self.members[id])).collect();
         for member in silent {
             self.eject(member, "silent");
             self.cancel_attempts_at(member);
@@ -127,10 +125,9 @@
     }
 
     fn is_silent(&self, state: &MemberState) -> bool {
-        let health = &state.health;
-        let sends = if health.is_half_open { SILENT_TRIAL_SENDS } else { SILENT_SENDS };
-        health.unanswered_sends >= sends
-            && self.now - health.unanswered_since > SILENT_TIME
+        let unanswered_since = state.health.unanswered_since.max(self.timer.resumed_at);
+        state.health.is_silence_suspect()
+            && self.now - unanswered_since > SILENT_TIME
             && !self.is_origin(&state.listed)
     }
 
--- a/crates/deckproxy-control/src/control/request_state.rs
+++ b/crates/deckproxy-control/src/control/request_state.rs
@@ -54,7 +54,7 @@
     pub(super) number: u32,
     pub(super) plan: AttemptPlan,
     pub(super) sent_at: Millis,
-    /// Load of the member at the time of sending, relative to its capacity.
+    /// Factor by which the member's load prolonged answers at the time of sending, 1 or more.
     pub(super) member_load: f64,
     /// Sending time of the request's answer.
     pub(super) sending_time: Millis,
@@ -94,7 +94,7 @@
     pub(super) fn latency_expectation(&self) -> Option<LatencyExpectation> {
         let AttemptPlan { member, source, kind, .. } = self.plan;
         if kind == AttemptKind::Lookup {
-            let expected = self.sending_time * self.member_load.max(1.0) + HOP_ALLOWANCE;
+            let expected = self.sending_time * self.member_load + HOP_ALLOWANCE;
             return Some(LatencyExpectation { member, expected });
         }
         let measured = source.filter(|source| kind == AttemptKind::Fill || *source == member)?;
--- a/crates/deckproxy-control/src/control/sending_times.rs
+++ b/crates/deckproxy-control/src/control/sending_times.rs
@@ -72,7 +72,7 @@
 
     /// Learns the sending time of an object and its class from a hit, corrected for the cache's load.
     pub(super) fn learn_sending_time(&mut self, request: &Request, attempt: &Attempt, elapsed: Millis) {
-        let sending_time = elapsed.max(1.0) / attempt.member_load.max(1.0);
+        let sending_time = elapsed.max(1.0) / attempt.member_load;
         self.class_sending_times[request.class].learn(sending_time);
         if let Some(stats) = self.objects.get_mut(&request.object) {
             let previous = stats.sending_time.unwrap_or(sending_time);
--- a/crates/deckproxy-control/src/control/slow_start.rs
+++ b/crates/deckproxy-control/src/control/slow_start.rs
@@ -1,6 +1,7 @@
 //! Slow start: limits what is sent to a member whose process started recently.
 
 use super::Control;
+use super::pool::{Pool, PoolKey, ReadyMember};
 use super::rendezvous_hash::mix64;
 use super::tuning::{GOLDEN_FRACTION, SLOW_START_SEND_COST, SLOW_START_SHARE};
 use crate::interface::{Member, MemberId, Millis, SlowStart};
@@ -79,7 +80,7 @@
     /// Whether a member accepts a new attempt: it is ready, not ejected and, while it warms up, this
     /// router's slow-start budget allows a send.
     pub(super) fn accepts_attempts(&mut self, id: MemberId) -> bool {
-        let Some(state) = self.members.get(&id).filter(|state| state.is_usable(self.now)) else {
+        let Some(state) = self.members.get(id).filter(|state| state.is_usable(self.now)) else {
             return false;
         };
         let member = state.listed;
@@ -95,7 +96,30 @@
                 .fold(1.0, f64::max),
         };
         let now = self.now;
-        let state = self.members.get_mut(&id);
+        let state = self.members.get_mut(id);
         state.is_some_and(|state| state.slow_start_budget.allows_send(&member, &limits, now))
     }
+
+    /// The ready members of a pool that are warming up.
+    pub(super) fn members_warming_up<'a>(
+        &'a self,
+        pool: &'a Pool,
+    ) -> impl Iterator<Item = &'a ReadyMember> + 'a {
+        let warms_up = |id: &MemberId| self.is_warming_up(&self.members[id].listed);
+        pool.recently_started().filter(warms_up).filter_map(|id| pool.ready_member(id))
+    }
+
+    /// Refills the slow-start budgets of a pool's members, except for some. They are refilled whenever an
+    /// attempt could be sent to the members, as the rate rises while a member warms up.
+    pub(super) fn refill_slow_start_budgets(&mut self, key: PoolKey, except: &[MemberId]) {
+        let Some(pool) = self.members.pool(key) else { return };
+        let started: Vec<MemberId> = pool.recently_started().collect();
+        for id in started {
+            if !self.is_warming_up(&self.members[&id].listed) {
+                self.members.record_warmed_up(id);
+            } else if !except.contains(&id) {
+                self.accepts_attempts(id);
+            }
+        }
+    }
 }
