Apply lists and ejections without passes over all members for each entry

Cause: Router::gone_members compared each member with each entry of a complete list, and looked at all members for a list of changes. Members::set_ejected looked at all members, and for each of them at all ejected ones.

Change: the ids of a complete list are looked up in a set, a list of changes names its members, and the ejected members are kept as a set whose differences are applied.

--- a/crates/deckproxy/src/routing/feed_events.rs
+++ b/crates/deckproxy/src/routing/feed_events.rs
@@ -4,6 +4,7 @@
 use crate::routing::effect::Effect;
 use crate::routing::router::Router;
 use deckproxy_control::interface::{Event, Lifecycle, ListKind, Member, MemberId};
+use std::collections::HashSet;
 
 impl Router {
     /// Handles an event of the feed; one that was received before is ignored. Returns false, and does not apply the
@@ -64,9 +65,11 @@
     /// Members that a list reports as gone or, if it is complete, does not contain.
     fn gone_members(&self, kind: ListKind, listed: &[Member]) -> Vec<MemberId> {
         let gone = listed.iter().filter(|member| member.lifecycle == Lifecycle::Gone).map(|member| member.id);
-        let is_complete = kind != ListKind::Delta;
-        let is_unlisted = |id: &MemberId| is_complete && !listed.iter().any(|member| member.id == *id);
-        gone.chain(self.members.ids().filter(is_unlisted)).collect()
+        if kind == ListKind::Delta {
+            return gone.collect();
+        }
+        let ids: HashSet<MemberId> = listed.iter().map(|member| member.id).collect();
+        gone.chain(self.members.ids().filter(|id| !ids.contains(id))).collect()
     }
 
     fn apply_purge(&mut self, now: f64, object: Option<u64>, group: u32, at: f64) {
--- a/crates/deckproxy/src/routing/members.rs
+++ b/crates/deckproxy/src/routing/members.rs
@@ -2,7 +2,7 @@
 
 use crate::protocol::feed::MemberEntry;
 use deckproxy_control::interface::{Lifecycle, Member, MemberId};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 /// Where a member is reached. A restart of its process or a new address makes a different endpoint.
@@ -40,6 +40,8 @@
 pub struct Members {
     by_id: HashMap<MemberId, ListedMember>,
     ids: HashMap<Box<str>, MemberId>,
+    /// The members that are ejected.
+    ejected: BTreeSet<MemberId>,
 }
 
 /// FNV-1a: gives a name the same id at every gateway, independent of earlier lists, as rendezvous hashing requires.
@@ -110,24 +112,27 @@
 
     /// Ejects exactly these members. Returns the members whose effective state changed.
     pub fn set_ejected(&mut self, ejected: &[MemberId]) -> Vec<Member> {
-        let mut changed = Vec::new();
-        for (id, member) in &mut self.by_id {
-            let before = member.effective();
-            member.ejected = ejected.contains(id);
-            let after = member.effective();
-            if after != before {
-                changed.push(after);
-            }
-        }
-        // Sorted, as the map's iteration order differs between gateways and runs.
-        changed.sort_by_key(|member| member.id);
-        changed
+        let ejected = ejected.iter().copied().filter(|id| self.by_id.contains_key(id)).collect();
+        let previous = std::mem::replace(&mut self.ejected, ejected);
+        // By ascending id, so that all gateways pass on the changes in the same order.
+        let toggled: Vec<MemberId> = previous.symmetric_difference(&self.ejected).copied().collect();
+        toggled.into_iter().filter_map(|id| self.set_ejected_flag(id)).collect()
+    }
+
+    /// Sets whether a member is ejected as the set says. Returns the member if its effective state changed.
+    fn set_ejected_flag(&mut self, id: MemberId) -> Option<Member> {
+        let member = self.by_id.get_mut(&id)?;
+        let before = member.effective();
+        member.ejected = self.ejected.contains(&id);
+        let after = member.effective();
+        (after != before).then_some(after)
     }
 
     /// Removes a member that is no longer listed.
     pub fn remove(&mut self, id: MemberId) {
         if let Some(member) = self.by_id.remove(&id) {
             self.ids.remove(&member.name);
+            self.ejected.remove(&id);
         }
     }
 
--- a/crates/deckproxy/tests/routing/main.rs
+++ b/crates/deckproxy/tests/routing/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the router without sockets, with two caches, two parents and an origin.
 
 mod health_checks;
+mod list_costs;
 mod member_lists;
 mod request_invariants;
 
--- a/crates/deckproxy/tests/routing/member_lists.rs
+++ b/crates/deckproxy/tests/routing/member_lists.rs
@@ -8,7 +8,6 @@
 use deckproxy::routing::{ConnectionFailure, Effect, Router};
 use std::collections::BTreeMap;
 
-/// Tables stay bounded while member ids, the member at an address, clients and objects keep changing.
 /// A request for an object, named after the object.
 fn page_request(object: u64, body: Bytes) -> Call {
     Call {
@@ -26,6 +25,7 @@
     }
 }
 
+/// Tables stay bounded while member ids, the member at an address, clients and objects keep changing.
 #[test]
 fn thousands_of_member_lists_leak_nothing() {
     let mut router = router();
