--- a/crates/deckproxy-fleet/src/fleet/mod.rs
+++ b/crates/deckproxy-fleet/src/fleet/mod.rs
@@ -60,9 +60,13 @@
     peers: BTreeMap<Name, Peer>,
     members: BTreeMap<u32, ListedMember>,
     observations: BTreeMap<u32, Observation>,
+    /// Members on trial with this instance's requests.
+    trials: BTreeSet<u32>,
     health_checks: HealthCheckSchedule,
-    /// Members have to be reassigned to observers.
+    /// All members have to be reassigned to observers.
     reassign: bool,
+    /// Members whose entries have changed since members were assigned.
+    unassigned: BTreeSet<u32>,
     ejected: BTreeSet<u32>,
     /// When each member that is about to be reinstated is reinstated.
     reinstatements: BTreeMap<u32, Millis>,
@@ -105,8 +109,10 @@
             peers: BTreeMap::new(),
             members: BTreeMap::new(),
             observations: BTreeMap::new(),
+            trials: BTreeSet::new(),
             health_checks: HealthCheckSchedule::default(),
             reassign: true,
+            unassigned: BTreeSet::new(),
             ejected: BTreeSet::new(),
             reinstatements: BTreeMap::new(),
             overload: settings.overload.clone().map(|settings| Box::new(Overload::new(now, settings))),
--- a/crates/deckproxy-fleet/src/fleet/observation.rs
+++ b/crates/deckproxy-fleet/src/fleet/observation.rs
@@ -4,6 +4,7 @@
 use crate::Millis;
 use crate::gossip_store::Key;
 use crate::health::{Health, Monitor, Thresholds};
+use crate::health_checks::Assignment;
 use crate::instance::{Instance, Name};
 use crate::rendezvous::{Candidate, observers};
 
@@ -25,12 +26,6 @@
     }
 }
 
-impl Observation {
-    fn is_on_trial(&self) -> bool {
-        self.monitor.health() == Health::HalfOpen
-    }
-}
-
 fn report_key(member: &Name) -> Key {
     Key { kind: kinds::HEALTH, subject: member.clone() }
 }
@@ -45,10 +40,33 @@
         self.members = members.map(|member| (member.id, member)).collect();
         let members = &self.members;
         self.observations.retain(|id, _| members.contains_key(id));
+        self.trials.retain(|id| members.contains_key(id));
         self.reinstatements.retain(|id, _| members.contains_key(id));
         self.reassign = true;
     }
 
+    /// Adds a member of the platform's list, or changes its entry.
+    pub fn set_member(&mut self, member: ListedMember) {
+        if self.members.get(&member.id) != Some(&member) {
+            self.unassigned.insert(member.id);
+            self.members.insert(member.id, member);
+        }
+    }
+
+    /// Removes a member that the platform no longer lists; returns it.
+    pub fn remove_member(&mut self, id: u32) -> Option<ListedMember> {
+        let removed = self.members.remove(&id)?;
+        self.remove_observation(id);
+        self.reinstatements.remove(&id);
+        self.unassigned.insert(id);
+        Some(removed)
+    }
+
+    fn remove_observation(&mut self, id: u32) -> Option<Observation> {
+        self.trials.remove(&id);
+        self.observations.remove(&id)
+    }
+
     /// Number of members that are assigned to this instance.
     pub fn observed_count(&self) -> usize {
         self.health_checks.len()
@@ -71,12 +89,12 @@
 
     /// Whether any member is on trial with this instance's requests, so that `attempt_ended` must be called.
     pub fn has_trials(&self) -> bool {
-        self.observations.values().any(Observation::is_on_trial)
+        !self.trials.is_empty()
     }
 
     /// Whether a member is on trial with this instance's requests.
     pub fn is_on_trial(&self, member: u32) -> bool {
-        self.observations.get(&member).is_some_and(Observation::is_on_trial)
+        self.trials.contains(&member)
     }
 
     /// Records the result of an attempt at a member.
@@ -93,6 +111,11 @@
         update(&mut observation.monitor, &self.settings.thresholds);
         let health = observation.monitor.health();
         let refresh = now - observation.reported_at >= REPORT_REFRESH && observation.monitor.is_observed();
+        if health == Health::HalfOpen {
+            self.trials.insert(member);
+        } else {
+            self.trials.remove(&member);
+        }
         if health == before && !refresh {
             return;
         }
@@ -116,8 +139,11 @@
             return;
         }
         if std::mem::take(&mut self.reassign) {
+            self.unassigned.clear();
             self.assign_members(now);
             self.withdraw_reports(now);
+        } else if !self.unassigned.is_empty() {
+            self.assign_changed_members(now);
         }
         let rate = self.view.rate();
         let interval = self.settings.health_check_interval;
@@ -126,30 +152,65 @@
         self.effects.extend(started.into_iter().map(Effect::HealthCheck));
     }
 
-    fn assign_members(&mut self, now: Millis) {
-        let own = self.own().clone();
+    /// The instances that may observe members; this instance is the first.
+    fn observer_candidates(&self) -> Vec<Candidate> {
         let present = self.peers.values().filter(|peer| peer.status.is_present());
         let others = present.map(|peer| candidate(&peer.instance));
-        // Index 0 is this instance.
-        let candidates: Vec<Candidate> = std::iter::once(candidate(&own)).chain(others).collect();
-        let observer_count = self.settings.observers;
-        let assigned = self.members.values().filter(|member| {
-            member.ready && observers(&member.name, &member.zone, &candidates, observer_count).contains(&0)
-        });
-        let assigned = assigned.map(|member| (member.id, &*member.name));
-        let interval = self.settings.health_check_interval;
-        self.health_checks.assign(now, interval, self.view.rate(), &own.name, assigned);
+        std::iter::once(candidate(self.own())).chain(others).collect()
     }
 
-    /// Withdraws the reports on members that have been reassigned, as they would count in addition to those of the new
-    /// observers.
+    /// Whether this instance is one of a member's observers.
+    fn is_observer(&self, member: &ListedMember, candidates: &[Candidate]) -> bool {
+        let count = self.settings.observers;
+        member.ready && observers(&member.name, &member.zone, candidates, count).contains(&0)
+    }
+
+    /// Assigns all members to their observers.
+    fn assign_members(&mut self, now: Millis) {
+        let candidates = self.observer_candidates();
+        let assigned = self.members.values().filter(|member| self.is_observer(member, &candidates));
+        let assigned: Vec<(u32, Name)> = assigned.map(|member| (member.id, member.name.clone())).collect();
+        let own = self.own().name.clone();
+        let assignment = self.assignment(now, &own);
+        self.health_checks.assign(&assignment, assigned.iter().map(|(id, name)| (*id, &**name)));
+    }
+
+    /// Assigns the members whose entries have changed while the observers are the same as before.
+    fn assign_changed_members(&mut self, now: Millis) {
+        let candidates = self.observer_candidates();
+        let own = self.own().name.clone();
+        let assignment = self.assignment(now, &own);
+        for id in std::mem::take(&mut self.unassigned) {
+            let observed = self.members.get(&id).filter(|member| self.is_observer(member, &candidates));
+            if let Some(name) = observed.map(|member| member.name.clone()) {
+                self.health_checks.add(&assignment, id, &name);
+            } else {
+                self.health_checks.remove(id);
+                self.withdraw_report(now, id);
+            }
+        }
+    }
+
+    fn assignment<'a>(&self, now: Millis, own: &'a str) -> Assignment<'a> {
+        Assignment { now, interval: self.settings.health_check_interval, rate: self.view.rate(), own }
+    }
+
+    /// Withdraws the reports on members that have been reassigned.
     fn withdraw_reports(&mut self, now: Millis) {
         let is_assigned = |id: &u32| self.health_checks.is_assigned(*id);
         let withdrawn: Vec<u32> = self.observations.keys().copied().filter(|id| !is_assigned(id)).collect();
         for id in withdrawn {
-            self.observations.remove(&id);
-            let Some(member) = self.members.get(&id) else { continue };
-            self.store.write(now, report_key(&member.name), REPORT_TTL as u32, None);
+            self.withdraw_report(now, id);
+        }
+    }
+
+    /// Withdraws the report on a member that has been reassigned, if there is one, as it would count in addition to those of
+    /// the new observers.
+    fn withdraw_report(&mut self, now: Millis, id: u32) {
+        if self.remove_observation(id).is_none() {
+            return;
         }
+        let Some(member) = self.members.get(&id) else { return };
+        self.store.write(now, report_key(&member.name), REPORT_TTL as u32, None);
     }
 }
--- a/crates/deckproxy-model/src/balancer/gateway.rs
+++ b/crates/deckproxy-model/src/balancer/gateway.rs
@@ -188,7 +188,7 @@
             // For other sites, other gateways and connections, none of which are simulated.
             routing::Effect::Purged { .. }
             | routing::Effect::HealthChecked { .. }
-            | routing::Effect::MembersChanged
+            | routing::Effect::MembersChanged(_)
             | routing::Effect::CloseIdle(_)
             | routing::Effect::ProcessGone(_)
             | routing::Effect::Log(_) => None,
--- a/crates/deckproxy-rig/src/simulated_fleet/mod.rs
+++ b/crates/deckproxy-rig/src/simulated_fleet/mod.rs
@@ -42,7 +42,8 @@
     pub blocked_pairs: BTreeSet<(usize, usize)>,
     events: EventQueue<Event>,
     rng: Pcg64Mcg,
-    members: Vec<ListedMember>,
+    /// The members that instances know when they start.
+    pub members: Vec<ListedMember>,
     /// Members that answer nobody.
     pub failing_members: BTreeSet<u32>,
     /// Members that single instances do not reach: (instance, member).
--- a/crates/deckproxy/src/program/effects.rs
+++ b/crates/deckproxy/src/program/effects.rs
@@ -54,7 +54,9 @@
             Effect::HealthChecked { member, healthy } => {
                 self.notify(now, &Event::HealthChecked { member, healthy });
             }
-            Effect::MembersChanged => self.notify(now, &Event::MemberListChanged),
+            Effect::MembersChanged(members) => {
+                self.notify(now, &Event::MemberListChanged { members: &members });
+            }
             Effect::CloseIdle(member) => self.retire_upstreams(member),
             Effect::ProcessGone(member) => self.give_up_process(now, member),
             Effect::Log(text) => self.log_peer(&text),
--- a/crates/deckproxy/src/program/fleet/mod.rs
+++ b/crates/deckproxy/src/program/fleet/mod.rs
@@ -12,7 +12,7 @@
 use crate::routing::{AttemptKey, Router};
 use crate::transport::clock;
 use admission::RequestAdmission;
-use deckproxy_control::interface::Lifecycle;
+use deckproxy_control::interface::{Lifecycle, Member, MemberId};
 use deckproxy_fleet::fleet::{self, ListedMember};
 use deckproxy_flow::meter::Outcome;
 use deckproxy_operator::{Client, FleetSettingsError, Operator};
@@ -46,15 +46,15 @@
 /// Most trial attempts tracked at a time, as an attempt whose end is never reported would otherwise stay forever.
 const MAX_TRIAL_ATTEMPTS: usize = 65_536;
 
-/// The router's members in the form that the fleet needs.
-fn listed_members(router: &Router) -> impl Iterator<Item = ListedMember> + '_ {
-    router.listed_members().map(|(member, name)| ListedMember {
+/// A member of the router in the form that the fleet needs.
+fn listed_member(router: &Router, member: &Member, name: &str) -> ListedMember {
+    ListedMember {
         id: member.id,
         name: name.into(),
         zone: router.instance_settings().zones.get(member.zone as usize).map_or("", String::as_str).into(),
         kind: member.kind,
         ready: member.lifecycle == Lifecycle::Ready,
-    })
+    }
 }
 
 impl Fleet {
@@ -94,24 +94,38 @@
         // The platform may give the same seed to all instances.
         let seed = seed ^ start.rotate_left(32) ^ deckproxy_fleet::rendezvous::hash_of_name(&own.name);
         let mut core = fleet::Fleet::new(clock::steady(), settings, seed);
-        core.set_members(listed_members(router));
-        let mut fleet = Fleet {
+        core.set_members(router.listed_members().map(|(member, name)| listed_member(router, member, name)));
+        let members = router.listed_members().map(|(member, name)| (name.to_string(), member.id)).collect();
+        let fleet = Fleet {
             log: log.clone(),
             core,
             platform_names: PlatformNames { instance: name.to_string(), zone: zone.to_string() },
             health_checks,
-            members: HashMap::new(),
+            members,
             trial_attempts: HashMap::new(),
             admission,
         };
-        fleet.update_members(router);
         Ok(Some(Box::new(fleet)))
     }
 
-    /// Updates the member list from the router's.
-    fn update_members(&mut self, router: &Router) {
-        self.core.set_members(listed_members(router));
-        self.members = router.listed_members().map(|(member, name)| (name.to_string(), member.id)).collect();
+    /// Updates the entries of some members from the router's.
+    fn update_members(&mut self, router: &Router, changed: &[MemberId]) {
+        for id in changed {
+            match router.listed_member(*id) {
+                Some((member, name)) => {
+                    self.members.insert(name.to_string(), *id);
+                    self.core.set_member(listed_member(router, member, name));
+                }
+                None => self.remove_member(*id),
+            }
+        }
+    }
+
+    fn remove_member(&mut self, id: MemberId) {
+        let Some(removed) = self.core.remove_member(id) else { return };
+        if self.members.get(&*removed.name) == Some(&id) {
+            self.members.remove(&*removed.name);
+        }
     }
 
     /// Whether connect events have to carry the client's address.
@@ -149,7 +163,7 @@
             Event::HealthChecked { member, healthy } => {
                 self.core.health_checked(clock::steady(), member, healthy);
             }
-            Event::MemberListChanged => self.update_members(cx.router),
+            Event::MemberListChanged { members } => self.update_members(cx.router, members),
             Event::AttemptSent { key, member, .. } if self.core.has_trials() => self.trial_sent(key, member),
             Event::MemberReplied { key: Some(key), status, .. } if !self.trial_attempts.is_empty() => {
                 // A member that is overloaded or has no copy is not faulty.
--- a/crates/deckproxy/src/program/subsystem/event.rs
+++ b/crates/deckproxy/src/program/subsystem/event.rs
@@ -194,8 +194,11 @@
         /// Whether it answered in time.
         healthy: bool,
     },
-    /// The member list changed.
-    MemberListChanged,
+    /// Entries of the member list changed.
+    MemberListChanged {
+        /// The members whose entries changed, or that are no longer listed.
+        members: &'a [MemberId],
+    },
     /// A subsystem, possibly the receiving one, published a note.
     Notified(&'a Note),
     /// Periodic housekeeping, every quarter of a second.
--- a/crates/deckproxy/src/routing/effect.rs
+++ b/crates/deckproxy/src/routing/effect.rs
@@ -82,8 +82,8 @@
         /// Whether it reported that it is healthy.
         healthy: bool,
     },
-    /// The list of members has changed.
-    MembersChanged,
+    /// The entries of these members have changed, or they are no longer listed.
+    MembersChanged(Vec<MemberId>),
     /// Close a member's idle connections and retire the others.
     CloseIdle(MemberId),
     /// Likewise, and give up the attempts of which nothing was written: the process that they were meant for is gone, and
--- a/crates/deckproxy/src/routing/feed_events.rs
+++ b/crates/deckproxy/src/routing/feed_events.rs
@@ -54,12 +54,13 @@
         // At once: a new process may be started at the same address.
         let gone = self.gone_members(kind, &members);
         self.effects.extend(gone.iter().copied().chain(replaced).map(Effect::ProcessGone));
+        let changed = members.iter().map(|member| member.id).chain(gone.iter().copied()).collect();
         self.notify_control(now, Event::MemberList(kind, members));
         // The decision module sends them nothing more, and attempts in flight need only the member's id to end.
         for member in gone {
             self.members.remove(member);
         }
-        self.effects.push_back(Effect::MembersChanged);
+        self.effects.push_back(Effect::MembersChanged(changed));
     }
 
     /// Members that a list reports as gone or, if it is complete, does not contain.
--- a/crates/deckproxy/src/routing/members.rs
+++ b/crates/deckproxy/src/routing/members.rs
@@ -110,6 +110,11 @@
         self.by_id.values().map(|member| (&member.listed, &*member.name))
     }
 
+    /// A member in its listed state, with its name.
+    pub fn listed_member(&self, id: MemberId) -> Option<(&Member, &str)> {
+        self.by_id.get(&id).map(|member| (&member.listed, &*member.name))
+    }
+
     /// Ejects exactly these members. Returns the members whose effective state changed.
     pub fn set_ejected(&mut self, ejected: &[MemberId]) -> Vec<Member> {
         let ejected = ejected.iter().copied().filter(|id| self.by_id.contains_key(id)).collect();
--- a/crates/deckproxy/src/routing/router.rs
+++ b/crates/deckproxy/src/routing/router.rs
@@ -161,6 +161,11 @@
         self.members.listed()
     }
 
+    /// A member in its listed state, with its name.
+    pub fn listed_member(&self, id: MemberId) -> Option<(&Member, &str)> {
+        self.members.listed_member(id)
+    }
+
     /// Checks an invariant: asserted in debug builds, counted and logged in release builds.
     pub(super) fn check_invariant(&mut self, holds: bool, invariant: &str) {
         debug_assert!(holds, "{invariant}");
--- a/crates/deckproxy/tests/attempt_endings.rs
+++ b/crates/deckproxy/tests/attempt_endings.rs
@@ -56,7 +56,7 @@
 
 /// The pending effects that concern requests.
 fn effects(router: &mut Router) -> Vec<Effect> {
-    let others = |e: &Effect| matches!(e, Effect::Log(_) | Effect::MembersChanged);
+    let others = |e: &Effect| matches!(e, Effect::Log(_) | Effect::MembersChanged(_));
     std::iter::from_fn(|| router.next_effect()).filter(|e| !others(e)).collect()
 }
 
--- a/crates/deckproxy/tests/routing/request_invariants.rs
+++ b/crates/deckproxy/tests/routing/request_invariants.rs
@@ -122,7 +122,7 @@
                 }
                 Effect::SendHealthCheck { .. }
                 | Effect::HealthChecked { .. }
-                | Effect::MembersChanged
+                | Effect::MembersChanged(_)
                 | Effect::CloseIdle(_)
                 | Effect::ProcessGone(_)
                 | Effect::Purged { .. }
