--- a/crates/deckproxy-control/src/control/dispatch.rs
+++ b/crates/deckproxy-control/src/control/dispatch.rs
@@ -53,6 +53,7 @@
         }
         let failed = pending.failed_members.clone();
         if !self.is_sendable(pending) {
+            // No look-up can be sent, but a cache that warms up may take the request as a leader or waiter.
             order = self.cache_order(&pending.request).only_warming_up();
             next = fill_cache.or_else(|| self.next_member(&mut order));
         }
@@ -88,7 +89,7 @@
         self.members.get(cache).is_some_and(|state| self.is_warming_up(&state.listed))
     }
 
-    /// Sends a request without a cache look-up.
+    /// Sends a request without a cache look-up, or gives it up.
     pub(super) fn bypass_caches(&mut self, id: RequestId) {
         let Some(pending) = self.pending.get(&id) else { return };
         let is_write = self.class_of(pending).write;
