--- a/crates/deckproxy-settings/src/lib.rs
+++ b/crates/deckproxy-settings/src/lib.rs
@@ -43,6 +43,13 @@
     pub limits: Limits,
 }
 
+impl InstanceSettings {
+    /// The longest deadline of a class, ms.
+    pub fn longest_deadline(&self) -> f64 {
+        self.settings.classes.iter().map(|class| class.deadline).fold(0.0, f64::max)
+    }
+}
+
 /// Limits on connections and requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
--- a/crates/deckproxy/src/program/client_messages.rs
+++ b/crates/deckproxy/src/program/client_messages.rs
@@ -10,13 +10,6 @@
 use crate::transport::clock;
 use crate::transport::pending_requests::PendingRequest;
 
-/// Whether the answered request was admitted, so that it counts as open on its client's connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Admitted {
-    Yes,
-    No,
-}
-
 /// How far the received messages of a client are handled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum DecodeProgress {
@@ -108,7 +101,8 @@
         };
         self.notify(now, &event);
         if let Some(request) = fault.request_id {
-            self.enqueue_answer(now, (id, request), &Answer::Invalid(fault.error), Admitted::No);
+            let due = self.router.longest_answer_due(now);
+            self.answer_unadmitted(now, (id, request), &Answer::Invalid(fault.error), due);
         }
         self.drain_client(now, id, fault.error.as_str(), InputMode::Discard);
     }
@@ -138,27 +132,28 @@
 
     fn handle_request(&mut self, now: f64, key: RequestKey, call: Call) {
         let (id, request) = key;
-        if self.is_request_open(key) {
+        let due = self.router.answer_due(now, call.timeout);
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if client.is_request_open(request) {
             // Answers to two open requests with the same id could not be distinguished.
             self.router.counters.invalid += 1;
             self.log_peer("a client's connection closes: two open requests of one id");
             return self.close_client(now, id);
         }
-        let Some(client) = self.clients.get_mut(&id) else { return };
         if !client.accept_id(request) {
             // The protocol requires ids that start at 1 and increase by 1.
             let error = RequestError::IdOutOfSequence;
-            self.enqueue_answer(now, key, &Answer::Invalid(error), Admitted::No);
+            self.answer_unadmitted(now, key, &Answer::Invalid(error), due);
             return self.drain_client(now, id, error.as_str(), InputMode::Reject);
         }
         // During a shutdown or on a closing connection, a request that is rejected at once can be retried sooner. The
         // account of memory is checked before the client's own limit on open requests.
         let rejecting = client.is_closing() || self.is_rejecting();
         let full = self.is_memory_full(call.body.len());
-        let admitted = self.clients.get_mut(&id).is_some_and(|client| !rejecting && !full && client.admit());
-        if !admitted {
+        let admits = |client: &mut ClientConnection| !rejecting && !full && client.admit(request, due);
+        if !self.clients.get_mut(&id).is_some_and(admits) {
             self.router.counters.rejected += 1;
-            self.enqueue_answer(now, key, &Answer::Rejected(0.0), Admitted::No);
+            self.answer_unadmitted(now, key, &Answer::Rejected(0.0), due);
             return self.flush_batch(now, id);
         }
         if let Some(client) = self.clients.get_mut(&id) {
@@ -180,76 +175,83 @@
     /// Cancels those of the requests that are open. Drains the connection if too many in a row were cancelled.
     fn handle_cancellation(&mut self, now: f64, id: ClientId, requests: Vec<u32>) {
         for request in requests {
-            if !self.is_request_open((id, request)) {
-                continue;
-            }
-            let Some(client) = self.clients.get_mut(&id) else { return };
-            let too_many = client.cancel_request();
-            let was_pending = client.pending.remove(request);
-            client.pending_changed();
-            self.notify(now, &Event::RequestCancelled { client: id, id: request });
-            if was_pending {
-                self.router.counters.accepted += 1;
-                self.router.counters.cancelled += 1;
-            } else {
-                self.router.cancel(now, id, request);
-            }
-            if too_many {
+            self.cancel_request(now, (id, request));
+            if self.clients.get(&id).is_some_and(ClientConnection::cancels_too_many) {
                 self.drain_client(now, id, "it cancels too many requests in a row", InputMode::Reject);
             }
         }
     }
 
+    /// Cancels a request, unless it is not open.
+    fn cancel_request(&mut self, now: f64, (id, request): RequestKey) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if !client.cancel_request(request) {
+            return;
+        }
+        let was_pending = client.pending.remove(request);
+        client.pending_changed();
+        self.notify(now, &Event::RequestCancelled { client: id, id: request });
+        if was_pending {
+            self.router.counters.accepted += 1;
+            self.router.counters.cancelled += 1;
+        } else {
+            self.router.cancel(now, id, request);
+        }
+    }
+
     fn handle_invalid(&mut self, now: f64, id: ClientId, request: u32, error: RequestError) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.accept_id(request);
         self.router.counters.invalid += 1;
-        self.enqueue_answer(now, (id, request), &Answer::Invalid(error), Admitted::No);
+        let due = self.router.longest_answer_due(now);
+        self.answer_unadmitted(now, (id, request), &Answer::Invalid(error), due);
         self.flush_batch(now, id);
     }
 
     /// Rejects the request of which only a part has been received, if its id is known: it gets a final answer even if its
     /// connection closes before the rest arrives. Returns whether there was one.
     pub(super) fn reject_partial_request(&mut self, now: f64, id: ClientId) -> bool {
-        let partial = self.clients.get(&id).and_then(ClientConnection::unanswered_partial_request);
-        let Some(request) = partial.filter(|request| !self.is_request_open((id, *request))) else {
-            return false;
-        };
+        let due = self.router.longest_answer_due(now);
         let Some(client) = self.clients.get_mut(&id) else { return false };
+        let partial = client.unanswered_partial_request();
+        let Some(request) = partial.filter(|request| !client.is_request_open(*request)) else { return false };
         let answer = if client.accept_id(request) {
             self.router.counters.rejected += 1;
             Answer::Rejected(0.0)
         } else {
             Answer::Invalid(RequestError::IdOutOfSequence)
         };
-        let bytes = client.answer_partial_request(request, &answer);
+        let bytes = client.answer_partial_request(request, &answer, due);
         self.notify(now, &Event::RequestReceived { client: id, id: request, class: "", bytes });
         self.notify(now, &Event::AnswerQueued { client: id, id: request, answer: &answer });
         true
     }
 
-    fn is_request_open(&self, (client, id): RequestKey) -> bool {
-        let is_pending = self.clients.get(&client).is_some_and(|client| client.pending.contains(id));
-        is_pending || self.router.is_open(client, id) || self.subsystems.has_request(client, id)
-    }
-
-    /// Sends the final answer to an admitted request. If the client has disconnected, the answer is dropped: the
-    /// request was counted as cancelled at that time.
+    /// Sends the final answer to an admitted request. It is dropped if the client has disconnected or cancelled the request
+    /// in the meantime: the request was counted as cancelled at that time.
     pub(super) fn answer_client(&mut self, now: f64, id: ClientId, request: u32, answer: &Answer) {
+        let is_open = |client: &ClientConnection| client.is_request_open(request);
+        if !self.clients.get(&id).is_some_and(is_open) {
+            return;
+        }
         let replacement = if self.subsystems.is_any_enabled() {
             self.subsystems.answer(&context(now, &self.router), (id, request), answer)
         } else {
             None
         };
         let answer = replacement.as_ref().unwrap_or(answer);
-        self.enqueue_answer(now, (id, request), answer, Admitted::Yes);
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.answer(request, answer);
+        }
+        self.notify(now, &Event::AnswerQueued { client: id, id: request, answer });
         self.flush_client(now, id);
     }
 
-    /// Appends an answer to a client's write buffer.
-    fn enqueue_answer(&mut self, now: f64, (id, request): RequestKey, answer: &Answer, admitted: Admitted) {
+    /// Appends the final answer to a request that was not admitted to a client's write buffer. It is of use to the client
+    /// until `due`, Unix ms.
+    fn answer_unadmitted(&mut self, now: f64, (id, request): RequestKey, answer: &Answer, due: f64) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        client.answer(request, answer, admitted == Admitted::Yes);
+        client.answer_unadmitted(request, answer, due);
         self.notify(now, &Event::AnswerQueued { client: id, id: request, answer });
     }
 }
--- a/crates/deckproxy/src/program/clients.rs
+++ b/crates/deckproxy/src/program/clients.rs
@@ -144,18 +144,21 @@
         self.timers.schedule(now + limits::LINGER, TimerTask::LingerExpired(id));
     }
 
-    /// Handles the end of a closing connection's linger time. The connection stays open while a request on it is
-    /// unanswered, which the request's deadline limits, and for some time while the client still sends.
+    /// Handles the end of a closing connection's linger time. The connection stays open while an answer is owed to its
+    /// client, until that would be of no more use, and then for some time while the client still sends.
     pub(super) fn linger_expired(&mut self, now: f64, id: ClientId) {
-        match self.clients.get(&id) {
-            Some(client) if !client.is_half_closed() && self.has_unanswered(id) => {
-                self.timers.schedule(now + limits::CLOSING_INTERVAL, TimerTask::LingerExpired(id));
+        let Some(client) = self.clients.get(&id) else { return };
+        let next = if client.is_half_closed() {
+            client.is_still_sending(now).then_some(now + limits::LINGER)
+        } else {
+            client.owed_until(now).map(|due| due.min(now + limits::CLOSING_INTERVAL))
+        };
+        match next {
+            Some(next) => {
+                self.timers.schedule(next, TimerTask::LingerExpired(id));
             }
-            Some(client) if client.is_still_sending(now) => {
-                self.timers.schedule(now + limits::LINGER, TimerTask::LingerExpired(id));
-            }
-            Some(client) if client.is_half_closed() => self.close_client(now, id),
-            _ => self.reset_client(now, id),
+            None if client.is_half_closed() => self.close_client(now, id),
+            None => self.reset_client(now, id),
         }
     }
 
--- a/crates/deckproxy/src/program/housekeeping.rs
+++ b/crates/deckproxy/src/program/housekeeping.rs
@@ -39,12 +39,12 @@
         }
     }
 
-    /// Resets a client's connection that is stalled, drains one that delays the rest of a message, or closes one that
-    /// is idle for too long.
+    /// Resets a client's connection that is stalled once no answer on it is of use any more, drains one that delays the rest
+    /// of a message, or closes one that is idle for too long.
     fn check_client(&mut self, now: f64, id: ClientId) {
         let Some(client) = self.clients.get(&id) else { return };
         let idle = now - client.idle_since();
-        if client.is_stalled(now) {
+        if client.is_stalled(now) && client.owed_until(now).is_none() {
             debug!(self.log, "closing a client's connection that reads no answers"; "client" => id);
             self.reset_client(now, id);
         } else if client.is_read_timed_out(now) {
--- a/crates/deckproxy/src/program/pending_requests.rs
+++ b/crates/deckproxy/src/program/pending_requests.rs
@@ -40,12 +40,6 @@
         }
     }
 
-    /// Whether a client has requests without a final answer.
-    pub(super) fn has_unanswered(&self, id: ClientId) -> bool {
-        let has_pending = self.clients.get(&id).is_some_and(|client| !client.pending.is_empty());
-        has_pending || self.router.has_unanswered(id)
-    }
-
     fn next_pending_request(&mut self, id: ClientId) -> Option<PendingRequest> {
         let client = self.clients.get_mut(&id)?;
         let request = client.pending.pop()?;
--- a/crates/deckproxy/src/program/shutdown.rs
+++ b/crates/deckproxy/src/program/shutdown.rs
@@ -22,8 +22,7 @@
         if let Some(socket) = self.fleet_socket.take() {
             socket.close(&self.handle);
         }
-        let longest_deadline =
-            self.router.instance_settings().settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+        let longest_deadline = self.router.instance_settings().longest_deadline();
         let fail_after =
             longest_deadline.min(limits::DRAIN_DEADLINE) + limits::DRAIN_ACCEPT - limits::DRAIN_MARGIN;
         self.timers.schedule(now + fail_after, TimerTask::FailOpenRequests);
--- a/crates/deckproxy/src/program/sites/mod.rs
+++ b/crates/deckproxy/src/program/sites/mod.rs
@@ -107,11 +107,6 @@
         }))
     }
 
-    /// Whether a client's request was forwarded and is not answered yet.
-    pub(super) fn has_request(&self, request: RequestKey) -> bool {
-        self.client_requests.contains(request)
-    }
-
     /// The site at the other end of a link, once it is known.
     pub(super) fn site_of(&self, link: LinkId) -> Option<&str> {
         self.site.site_of(link)
--- a/crates/deckproxy/src/program/subsystem/open_requests.rs
+++ b/crates/deckproxy/src/program/subsystem/open_requests.rs
@@ -24,11 +24,6 @@
         self.open.insert(request, value);
     }
 
-    /// Whether the request is open.
-    pub fn contains(&self, request: RequestKey) -> bool {
-        self.open.contains_key(&request)
-    }
-
     /// Removes a request that was answered; returns none if it is not open.
     pub fn remove(&mut self, request: RequestKey) -> Option<T> {
         self.open.remove(&request)
--- a/crates/deckproxy/src/program/subsystems.rs
+++ b/crates/deckproxy/src/program/subsystems.rs
@@ -102,11 +102,6 @@
         self.flows.as_ref().is_some_and(|f| f.is_send_task(task))
     }
 
-    /// Whether a subsystem has taken over a client's request with this id and not answered it.
-    pub fn has_request(&self, client: ClientId, id: u32) -> bool {
-        self.sites.as_ref().is_some_and(|s| s.has_request((client, id)))
-    }
-
     /// The next chunk of a body for a link whose write buffer has room.
     pub fn next_body_chunk(&mut self, link: LinkId) -> Option<Frame> {
         self.sites.as_mut().and_then(|s| s.next_body_chunk(link))
--- a/crates/deckproxy/src/protocol/limits.rs
+++ b/crates/deckproxy/src/protocol/limits.rs
@@ -81,7 +81,9 @@
 pub const CLIENT_MIN_AGE: f64 = 50.0;
 /// Requests that a client may cancel one after another without one being answered.
 pub const CLIENT_CANCELLATIONS: usize = 4 * CLIENT_REQUESTS;
-/// Interval between checks whether a closing connection has unanswered requests; it closes once it has none. Also the
+/// Time after a request's deadline and the settings' slack for which its answer is still delivered.
+pub const LATE_ANSWER: f64 = 500.0;
+/// Longest interval between checks whether a closing connection still owes an answer; it closes once it owes none. Also the
 /// longest time that a half-closed connection stays open for a client that still sends.
 pub const CLOSING_INTERVAL: f64 = 1500.0;
 /// Time that a client has to close its side of a half-closed connection (lingering close); extended while it still
--- a/crates/deckproxy/src/routing/intake.rs
+++ b/crates/deckproxy/src/routing/intake.rs
@@ -101,13 +101,14 @@
         self.notify_control(now, Event::Request(request));
     }
 
-    /// Whether a client's request with this id is unanswered.
-    pub fn is_open(&self, client: ClientId, id: u32) -> bool {
-        self.requests.of_client(client, id).is_some()
+    /// When the answer to a request received now, whose client waits for `timeout` ms, is of no more use, Unix ms.
+    pub fn answer_due(&self, now: f64, timeout: f64) -> f64 {
+        let timeout = timeout.min(self.instance_settings.longest_deadline());
+        now + timeout + self.instance_settings.limits.answer_slack + limits::LATE_ANSWER
     }
 
-    /// Whether a client has unanswered requests.
-    pub fn has_unanswered(&self, client: ClientId) -> bool {
-        self.requests.ids_of_client(client).next().is_some()
+    /// The same for a request whose timeout is unknown.
+    pub fn longest_answer_due(&self, now: f64) -> f64 {
+        self.answer_due(now, f64::INFINITY)
     }
 }
--- a/crates/deckproxy/src/transport/client.rs
+++ b/crates/deckproxy/src/transport/client.rs
@@ -3,15 +3,14 @@
 use crate::protocol::downstream::{Answer, Message, ProtocolError, encode_answer};
 use crate::protocol::limits;
 use crate::transport::client_input::{ClientInput, InputMode};
+use crate::transport::owed_answers::OwedAnswers;
 use crate::transport::pending_requests::PendingRequests;
 use crate::transport::stream::{Progress, Stream};
 use crate::transport::write_buffer::{OutgoingMessage, WrittenMessage};
 use bytes::Bytes;
 use std::io;
 
-/// Key of the answer to a request that counts as open until it is written.
-const ANSWER: u64 = 1;
-/// Key of all other messages.
+/// Key of the messages that answer no admitted request; the answer to one has the request's id, which is never 0.
 const OTHER: u64 = 0;
 
 /// A client's connection with its requests.
@@ -23,17 +22,17 @@
     pub pending: PendingRequests,
     /// Whether its last slice ended before everything that it had sent was read.
     pub has_backlog: bool,
-    /// Requests whose answer the kernel has not accepted completely yet.
-    open_requests: usize,
+    /// The admitted requests whose answers are not written yet.
+    owed: OwedAnswers,
     /// When bytes were last read or written, Unix ms.
     active_at: f64,
     /// When a read last found no more bytes available, Unix ms.
     drained_at: f64,
     /// Since when no byte of a non-empty write buffer was written, Unix ms.
     stalled_since: Option<f64>,
-    /// Requests cancelled since the last answer to an open request was written.
+    /// Requests cancelled since the last answer to an admitted request was written.
     cancelled: usize,
-    /// Bytes waiting to be written that answer no open request.
+    /// Bytes waiting to be written that answer no admitted request.
     other_bytes: usize,
     /// When the connection was half-closed, Unix ms.
     half_closed_at: Option<f64>,
@@ -49,7 +48,7 @@
             input: ClientInput::new(now),
             pending: PendingRequests::default(),
             has_backlog: false,
-            open_requests: 0,
+            owed: OwedAnswers::default(),
             active_at: now,
             drained_at: now,
             stalled_since: None,
@@ -142,10 +141,10 @@
         self.input.unanswered_partial_request(&self.stream)
     }
 
-    /// Appends the final answer to the request received in part; its message is dropped as it arrives. Returns the number
-    /// of bytes dropped now.
-    pub fn answer_partial_request(&mut self, id: u32, answer: &Answer) -> usize {
-        self.answer(id, answer, false);
+    /// Appends the final answer to the request received in part, which is of use until `due`, Unix ms; its message is
+    /// dropped as it arrives. Returns the number of bytes dropped now.
+    pub fn answer_partial_request(&mut self, id: u32, answer: &Answer, due: f64) -> usize {
+        self.answer_unadmitted(id, answer, due);
         self.drop_partial_message()
     }
 
@@ -174,11 +173,15 @@
         self.input.take_message(&mut self.stream)
     }
 
-    /// Counts a request as open if the limit on open requests allows it. Returns whether it was admitted.
-    pub fn admit(&mut self) -> bool {
-        let admitted = self.open_requests < limits::CLIENT_REQUESTS;
-        self.open_requests += usize::from(admitted);
-        admitted
+    /// Takes a request into the account of owed answers, if the limit on open requests allows it. Its answer is of use
+    /// until `due`, Unix ms. Returns whether it was admitted.
+    pub fn admit(&mut self, id: u32, due: f64) -> bool {
+        self.owed.admit(id, due)
+    }
+
+    /// Whether a request was admitted and has no final answer yet, wherever it waits for one.
+    pub fn is_request_open(&self, id: u32) -> bool {
+        self.owed.is_awaited(id)
     }
 
     /// Bytes that are received and not decoded, or wait to be written.
@@ -191,9 +194,16 @@
         self.stream.held_bytes()
     }
 
-    /// Whether no request is open and the write buffer is empty.
+    /// Whether no answer is owed and the write buffer is empty.
     pub fn is_idle(&self) -> bool {
-        self.open_requests == 0 && self.stream.unwritten_bytes() == 0
+        self.owed.is_empty() && self.stream.unwritten_bytes() == 0
+    }
+
+    /// Until when the connection must not be reset, Unix ms: as long as an answer to its client is not written completely
+    /// and still of use. `None` if there is no such answer.
+    pub fn owed_until(&self, now: f64) -> Option<f64> {
+        let due = self.owed.due();
+        (!self.is_idle() && now < due).then_some(due)
     }
 
     /// Whether no pending byte could be written for longer than the write timeout, even if the client continues to
@@ -207,10 +217,19 @@
         self.active_at
     }
 
-    /// Appends the answer to a request; `admitted` says whether the request was counted as open.
-    pub fn answer(&mut self, id: u32, answer: &Answer, admitted: bool) {
-        let key = if admitted { ANSWER } else { OTHER };
-        self.append(OutgoingMessage { key, parts: encode_answer(id, answer) });
+    /// Appends the final answer to an admitted request. Returns false if the request is not open: it was cancelled.
+    pub fn answer(&mut self, id: u32, answer: &Answer) -> bool {
+        let is_open = self.owed.answered(id);
+        if is_open {
+            self.append(OutgoingMessage { key: u64::from(id), parts: encode_answer(id, answer) });
+        }
+        is_open
+    }
+
+    /// Appends the final answer to a request that was not admitted. It is of use until `due`, Unix ms.
+    pub fn answer_unadmitted(&mut self, id: u32, answer: &Answer, due: f64) {
+        self.owed.extend_due(due);
+        self.append(OutgoingMessage { key: OTHER, parts: encode_answer(id, answer) });
     }
 
     /// Appends bytes that answer no request.
@@ -225,11 +244,15 @@
         self.stream.push(message);
     }
 
-    /// Counts a request as cancelled. Returns whether the number of cancellations without an answer in between
-    /// exceeds the limit.
-    pub fn cancel_request(&mut self) -> bool {
-        self.open_requests = self.open_requests.saturating_sub(1);
-        self.cancelled += 1;
+    /// Removes a cancelled request from the account of owed answers. Returns whether it was open.
+    pub fn cancel_request(&mut self, id: u32) -> bool {
+        let was_open = self.owed.cancelled(id);
+        self.cancelled += usize::from(was_open);
+        was_open
+    }
+
+    /// Whether the number of cancellations without an answer in between exceeds the limit.
+    pub fn cancels_too_many(&self) -> bool {
         self.cancelled > limits::CLIENT_CANCELLATIONS
     }
 
@@ -276,11 +299,12 @@
         self.stalled_since = (unwritten > 0).then(|| self.stalled_since.unwrap_or(now));
         for WrittenMessage { key, bytes } in self.written.drain(..) {
             complete(bytes);
-            if key == ANSWER {
-                self.open_requests = self.open_requests.saturating_sub(1);
-                self.cancelled = 0;
-            } else {
-                self.other_bytes -= bytes;
+            match u32::try_from(key) {
+                Ok(id) if key != OTHER => {
+                    self.owed.written(id);
+                    self.cancelled = 0;
+                }
+                _ => self.other_bytes -= bytes,
             }
         }
         flushed
--- a/crates/deckproxy/src/transport/mod.rs
+++ b/crates/deckproxy/src/transport/mod.rs
@@ -11,6 +11,7 @@
 pub mod listener;
 pub mod loop_timer;
 pub mod member;
+pub mod owed_answers;
 pub mod pending_requests;
 mod registration;
 pub mod site_link;
--- a/crates/deckproxy/src/transport/pending_requests.rs
+++ b/crates/deckproxy/src/transport/pending_requests.rs
@@ -52,11 +52,6 @@
         true
     }
 
-    /// Whether a request with this id is pending.
-    pub fn contains(&self, id: u32) -> bool {
-        self.queue.iter().any(|request| request.id == id)
-    }
-
     /// Number of requests.
     pub fn len(&self) -> usize {
         self.queue.len()
--- a/crates/deckproxy/tests/connection_close.rs
+++ b/crates/deckproxy/tests/connection_close.rs
@@ -5,12 +5,18 @@
 use deckproxy::transport::stream::Stream;
 use deckproxy_standins::wait::until_in;
 use deckproxy_standins::*;
-use std::io::Write;
+use std::collections::BTreeSet;
+use std::io::{Read, Write};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// When an answer of a test without a gateway is of no more use, Unix ms.
+const DUE: f64 = 1e12;
+/// The largest answer.
+static LARGEST: [u8; limits::OBJECT] = [7; limits::OBJECT];
+
 fn ready_client(gateway: &Gateway) -> Client {
     let mut client = gateway.client();
     client.expect_ready();
@@ -253,13 +259,91 @@
     while client.buffered_bytes() < limits::CLIENT_REJECTIONS {
         assert!(!client.is_over_write_limit(), "{} bytes", client.buffered_bytes());
         id += 1;
-        client.answer(id, &downstream::Answer::Rejected(0.0), false);
+        client.answer_unadmitted(id, &downstream::Answer::Rejected(0.0), DUE);
     }
-    client.answer(id + 1, &downstream::Answer::Rejected(0.0), false);
+    client.answer_unadmitted(id + 1, &downstream::Answer::Rejected(0.0), DUE);
     assert!(client.is_over_write_limit());
     // Bytes in the kernel's buffer are not counted; answers to requests in flight are bounded by their number.
     client.flush(1.0, |_| {}).unwrap();
     assert!(!client.is_over_write_limit() && client.buffered_bytes() == 0);
-    client.answer(id + 2, &downstream::Answer::Served(vec![0; 200_000].into()), true);
+    assert!(client.admit(id + 2, DUE));
+    assert!(client.answer(id + 2, &downstream::Answer::Served(vec![0; 200_000].into())));
     assert!(!client.is_over_write_limit());
 }
+
+/// Guards against an answer that is neither in the router nor in the write buffer when the linger time ends: the request's
+/// deadline and the linger time pass in one turn of the event loop.
+#[test]
+fn answer_decided_in_the_turn_in_which_the_linger_time_ends_is_written() {
+    let (site, gateway, mut client) = TestSite::start_with_client();
+    let start = Instant::now();
+    let id = client.send_request("page", &[("lookup", OBJECT), ("allow", "1450")], &[]);
+    site.next_request();
+    client.send(b"\xc1");
+    until("the connection begins to close", || gateway.log().contains("a client's connection closes"));
+    gateway.pause();
+    until("both times have passed", || start.elapsed() > Duration::from_millis(1650));
+    gateway.resume();
+    assert!(matches!(client.next_answer(), (answered, Answer::Error(..)) if answered == id));
+    client.expect_clean_close();
+}
+
+/// A client that has requested as much as it may at once and reads nothing; most of its answers are not written.
+struct UnreadAnswers {
+    _site: TestSite,
+    gateway: Gateway,
+    client: Client,
+    ids: BTreeSet<u64>,
+}
+
+impl UnreadAnswers {
+    fn start(allow_ms: &str) -> Self {
+        let site = TestSite::start();
+        let mut setup = site.setup();
+        setup.settings["services"][0]["deadlineMs"] = serde_json::json!(9000.0);
+        let gateway = setup.start();
+        let mut client = gateway.client();
+        let mut ids = BTreeSet::new();
+        for number in 0..limits::CLIENT_REQUESTS {
+            let object = format!("{number:016x}");
+            ids.insert(client.send_request("page", &[("lookup", &object), ("allow", allow_ms)], &[]));
+            let (cache, request) = site.next_request();
+            cache.answer(&request, "200", &LARGEST);
+        }
+        UnreadAnswers { _site: site, gateway, client, ids }
+    }
+
+    /// Begins to close the connection, and waits longer than one without owed answers stays open.
+    fn begin_to_close(&mut self) {
+        self.client.send(b"\xc1");
+        until("the connection begins to close", || {
+            self.gateway.log().contains("a client's connection closes")
+        });
+        thread::sleep(Duration::from_millis(1700));
+    }
+}
+
+/// Guards against the loss of answers that a client reads slowly while its connection closes.
+#[test]
+fn unread_answers_on_a_closing_connection_are_kept() {
+    let mut unread = UnreadAnswers::start("9000");
+    unread.begin_to_close();
+    while !unread.ids.is_empty() {
+        let (id, answer) = unread.client.next_answer();
+        assert!(matches!(answer, Answer::Served(body, _) if body == LARGEST), "{id}");
+        assert!(unread.ids.remove(&id), "{id} was answered twice");
+    }
+    unread.client.expect_clean_close();
+}
+
+/// Guards against a closing connection that stays for ever because its client reads nothing.
+#[test]
+fn unread_answers_on_a_closing_connection_are_dropped_after_their_deadlines() {
+    let mut unread = UnreadAnswers::start("2000");
+    unread.begin_to_close();
+    thread::sleep(Duration::from_millis(1500));
+    let mut handle = unread.client.stream_handle();
+    handle.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let ended = handle.read_to_end(&mut Vec::new());
+    assert_eq!(ended.unwrap_err().kind(), std::io::ErrorKind::ConnectionReset);
+}
--- a/crates/deckproxy/tests/sites/main.rs
+++ b/crates/deckproxy/tests/sites/main.rs
@@ -1,5 +1,6 @@
 //! Gateways of two and three sites over sockets: the tests answer for the members and cut the links between sites.
 
+mod closing_connections;
 mod forwarding;
 mod lifecycle;
 mod link_faults;
@@ -48,16 +49,28 @@
 
 impl LinkedSite {
     fn start(operator: String) -> Self {
-        Self::start_with_memory(operator, MEMORY_MB)
+        Self::start_configured(operator, |_| {})
     }
 
     fn start_with_memory(operator: String, memory_mb: u64) -> Self {
+        Self::start_configured(operator, |setup| setup.memory_mb = memory_mb)
+    }
+
+    /// Starts a site whose reads have this deadline.
+    fn start_with_deadline(operator: String, deadline_ms: f64) -> Self {
+        Self::start_configured(operator, |setup| {
+            setup.settings["services"][0]["deadlineMs"] = serde_json::json!(deadline_ms);
+        })
+    }
+
+    fn start_configured(operator: String, configure: impl FnOnce(&mut Setup)) -> Self {
         let members = TestSite::start();
         let feed = Feed::start();
         let mut setup = members.setup();
         setup.feed = feed.address;
         setup.operator = Some(operator);
-        setup.memory_mb = memory_mb;
+        setup.memory_mb = MEMORY_MB;
+        configure(&mut setup);
         let gateway = setup.start();
         let (_, feed_connection) = feed.accept();
         LinkedSite { members, setup, gateway, feed, feed_connection }
@@ -82,13 +95,20 @@
     }
 
     fn start_with_memory(mode: &str, memory_mb: u64) -> Self {
+        Self::start_sites(mode, |operator| LinkedSite::start_with_memory(operator, memory_mb))
+    }
+
+    /// Starts two sites whose reads have this deadline.
+    fn start_with_deadline(deadline_ms: f64) -> Self {
+        Self::start_sites("", |operator| LinkedSite::start_with_deadline(operator, deadline_ms))
+    }
+
+    fn start_sites(mode: &str, start: impl Fn(String) -> LinkedSite) -> Self {
         let [north_at, south_at] = [free_address(), free_address()];
         let link = LinkRelay::to(south_at);
-        let southern = operator_text("south", south_at, &[("north", north_at)], &[("a", "north", "")]);
-        let south = LinkedSite::start_with_memory(southern, memory_mb);
+        let south = start(operator_text("south", south_at, &[("north", north_at)], &[("a", "north", "")]));
         let routes = [("b", "south", mode)];
-        let northern = operator_text("north", north_at, &[("south", link.address)], &routes);
-        let north = LinkedSite::start_with_memory(northern, memory_mb);
+        let north = start(operator_text("north", north_at, &[("south", link.address)], &routes));
         wait_for_link(&north, "south");
         wait_for_link(&south, "north");
         let client = north.gateway.client();
