Answer a client's other requests when it reuses the id of an open one

What callers saw: a client that sent a request under the id of an open one lost all its open requests; its connection was closed.

Cause: handle_request closed the connection, as answers of two open requests with one id can't be distinguished. That concerns these two alone.

Change: the open request is cancelled, the two get one error answer, and the connection drains like after an id out of sequence.

Evidence: forwarded_request_is_answered_after_an_id_is_reused fails on the code before (the connection ends without an answer) and passes now; reusing_an_in_flight_id_closes_connection is unchanged and passes.

--- a/crates/deckproxy-flow/src/account/client.rs
+++ b/crates/deckproxy-flow/src/account/client.rs
@@ -59,7 +59,7 @@
     }
 
     /// A request of `bytes` bytes was received. A request with the id of an open one is counted as invalid at once,
-    /// because the connection can't continue after it.
+    /// because the answers of the two could not be distinguished.
     pub fn request_received(&mut self, meter: &mut Meter, now: Micros, id: u32, class: NameId, bytes: u64) {
         let request = Request { class, site: 0, bytes, received_at: now };
         if self.open_requests.iter().any(|(open_id, _)| *open_id == id) {
--- a/crates/deckproxy/src/program/client_messages.rs
+++ b/crates/deckproxy/src/program/client_messages.rs
@@ -135,10 +135,7 @@
         let due = self.router.answer_due(now, call.timeout);
         let Some(client) = self.clients.get_mut(&id) else { return };
         if client.is_request_open(request) {
-            // Answers to two open requests with the same id could not be distinguished.
-            self.router.counters.invalid += 1;
-            self.log_peer("a client's connection closes: two open requests of one id");
-            return self.close_client(now, id);
+            return self.handle_reused_id(now, key, due);
         }
         if !client.accept_id(request) {
             // The protocol requires ids that start at 1 and increase by 1.
@@ -162,6 +159,16 @@
         }
     }
 
+    /// Handles a request with the id of an open one. As their answers could not be distinguished, the open one is cancelled,
+    /// both get one answer, and the connection is drained: its other requests are still answered.
+    fn handle_reused_id(&mut self, now: f64, key: RequestKey, due: f64) {
+        let (id, _) = key;
+        self.cancel_request(now, key);
+        let error = RequestError::IdOutOfSequence;
+        self.answer_unadmitted(now, key, &Answer::Invalid(error), due);
+        self.drain_client(now, id, "two open requests of one id", InputMode::Reject);
+    }
+
     /// Answers a ping with whether the gateway is ready for requests.
     fn handle_ping(&mut self, now: f64, id: ClientId, request: u32) {
         let ready = !self.is_shutting_down();
--- a/crates/deckproxy/tests/sites/closing_connections.rs
+++ b/crates/deckproxy/tests/sites/closing_connections.rs
@@ -86,6 +86,17 @@
     });
 }
 
+/// Guards against the loss of a forwarded request whose client then uses the id of another open request again.
+#[test]
+fn forwarded_request_is_answered_after_an_id_is_reused() {
+    expect_answers_while_closing(|client| {
+        let (reused, bytes) = client.encode_request("once", &[("lookup", NORTHERN)], &[]);
+        client.send(&bytes);
+        client.send(&bytes);
+        client.expect_error(reused, "Unusable");
+    });
+}
+
 /// Guards against the loss of a forwarded request whose client cancels many others.
 #[test]
 fn forwarded_request_is_answered_after_too_many_cancellations() {
