Reconnect to a removed site as long as a request is open there

What callers saw: a reload removes a site while a request is open there, and then its link is lost: the request is rejected or fails, although the site runs it and keeps the response.

Cause: a closing Requester opened no connection any more, and without one the status of an attempt can't be requested.

Change: it keeps and opens connections as long as an exchange is open, which the deadlines bound.

Evidence: before, the next timer of a closing requester was the deadline (900 ms), and the client of forwarded_request_is_answered_after_its_site_is_removed_and_the_link_lost got a rejection; both tests pass now.

--- a/crates/deckproxy-sites/src/requester/mod.rs
+++ b/crates/deckproxy-sites/src/requester/mod.rs
@@ -127,7 +127,7 @@
         self.endpoints.get(endpoint).and_then(|endpoint| endpoint.epoch)
     }
 
-    /// Stops opening connections, and closes the open ones once no exchange is open.
+    /// Closes the connections, and opens no others, once no exchange is open.
     pub fn close(&mut self) {
         self.is_closing = true;
     }
--- a/crates/deckproxy-sites/src/requester/timers.rs
+++ b/crates/deckproxy-sites/src/requester/timers.rs
@@ -76,9 +76,16 @@
         }
     }
 
+    /// Whether connections are kept open: while closing, only as long as an exchange is open, as its response may have to be
+    /// requested again after a loss.
+    fn needs_connections(&self) -> bool {
+        !self.is_closing || !self.exchanges.is_empty()
+    }
+
     fn open_missing_connections(&mut self, now: Millis, index: usize) {
+        let needs_connections = self.needs_connections();
         let endpoint = &mut self.endpoints[index];
-        while !self.is_closing && endpoint.lacks_connections() && now >= endpoint.next_connect_at {
+        while needs_connections && endpoint.lacks_connections() && now >= endpoint.next_connect_at {
             endpoint.connecting += 1;
             self.effects.push_back(Effect::Connect(index));
         }
@@ -90,7 +97,7 @@
         let connections = &self.endpoints[index].connections;
         let (mut to_close, others): (Vec<ConnectionId>, Vec<ConnectionId>) =
             connections.keys().partition(|id| now - connections[*id].last_received > silence_timeout);
-        if self.is_closing && self.exchanges.is_empty() {
+        if !self.needs_connections() {
             to_close.extend(others);
         }
         let reason = if self.is_closing { CloseReason::PeerRemoved } else { CloseReason::Silent };
@@ -114,7 +121,7 @@
     }
 
     fn next_endpoint_timer(&self, endpoint: &Endpoint) -> Option<Millis> {
-        let is_missing = endpoint.lacks_connections() && !self.is_closing;
+        let is_missing = endpoint.lacks_connections() && self.needs_connections();
         let reconnect = is_missing.then_some(endpoint.next_connect_at);
         let down_since = endpoint.down_since.filter(|_| !endpoint.unresolved.is_empty());
         let resume_timeout = down_since.map(|since| since + endpoint.resume_timeout + TIMEOUT_MARGIN);
--- a/crates/deckproxy-sites/tests/requester.rs
+++ b/crates/deckproxy-sites/tests/requester.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use common::{LINK, TRUST, hello};
 use deckproxy_sites::LinkLimits;
+use deckproxy_sites::close::CloseReason;
 use deckproxy_sites::frame::{
     AttemptNumbers, AttemptState, AttemptStatus, BodyChunk, GoAway, Outcome, Payload, Request, ResponseHead,
 };
@@ -133,6 +134,31 @@
     assert_eq!(replies(&fixture.effects()), [(1, reply)]);
 }
 
+/// Guards against the loss of a response whose site is removed from the configuration before its connection is lost.
+#[test]
+fn a_closing_requester_reconnects_as_long_as_an_exchange_is_open() {
+    let mut fixture = Fixture::connected();
+    let number = fixture.request(10.0, 1, forwarded_request(5, RetrySafety::NotIdempotent, 900.0));
+    fixture.requester.close();
+    fixture.requester.disconnected(20.0, 1, &[]);
+    let due = fixture.requester.next_timer().expect("the reconnect is scheduled");
+    assert!(due < 100.0, "{due}");
+    fixture.requester.tick(due, due, &fixture.purges);
+    assert_eq!(fixture.effects(), [Effect::Connect(0)]);
+    fixture.requester.connected(due, 0, 2);
+    fixture.requester.hello_received(due, 2, &hello(77));
+    assert_eq!(resumed_attempts(&fixture.effects()), [number]);
+    fixture.receive(100.0, 2, status(number, AttemptState::Completed));
+    fixture.receive(100.0, 2, response(number, Outcome::Served, 0));
+    assert_eq!(replies(&fixture.effects()).len(), 1);
+    fixture.requester.tick(110.0, 110.0, &fixture.purges);
+    let closes = |effect: &Effect| matches!(effect, Effect::Close(2, CloseReason::PeerRemoved));
+    assert!(fixture.effects().iter().any(closes), "no exchange is open");
+    fixture.requester.disconnected(111.0, 2, &[]);
+    fixture.requester.tick(2000.0, 2000.0, &fixture.purges);
+    assert_eq!(fixture.effects(), [], "no connection is opened any more");
+}
+
 #[test]
 fn an_attempt_of_unknown_status_fails_unless_the_request_is_idempotent() {
     for (retry_safety, is_retried) in [(RetrySafety::NotIdempotent, false), (RetrySafety::Idempotent, true)] {
--- a/crates/deckproxy/tests/sites/closing_connections.rs
+++ b/crates/deckproxy/tests/sites/closing_connections.rs
@@ -124,6 +124,29 @@
     assert_eq!(north.gateway.wait_for_exit(), Some(0));
 }
 
+/// Guards against the loss of a forwarded request whose connection closes and whose site is removed by a reload, while
+/// the link to it is lost.
+#[test]
+fn forwarded_request_is_answered_after_its_site_is_removed_and_the_link_lost() {
+    let SitePair { north, south, mut client, link } = SitePair::start_with_deadline(DEADLINE_MS);
+    let forwarded = open(&mut client, &south, SOUTHERN, "9000");
+    client.send(MEANINGLESS);
+    until_closing(&north);
+    let operator = north.setup.operator.as_ref().unwrap();
+    let alone: String =
+        operator.lines().filter(|line| !line.starts_with("peers") && !line.starts_with("routes")).collect();
+    let other = format!("peers {{ site: \"west\" addresses: \"{}\" }} link {{", free_address());
+    north.gateway.reload_operator(&alone.replace("link {", &other));
+    until("the new peers are in force", || north.gateway.log().contains("routes and peers are in force"));
+    link.set_state(LinkState::Reset);
+    until("the cut is detected", || north.gateway.log().contains("link to south (0): down"));
+    link.set_state(LinkState::Up);
+    outlast_closing_interval();
+    forwarded.serve(&mut client, b"from the south");
+    client.expect_clean_close();
+    until("the links to the removed site close", || link.open_connections() == 0);
+}
+
 /// Guards against the loss of a request that is forwarded through a third site.
 #[test]
 fn request_forwarded_through_a_third_site_is_answered_on_a_closing_connection() {
