Reset a closing link whose peer does not read what is left

What callers saw: a link that was given up as silent kept its connection, buffer and descriptor as long as the kernel had bytes for its peer; a graceful shutdown waited for it until the process was killed.

Cause: close_link_when_written closes a link once its write buffer is empty, and nothing bounded that time.

Change: it is reset after CLOSING_INTERVAL. Responses are retained until the other site releases them, so nothing is lost.

Evidence: closing_link_whose_peer_does_not_read_is_reset fails on the code before (still open after 10 s) and passes now.

--- a/crates/deckproxy/src/program/effects.rs
+++ b/crates/deckproxy/src/program/effects.rs
@@ -113,7 +113,7 @@
                 self.connect_link(now, peer, address_index, to);
             }
             SubsystemEffect::SendFrame(link, frame) => self.send_frame(link, &frame),
-            SubsystemEffect::CloseLink(link, why) => self.close_link_when_written(link, &why),
+            SubsystemEffect::CloseLink(link, why) => self.close_link_when_written(now, link, &why),
             SubsystemEffect::ConnectCollector { index, to, transport } => {
                 self.connect_collector(now, index, to, transport);
             }
--- a/crates/deckproxy/src/program/event_loop.rs
+++ b/crates/deckproxy/src/program/event_loop.rs
@@ -148,6 +148,7 @@
                 }
             }
             TimerTask::LinkConnectTimeout(id) => self.link_connect_timeout(now, id),
+            TimerTask::ResetLink(id) => self.reset_link(now, id),
             TimerTask::ConnectFeed => self.connect_feed(now),
             TimerTask::RetryAccept => self.retry_accept(),
             TimerTask::ExpireUnsent(key) => self.expire_unsent(now, key),
--- a/crates/deckproxy/src/program/site_links.rs
+++ b/crates/deckproxy/src/program/site_links.rs
@@ -122,17 +122,27 @@
         }
     }
 
-    /// Closes a link once its write buffer is empty.
-    pub(super) fn close_link_when_written(&mut self, id: LinkId, why: &str) {
+    /// Closes a link once its write buffer is empty, or after a time if its peer does not read.
+    pub(super) fn close_link_when_written(&mut self, now: f64, id: LinkId, why: &str) {
         if let Some(links) = &mut self.site_links
             && let Some(link) = links.open.get_mut(&id)
         {
             link.closing = true;
             links.to_flush.insert(id);
+            self.timers.schedule(now + limits::CLOSING_INTERVAL, TimerTask::ResetLink(id));
         }
         self.log_peer(&format!("a link closes: {why}"));
     }
 
+    /// Resets a closing link whose write buffer did not get empty. Answers in it are retained until the peer releases them.
+    pub(super) fn reset_link(&mut self, now: f64, id: LinkId) {
+        if let Some(link) = self.site_links.as_ref().and_then(|links| links.open.get(&id)) {
+            link.stream.reset_on_close();
+            self.log_peer("a closing link is reset: its peer does not read");
+            self.close_link(now, id);
+        }
+    }
+
     /// Completes a pending connect, reads and handles received frames, and schedules a write.
     pub(super) fn serve_link(&mut self, now: f64, id: LinkId) {
         if !self.is_link_established(now, id) {
--- a/crates/deckproxy/src/program/timer_task.rs
+++ b/crates/deckproxy/src/program/timer_task.rs
@@ -11,6 +11,8 @@
     UpstreamConnectTimeout(UpstreamId),
     /// Close a link that is not established yet.
     LinkConnectTimeout(LinkId),
+    /// Reset a closing link whose peer does not read.
+    ResetLink(LinkId),
     /// Connect to the control feed.
     ConnectFeed,
     /// Retry accepting after descriptors or connection slots ran out.
--- a/crates/deckproxy/tests/sites/link_faults.rs
+++ b/crates/deckproxy/tests/sites/link_faults.rs
@@ -127,3 +127,12 @@
     cache.answer(&request, "200", b"back");
     pair.client.expect_served(id, b"back");
 }
+
+/// Guards against a closed link that stays for ever because its peer does not read what is left to write.
+#[test]
+fn closing_link_whose_peer_does_not_read_is_reset() {
+    let mut pair = SitePair::start();
+    pair.fill_silent_link();
+    until("the link is closed", || pair.south.gateway.log().contains("a link closes: silent"));
+    until("the link is reset", || pair.south.gateway.log().contains("a closing link is reset"));
+}
--- a/crates/deckproxy/tests/sites/main.rs
+++ b/crates/deckproxy/tests/sites/main.rs
@@ -8,12 +8,15 @@
 mod memory;
 mod purges;
 
-use deckproxy_standins::link_relay::LinkRelay;
+use deckproxy_standins::link_relay::{LinkRelay, LinkState};
 use deckproxy_standins::*;
 use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
 
 /// The limit of a gateway's memory where a test is not about it.
 const MEMORY_MB: u64 = 192;
+/// Large answers that exceed what the kernel and the relay take for a link.
+const UNREAD_ANSWERS: usize = 24;
 /// Objects of the north begin with a, those of the south with b, those of the east with c.
 const SOUTHERN: &str = "b000000000000001";
 
@@ -118,4 +121,17 @@
     fn start() -> Self {
         Self::start_with("")
     }
+
+    /// Has the south answer more than the kernel takes for the link, which then passes nothing any more.
+    fn fill_silent_link(&mut self) {
+        self.link.throttle(1);
+        for number in 0..UNREAD_ANSWERS {
+            let object = format!("b{number:015x}");
+            self.client.send_request("page", &[("lookup", &object), ("room", "200")], b"");
+            let (cache, request) = self.south.members.next_request();
+            cache.answer(&request, "200", &[1; 200_000]);
+        }
+        std::thread::sleep(Duration::from_millis(100));
+        self.link.set_state(LinkState::Silent);
+    }
 }
