Keep answers for other sites through a shutdown until they are received, and bound that

What callers saw: a gateway that served another site's request was shut down while the link was lost. The process ended as soon as it had the answer; the client at the other site got a rejection although the link came back in time, also for a write that had run. In the other direction nothing bounded the wait for a peer that reads nothing: the process was killed.

Cause: Responder::unfinished_attempts counted a response as finished once it was handed to a connection, or had none.

Change: a response is owed until the requesting side releases it or its session expires; a shutdown waits for that, and gives it up 300 ms after all open requests have failed (ShutdownPhase::Ending).

The schedules of deckproxy-sites check that nothing stays owed.

--- a/crates/deckproxy-sites/src/responder/mod.rs
+++ b/crates/deckproxy-sites/src/responder/mod.rs
@@ -88,9 +88,10 @@
         }
     }
 
-    /// Number of attempts that are running, or whose response is not completely sent on their connection.
-    pub fn unfinished_attempts(&self) -> usize {
+    /// Number of attempts whose response the requesting side is owed: it has not released them, and its session has not
+    /// expired.
+    pub fn owed_attempts(&self) -> usize {
         let attempts = self.sessions.values().flat_map(|session| session.attempts.values());
-        attempts.filter(|attempt| attempt.is_unfinished()).count()
+        attempts.filter(|attempt| attempt.is_owed()).count()
     }
 }
--- a/crates/deckproxy-sites/src/responder/session.rs
+++ b/crates/deckproxy-sites/src/responder/session.rs
@@ -56,13 +56,11 @@
         Attempt { connection: None, progress: AttemptProgress::Fenced }
     }
 
-    /// Whether it is running, or its response is not completely sent on its connection.
-    pub(super) fn is_unfinished(&self) -> bool {
-        match &self.progress {
-            AttemptProgress::Running(_) => true,
-            AttemptProgress::Completed(response) => {
-                self.connection.is_some() && response.sent < response.result.body.len()
-            }
+    /// Whether the requesting side is owed its response: it is running, or its response is retained, as the requesting side
+    /// has not released it yet.
+    pub(super) fn is_owed(&self) -> bool {
+        match self.progress {
+            AttemptProgress::Running(_) | AttemptProgress::Completed(_) => true,
             AttemptProgress::Fenced | AttemptProgress::Evicted => false,
         }
     }
--- a/crates/deckproxy-sites/tests/responder.rs
+++ b/crates/deckproxy-sites/tests/responder.rs
@@ -87,6 +87,34 @@
     assert_eq!(statuses(&effects(&mut responder)), expected, "the session has expired");
 }
 
+/// Guards against a shutdown that ends before the other site has received what it is owed.
+#[test]
+fn a_response_is_owed_until_it_is_released_or_its_session_expires() {
+    let mut responder = connected();
+    for number in 1..=2 {
+        responder.receive(1.0, 1, request(number));
+    }
+    let runs: Vec<u64> = effects(&mut responder)
+        .into_iter()
+        .filter_map(|effect| match effect {
+            Effect::Run(run, _) => Some(run),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(responder.owed_attempts(), 2, "they are running");
+    for run in runs {
+        responder.run_ended(2.0, run, served(0));
+    }
+    assert_eq!(responder.owed_attempts(), 2, "the heads may still be in transit");
+    responder.receive(3.0, 1, Payload::Release(AttemptNumbers { numbers: vec![1] }));
+    assert_eq!(responder.owed_attempts(), 1);
+    responder.disconnected(4.0, 1);
+    responder.tick(4.0 + 1000.0);
+    assert_eq!(responder.owed_attempts(), 1, "it may be requested again on another connection");
+    responder.tick(4.0 + 1001.0);
+    assert_eq!(responder.owed_attempts(), 0, "the session has expired");
+}
+
 #[test]
 fn bodies_are_sent_round_robin_within_their_credit_windows() {
     let mut responder = connected();
--- a/crates/deckproxy-sites/tests/schedules/main.rs
+++ b/crates/deckproxy-sites/tests/schedules/main.rs
@@ -61,6 +61,7 @@
         assert_eq!(site.held_bytes(), 0, "memory is counted that nothing uses");
         let usage = site.responder().usage();
         assert_eq!((usage.runs, usage.retained_bytes), (0, 0), "something is left on the serving side");
+        assert_eq!(site.responder().owed_attempts(), 0, "a response is owed for ever");
     }
     assert!(simulation.tokens.is_empty() && simulation.runs.is_empty());
     simulation.responses
--- a/crates/deckproxy/src/program/event_loop.rs
+++ b/crates/deckproxy/src/program/event_loop.rs
@@ -155,10 +155,11 @@
             TimerTask::LingerExpired(id) => self.linger_expired(now, id),
             TimerTask::CloseClient(id) => self.close_client(now, id),
             TimerTask::RejectNewRequests => {
-                self.shutdown = ShutdownPhase::Rejecting;
+                self.shutdown = self.shutdown.max(ShutdownPhase::Rejecting);
                 self.accept_pending = true;
             }
             TimerTask::FailOpenRequests => self.fail_open_requests(now),
+            TimerTask::EndShutdown => self.shutdown = ShutdownPhase::Ending,
             TimerTask::WakeLoop => {}
         }
     }
--- a/crates/deckproxy/src/program/gateway.rs
+++ b/crates/deckproxy/src/program/gateway.rs
@@ -46,7 +46,7 @@
 const MAX_PEER_LINES: u32 = 50;
 
 /// The phase of a graceful shutdown.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum ShutdownPhase {
     /// No shutdown has begun.
     Running,
@@ -54,6 +54,8 @@
     Draining,
     /// Pending connections are accepted a last time, and new requests are rejected on all connections.
     Rejecting,
+    /// All requests have failed and their answers had time to be written: what other sites are still owed is given up.
+    Ending,
 }
 
 /// The state of the event loop.
@@ -261,9 +263,9 @@
         self.shutdown != ShutdownPhase::Running
     }
 
-    /// Whether a graceful shutdown has reached the phase in which new requests are rejected.
+    /// Whether a graceful shutdown has reached the phases in which new requests are rejected.
     pub(super) fn is_rejecting(&self) -> bool {
-        self.shutdown == ShutdownPhase::Rejecting
+        self.shutdown >= ShutdownPhase::Rejecting
     }
 
     /// Allocates the id for a new connection.
--- a/crates/deckproxy/src/program/shutdown.rs
+++ b/crates/deckproxy/src/program/shutdown.rs
@@ -43,16 +43,19 @@
         for id in self.clients.keys() {
             self.timers.schedule(now + limits::LINGER, TimerTask::CloseClient(*id));
         }
+        self.timers.schedule(now + limits::LINGER, TimerTask::EndShutdown);
     }
 
-    /// Whether a shutdown has closed the listener, and no request is unanswered and nothing left to write to other
-    /// sites.
+    /// Whether a shutdown has closed the listener, and nothing is owed to other sites any more: no request is unanswered,
+    /// and all answers are received, or can't be waited for any longer.
     pub(super) fn has_settled(&mut self) -> bool {
-        self.is_shutting_down()
-            && self.listener.is_none()
-            && self.router.unanswered() == 0
-            && self.subsystems.is_settled()
-            && self.site_links.as_ref().is_none_or(|links| links.is_written())
+        if !self.is_shutting_down() || self.listener.is_some() {
+            return false;
+        }
+        self.shutdown == ShutdownPhase::Ending
+            || self.router.unanswered() == 0
+                && self.subsystems.is_settled()
+                && self.site_links.as_ref().is_none_or(|links| links.is_written())
     }
 
     /// Closes the client connections once their answers are written and no data has just been received on them, then
--- a/crates/deckproxy/src/program/sites/mod.rs
+++ b/crates/deckproxy/src/program/sites/mod.rs
@@ -223,7 +223,7 @@
     }
 
     fn is_settled(&self) -> bool {
-        self.site.open_requests() == 0 && self.site.responder().unfinished_attempts() == 0
+        self.site.open_requests() == 0 && self.site.responder().owed_attempts() == 0
     }
 
     /// Answers all forwarded requests as failed, as the process is about to be killed.
--- a/crates/deckproxy/src/program/timer_task.rs
+++ b/crates/deckproxy/src/program/timer_task.rs
@@ -27,6 +27,8 @@
     RejectNewRequests,
     /// Graceful shutdown: fail the requests that are still open.
     FailOpenRequests,
+    /// Graceful shutdown: give up what other sites are still owed.
+    EndShutdown,
     /// Wake the loop for a subsystem that waits for this time.
     WakeLoop,
 }
--- a/crates/deckproxy/tests/sites/lifecycle.rs
+++ b/crates/deckproxy/tests/sites/lifecycle.rs
@@ -1,8 +1,9 @@
 //! Reload and graceful shutdown of a gateway with links to other sites.
 
 use crate::{SOUTHERN, SitePair};
+use deckproxy_standins::link_relay::LinkState;
 use deckproxy_standins::*;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 #[test]
 fn reload_changes_routes_and_peers_with_requests_in_flight() {
@@ -51,3 +52,49 @@
         }
     }
 }
+
+/// Guards against a shutdown that ends while the link is lost, although the other site is still owed an answer.
+#[test]
+fn graceful_shutdown_keeps_an_answer_until_the_lost_link_is_back() {
+    let mut pair = SitePair::start_with_deadline(9000.0);
+    let id = pair.client.send_request("page", &[("lookup", SOUTHERN), ("allow", "9000")], b"");
+    let (cache, request) = pair.south.members.next_request();
+    let start = Instant::now();
+    pair.south.gateway.signal("TERM");
+    pair.link.set_state(LinkState::Reset);
+    cache.answer(&request, "200", b"kept");
+    // Longer than new requests are accepted.
+    until("a shutdown without owed answers would have ended", || {
+        start.elapsed() > Duration::from_millis(1200)
+    });
+    pair.link.set_state(LinkState::Up);
+    pair.client.expect_served(id, b"kept");
+    assert_eq!(pair.south.gateway.wait_for_exit(), Some(0));
+}
+
+/// Guards against a shutdown that waits past its kill for another site that does not come back for its answer.
+#[test]
+fn graceful_shutdown_ends_although_the_other_site_is_lost() {
+    let mut pair = SitePair::start();
+    pair.client.request_object(SOUTHERN);
+    let (cache, request) = pair.south.members.next_request();
+    pair.link.set_state(LinkState::Reset);
+    cache.answer(&request, "200", b"for nobody");
+    let start = Instant::now();
+    pair.south.gateway.signal("TERM");
+    assert_eq!(pair.south.gateway.wait_for_exit(), Some(0));
+    // SIGKILL would come 3.7 s after SIGTERM.
+    assert!(start.elapsed() < Duration::from_millis(3500), "{:?}", start.elapsed());
+}
+
+/// Guards against a shutdown that never ends because another site does not read what it is owed.
+#[test]
+fn graceful_shutdown_ends_although_another_site_reads_nothing() {
+    let mut pair = SitePair::start();
+    pair.fill_silent_link();
+    let start = Instant::now();
+    pair.south.gateway.signal("TERM");
+    assert_eq!(pair.south.gateway.wait_for_exit(), Some(0));
+    // SIGKILL would come 3.7 s after SIGTERM.
+    assert!(start.elapsed() < Duration::from_millis(3500), "{:?}", start.elapsed());
+}
