--- a/crates/deckproxy-lab/src/drills/sites/faults.rs
+++ b/crates/deckproxy-lab/src/drills/sites/faults.rs
@@ -205,8 +205,7 @@
         self.was_killed = true;
         self.restarts += 1;
         let south = &mut self.gateways[1];
-        south.gateway.child.kill().expect("a process of our own");
-        let _ = south.gateway.child.wait();
+        south.gateway.kill();
         self.record.note(Fact::GatewayKilled { site: 1 });
         south.start_again();
     }
--- a/crates/deckproxy-rig/src/instance_process.rs
+++ b/crates/deckproxy-rig/src/instance_process.rs
@@ -130,8 +130,7 @@
     pub fn kill(&mut self) {
         self.absences.begin(self.record.now());
         if let Some(mut gateway) = self.gateway.take() {
-            gateway.child.kill().expect("a process of our own");
-            let _ = gateway.child.wait();
+            gateway.kill();
             self.keep_log(&gateway);
         }
     }
--- a/crates/deckproxy-standins/src/gateway.rs
+++ b/crates/deckproxy-standins/src/gateway.rs
@@ -1,6 +1,8 @@
 //! The process of a gateway: how it is started, signalled and measured.
 
 mod program;
+#[cfg(test)]
+mod tests;
 mod usage;
 
 pub use program::Program;
@@ -14,7 +16,7 @@
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::thread;
+use std::thread::{self, JoinHandle};
 
 /// Bytes of the log that are read at a time.
 const READ_CHUNK: usize = 4096;
@@ -33,6 +35,8 @@
     log: Arc<Mutex<String>>,
     /// The reading end of its log is to be closed.
     log_closed: Arc<AtomicBool>,
+    /// Copies the log; ends with it.
+    log_reader: JoinHandle<()>,
 }
 
 /// How it is started. None of these waits until it is ready; all panic if the process can't be started.
@@ -101,8 +105,8 @@
         let log: Arc<Mutex<String>> = Arc::default();
         let log_closed = Arc::new(AtomicBool::new(false));
         let (copy, closed) = (log.clone(), log_closed.clone());
-        thread::spawn(move || read_log(stderr, &copy, &closed));
-        Gateway { child, address, path: path.to_path_buf(), operator: None, log, log_closed }
+        let log_reader = thread::spawn(move || read_log(stderr, &copy, &closed));
+        Gateway { child, address, path: path.to_path_buf(), operator: None, log, log_closed, log_reader }
     }
 }
 
@@ -164,7 +168,7 @@
         assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
     }
 
-    /// Waits until the process has ended by itself, and returns its exit code.
+    /// Waits until the process has ended by itself and its log is complete, and returns its exit code.
     ///
     /// # Panics
     /// If it doesn't end in time.
@@ -174,9 +178,25 @@
             status = self.child.try_wait().unwrap();
             status.is_some()
         });
+        self.wait_for_log_end();
         status.and_then(|status| status.code())
     }
 
+    /// Kills the process (SIGKILL), and waits until it has ended and its log is complete.
+    ///
+    /// # Panics
+    /// If the system refuses the signal, or the log doesn't end in time.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("a process of our own");
+        self.child.wait().expect("a process of our own");
+        self.wait_for_log_end();
+    }
+
+    /// Waits until everything that the ended process wrote is in its log.
+    fn wait_for_log_end(&self) {
+        until("the log ends", || self.log_reader.is_finished());
+    }
+
     /// Pauses the process (SIGSTOP) and waits until it is paused; what is sent to it meanwhile stays in the kernel.
     pub fn pause(&self) {
         self.signal("STOP");
--- a/crates/deckproxy/tests/sites/link_faults.rs
+++ b/crates/deckproxy/tests/sites/link_faults.rs
@@ -29,8 +29,7 @@
     let mut pair = SitePair::start();
     let id = pair.client.send_request("post", &[("lookup", SOUTHERN), ("replay", "k1")], b"write");
     let request = pair.south.members.origin.next_request();
-    pair.south.gateway.child.kill().unwrap();
-    pair.south.gateway.child.wait().unwrap();
+    pair.south.gateway.kill();
     pair.south.gateway = pair.south.setup.start();
     let start = Instant::now();
     pair.client.expect_error(id, "Fault");
@@ -46,8 +45,7 @@
     let mut pair = SitePair::start();
     let id = pair.client.request_object(SOUTHERN);
     let _ = pair.south.members.next_request();
-    pair.south.gateway.child.kill().unwrap();
-    pair.south.gateway.child.wait().unwrap();
+    pair.south.gateway.kill();
     pair.south.gateway = pair.south.setup.start();
     let (cache, request) = pair.south.members.next_request();
     cache.answer(&request, "200", b"again");
@@ -67,8 +65,7 @@
         north.replace(&format!("addresses: \"{first}\""), &format!("addresses: [\"{first}\", \"{second}\"]")),
     );
     until("both endpoints are up", || north.gateway.log().contains("2 of 2 endpoints are up"));
-    other.child.kill().unwrap();
-    other.child.wait().unwrap();
+    other.kill();
     until("one endpoint is down", || {
         north.gateway.log().contains("1 of 2 endpoints are up") && north.gateway.log().contains(": down")
     });
