Tests fill a silent link without cutting it first

Cause, in the test's set-up: it filled the link at 1 byte a millisecond, which the north takes for a cut. It gave its connections up again and again meanwhile (the log has a "silent" each 250 ms), so that it was chance whether the south had something left to write when the link fell silent; where it had not, there was nothing to reset.

Change: the link passes 24 bytes a millisecond until it falls silent, which neither side takes for a cut (slow_link_is_not_treated_as_cut), and on which the answers take minutes. What the tests demand is unchanged.

Measured: the test and graceful_shutdown_ends_although_another_site_reads_nothing, which has the same set-up, 24 runs each, six side by side, and 6 runs each beside 16 busy loops: none failed. Without the reset of closing links and the end of the shutdown both failed 2 of 2.

--- a/crates/deckproxy/tests/sites/main.rs
+++ b/crates/deckproxy/tests/sites/main.rs
@@ -17,6 +17,8 @@
 const MEMORY_MB: u64 = 192;
 /// Large answers that exceed what the kernel and the relay take for a link.
 const UNREAD_ANSWERS: usize = 24;
+/// A link on which they take minutes.
+const SLOW_LINK_BYTES_PER_MS: u64 = 24;
 /// Objects of the north begin with a, those of the south with b, those of the east with c.
 const SOUTHERN: &str = "b000000000000001";
 
@@ -122,9 +124,10 @@
         Self::start_with("")
     }
 
-    /// Has the south answer more than the kernel takes for the link, which then passes nothing any more.
+    /// Has the south answer more than the kernel takes for the link, which then passes nothing any more. Until then the link
+    /// is slow, but not so slow that either side takes it for cut.
     fn fill_silent_link(&mut self) {
-        self.link.throttle(1);
+        self.link.throttle(SLOW_LINK_BYTES_PER_MS);
         for number in 0..UNREAD_ANSWERS {
             let object = format!("b{number:015x}");
             self.client.send_request("page", &[("lookup", &object), ("room", "200")], b"");
